--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -530,10 +530,14 @@
     this.#requeue(victim, { now, ran: "unknown" });
   }
 
+  /**
+   * Expires last: after a pause many requests are late at once, and a higher
+   * tier must not be refused while lower work still holds slots.
+   */
   #tick(now: number): void {
-    this.#expire(now);
-    this.#preemptForLate(now);
     this.#dispatch(now);
+    this.#preemptForLate(now);
+    this.#expire(now);
   }
 
   #expire(now: number): void {
@@ -550,19 +554,35 @@
   /** Preempts for requests that have used up half of their time to start. */
   #preemptForLate(now: number): void {
     this.#queue.listWaiting().forEach((lane) => {
-      const head = lane.peek();
-      if (head === undefined || !isLate(head.request, now)) return;
-      const pools = this.#listPoolsFor(head.request);
-      const victim = this.#findVictim(head.request, pools);
-      if (victim !== undefined) {
-        this.#preempt(victim, now);
-        this.#dispatchLane(lane, now);
-      } else if (admission.hasLowerWork(head.request.tier, pools)) {
-        this.#effects.push({ kind: "ask_capacity" });
+      for (
+        let head = lane.peek();
+        head !== undefined && isLate(head.request, now);
+        head = lane.peek()
+      ) {
+        if (!this.#preemptFor(lane, head, now)) return;
       }
     });
   }
 
+  /** Makes room for the head of a lane; false if nothing started. */
+  #preemptFor(
+    lane: queue.Lane,
+    head: queue.QueuedRequest,
+    now: number,
+  ): boolean {
+    const pools = this.#listPoolsFor(head.request);
+    const victim = this.#findVictim(head.request, pools);
+    if (victim === undefined) {
+      if (admission.hasLowerWork(head.request.tier, pools)) {
+        this.#effects.push({ kind: "ask_capacity" });
+      }
+      return false;
+    }
+    this.#preempt(victim, now);
+    this.#dispatchLane(lane, now);
+    return lane.peek() !== head;
+  }
+
   #refuse(refused: request.Request, reason: refusals.RefusalReason): void {
     this.#effects.push({
       kind: "refuse",
--- /dev/null
+++ b/packages/core/dispatcher_fuzz_test.ts
@@ -0,0 +1,490 @@
+/** Stateful fuzzing of the dispatcher against an oracle of what must hold. */
+import * as fc from "fast-check";
+import * as tap from "tap";
+import * as utils from "@banyangrade/utils";
+import * as core from "./mod.ts";
+
+const RUNS = Number(process.env.FUZZ_RUNS ?? 1_500);
+const SEED = Number(process.env.FUZZ_SEED ?? 20_261_203);
+
+const CLASSES: core.ClassPart[] = [1, 2, 3].map((tier) => ({
+  kind: "class",
+  name: `tier${tier}`,
+  tier,
+  firstTokenMs: 500,
+  betweenTokensMs: 50,
+  queueMs: 1_000,
+  share: tier === 1 ? 0 : 0.1,
+}));
+const POOL: Omit<core.PoolPart, "name" | "targets" | "serves"> = {
+  kind: "pool",
+  failureDomain: "a",
+  slots: 2,
+  spot: false,
+  costPerHour: 1,
+  checksFencing: false,
+  minServers: 0,
+  maxServers: 0,
+};
+const POOLS: core.PoolPart[] = [
+  { ...POOL, name: "engines", serves: "engine", targets: ["model"] },
+  { ...POOL, name: "rooms", serves: "service", targets: ["rooms"] },
+];
+const SERVERS: core.ServerInfo[] = ["e1", "e2", "e3", "r1", "r2"].map((
+  name,
+) => ({
+  name,
+  pool: name.startsWith("e") ? "engines" : "rooms",
+  url: "",
+  state: "live",
+}));
+
+const FAILURES = [
+  "not_sent",
+  "refused",
+  "connection_lost",
+  "server_error",
+  "timeout",
+  "crossed",
+] as const;
+
+type Step =
+  | {
+    kind: "arrive";
+    tier: number;
+    customer: number;
+    call: boolean;
+    repeatable: boolean;
+    poison: number;
+  }
+  | { kind: "advance"; ms: number }
+  | { kind: "finish"; pick: number }
+  | {
+    kind: "fail";
+    pick: number;
+    failure: core.AttemptFailure;
+    tokens: number;
+  }
+  /** The end of an attempt that was given up, arriving late. */
+  | { kind: "late"; pick: number; whole: boolean }
+  | { kind: "cancel"; pick: number }
+  | { kind: "withdraw"; customer: number }
+  | { kind: "server"; pick: number; state: "live" | "leaving" | "gone" }
+  | { kind: "grant"; slots: number; lowest: number; recall: number }
+  | { kind: "lost" }
+  | { kind: "report"; pick: number; running: number };
+
+const pick = fc.nat({ max: 30 });
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant("arrive" as const),
+      tier: fc.integer({ min: 1, max: 3 }),
+      customer: fc.nat({ max: 2 }),
+      call: fc.boolean(),
+      repeatable: fc.boolean(),
+      poison: fc.nat({ max: 6 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("advance" as const),
+      ms: fc.constantFrom(1, 20, 200, 600, 3_000),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({ kind: fc.constant("finish" as const), pick }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("fail" as const),
+      pick,
+      failure: fc.constantFrom(...FAILURES),
+      tokens: fc.nat({ max: 2 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("late" as const),
+      pick,
+      whole: fc.boolean(),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("cancel" as const), pick }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("withdraw" as const),
+      customer: fc.nat({ max: 2 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("server" as const),
+      pick,
+      state: fc.constantFrom(
+        "live" as const,
+        "leaving" as const,
+        "gone" as const,
+      ),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("grant" as const),
+      slots: fc.nat({ max: 8 }),
+      lowest: fc.nat({ max: 3 }),
+      recall: fc.nat({ max: 3 }),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant("lost" as const) }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("report" as const),
+      pick,
+      running: fc.nat({ max: 3 }),
+    }),
+  },
+);
+
+interface Running {
+  readonly request: core.Request;
+  readonly attempt: number;
+  readonly server: string;
+}
+
+/** What is true of each request, by an independent account. */
+class Oracle {
+  readonly open = new Map<string, core.Request>();
+  readonly finals = new Map<string, number>();
+  readonly mayHaveRun = new Set<string>();
+  readonly running = new Map<string, Running>();
+  readonly withdrawn = new Set<string>();
+  readonly lostServers = new Map<string, Set<string>>();
+  readonly states = new Map(SERVERS.map((server) => [server.name, "live"]));
+  quota = Infinity;
+
+  check(condition: boolean, message: string): void {
+    if (!condition) throw new Error(message);
+  }
+
+  takeEffect(effect: core.DispatchEffect): void {
+    switch (effect.kind) {
+      case "start":
+        return this.#takeStart(effect);
+      case "stop":
+        this.running.delete(effect.requestId);
+        this.mayHaveRun.add(effect.requestId);
+        return;
+      case "refuse":
+        return this.#takeRefusal(effect.requestId, effect.refusal);
+      case "suspect":
+      case "ask_capacity":
+        return;
+    }
+  }
+
+  #takeStart(effect: Extract<core.DispatchEffect, { kind: "start" }>): void {
+    const { request, server } = effect;
+    this.check(this.open.has(request.id), "started a closed request");
+    this.check(!this.running.has(request.id), "two attempts at one time");
+    this.check(
+      request.repeatable || !this.mayHaveRun.has(request.id),
+      "a request that may not be repeated ran twice",
+    );
+    this.check(
+      this.states.get(server.name) === "live",
+      "work on a leaving server",
+    );
+    this.check(!this.withdrawn.has(request.keyId), "work for a withdrawn key");
+    this.check(
+      (this.lostServers.get(request.fingerprint)?.size ?? 0) <
+        core.constants.POISON_LIMIT,
+      "a poison request took a third server",
+    );
+    const own =
+      [...this.running.values()].filter((one) =>
+        one.request.kind === request.kind
+      ).length;
+    this.check(own < this.quota, "more running than granted");
+    this.running.set(request.id, {
+      request,
+      attempt: effect.attempt,
+      server: server.name,
+    });
+  }
+
+  #takeRefusal(requestId: string, refusal: core.Refusal): void {
+    const request = this.open.get(requestId);
+    this.check(request !== undefined, "refused a closed request");
+    this.check(
+      refusal.ran !== "no" || !this.mayHaveRun.has(requestId),
+      `"not run" of a request that may have run`,
+    );
+    const forLoad = refusal.code === "overloaded" ||
+      refusal.code === "deadline_exceeded";
+    if (forLoad && request !== undefined) this.#checkTier(request);
+    this.close(requestId);
+  }
+
+  /** No lower tier holds a slot beyond its share, where it could give way. */
+  #checkTier(refused: core.Request): void {
+    const same = [...this.running.values()].filter((one) =>
+      one.request.kind === refused.kind
+    );
+    const live =
+      SERVERS.filter((server) =>
+        this.states.get(server.name) === "live" &&
+        (server.pool === "engines") === (refused.kind === "generate")
+      ).length;
+    const slots = Math.min(this.quota, live * POOL.slots);
+    const lower = same.filter((one) => {
+      const own = same.filter((other) =>
+        other.request.className === one.request.className
+      ).length;
+      const share = CLASSES.find((part) =>
+        part.name === one.request.className
+      )?.share ?? 0;
+      return one.request.tier > refused.tier && one.request.repeatable &&
+        own > Math.ceil(share * slots);
+    });
+    this.check(lower.length === 0, "refused while lower work held a slot");
+  }
+
+  close(requestId: string): void {
+    this.open.delete(requestId);
+    this.finals.set(requestId, (this.finals.get(requestId) ?? 0) + 1);
+  }
+}
+
+function buildConfiguration(): core.Configuration {
+  return core.applyChange(core.EMPTY_CONFIGURATION, {
+    revision: 1,
+    previousDigest: "",
+    puts: [...CLASSES, ...POOLS],
+    removes: [],
+    author: "test",
+    writerToken: "1",
+  }).unwrap();
+}
+
+class Harness {
+  readonly oracle = new Oracle();
+  readonly dispatcher = new core.Dispatcher({
+    failureDomain: "a",
+    random: utils.createRandom(1),
+  });
+  now = 0;
+  count = 0;
+
+  constructor() {
+    this.send({ kind: "configured", configuration: buildConfiguration() });
+    this.send({ kind: "servers_changed", servers: SERVERS });
+  }
+
+  send(event: core.DispatchEvent): void {
+    this.dispatcher.handle(event, this.now)
+      .forEach((effect) => this.oracle.takeEffect(effect));
+  }
+
+  run(next: Step): void {
+    switch (next.kind) {
+      case "arrive":
+        return this.#runArrive(next);
+      case "advance":
+        this.now += next.ms;
+        return this.send({ kind: "ticked" });
+      case "finish":
+        return this.#runFinish(next.pick);
+      case "fail":
+        return this.#runFail(next);
+      case "late":
+        return this.#runLate(next);
+      case "cancel":
+        return this.#runCancel(next.pick);
+      case "withdraw":
+        this.oracle.withdrawn.add(`key${next.customer}`);
+        return this.send({
+          kind: "key_withdrawn",
+          keyId: `key${next.customer}`,
+        });
+      case "server":
+        return this.#runServer(next);
+      case "grant":
+        return this.#runGrant(next);
+      case "lost":
+        this.oracle.quota = Infinity;
+        return this.send({ kind: "grants_lost" });
+      case "report":
+        return this.send({
+          kind: "load_reported",
+          report: {
+            server: SERVERS[next.pick % SERVERS.length].name,
+            running: next.running,
+            waiting: 0,
+            cacheFree: 1,
+          },
+        });
+    }
+  }
+
+  #runArrive(next: Extract<Step, { kind: "arrive" }>): void {
+    const keyId = `key${next.customer}`;
+    // The front refuses withdrawn keys before the dispatcher sees them.
+    if (this.oracle.withdrawn.has(keyId)) return;
+    this.count += 1;
+    const request: core.Request = {
+      id: `r${this.count}`,
+      customer: `c${next.customer}`,
+      keyId,
+      className: `tier${next.tier}`,
+      tier: next.tier,
+      target: next.call ? "rooms" : "model",
+      kind: next.call ? "call" : "generate",
+      pools: [],
+      promptTokens: 10,
+      maxTokens: 10,
+      prefix: "",
+      fingerprint: next.poison === 0 ? "poison" : `f${this.count}`,
+      repeatable: !next.call || next.repeatable,
+      arrivedAt: this.now,
+      startBy: this.now + 1_000,
+      weight: 1,
+    };
+    this.oracle.open.set(request.id, request);
+    this.send({ kind: "arrived", request });
+  }
+
+  #pickRunning(at: number): Running | undefined {
+    const running = [...this.oracle.running.values()];
+    return running.length === 0 ? undefined : running[at % running.length];
+  }
+
+  #runFinish(at: number): void {
+    const one = this.#pickRunning(at);
+    if (one === undefined) return;
+    const { id: requestId } = one.request;
+    this.oracle.running.delete(requestId);
+    this.oracle.lostServers.delete(one.request.fingerprint);
+    this.oracle.close(requestId);
+    this.send({ kind: "finished", requestId, attempt: one.attempt, tokens: 5 });
+  }
+
+  #runFail(next: Extract<Step, { kind: "fail" }>): void {
+    const one = this.#pickRunning(next.pick);
+    if (one === undefined) return;
+    const { id: requestId, fingerprint } = one.request;
+    const { attempt } = one;
+    const unrun = next.failure === "not_sent" || next.failure === "refused";
+    const tokens = unrun ? 0 : next.tokens;
+    if (tokens > 0) {
+      this.send({ kind: "progressed", requestId, attempt, tokens });
+    }
+    this.oracle.running.delete(requestId);
+    if (!unrun) this.oracle.mayHaveRun.add(requestId);
+    if (next.failure === "connection_lost") {
+      const lost = this.oracle.lostServers.get(fingerprint) ?? new Set();
+      this.oracle.lostServers.set(fingerprint, lost.add(one.server));
+    }
+    this.send({
+      kind: "failed",
+      requestId,
+      attempt,
+      failure: next.failure,
+      answerStarted: tokens > 0,
+      resumable: one.request.kind === "generate",
+    });
+  }
+
+  #runLate(next: Extract<Step, { kind: "late" }>): void {
+    const retried = [...this.oracle.running.values()]
+      .filter((one) => one.attempt > 1);
+    if (retried.length === 0) return;
+    const one = retried[next.pick % retried.length];
+    const ended = { requestId: one.request.id, attempt: one.attempt - 1 };
+    this.send(
+      next.whole ? { kind: "finished", ...ended, tokens: 5 } : {
+        kind: "failed",
+        ...ended,
+        failure: "connection_lost",
+        answerStarted: false,
+        resumable: false,
+      },
+    );
+  }
+
+  #runCancel(at: number): void {
+    const open = [...this.oracle.open.keys()];
+    if (open.length === 0) return;
+    const requestId = open[at % open.length];
+    this.oracle.close(requestId);
+    this.send({ kind: "cancelled", requestId });
+  }
+
+  #runServer(next: Extract<Step, { kind: "server" }>): void {
+    const server = SERVERS[next.pick % SERVERS.length];
+    this.oracle.states.set(server.name, next.state);
+    const servers = SERVERS.flatMap((info) => {
+      const state = this.oracle.states.get(info.name);
+      return state === "live" || state === "leaving"
+        ? [{ ...info, state }]
+        : [];
+    }) as core.ServerInfo[];
+    this.send({ kind: "servers_changed", servers });
+  }
+
+  #runGrant(next: Extract<Step, { kind: "grant" }>): void {
+    this.oracle.quota = next.slots;
+    const grants = POOLS.map((pool) => ({
+      pool: pool.name,
+      slots: next.slots,
+      lowestTierElsewhere: next.lowest,
+      recallForTier: next.recall,
+    }));
+    this.send({ kind: "granted", grants, asOf: this.now });
+  }
+
+  /** Lets all time run out: every request must have got exactly one end. */
+  settle(): void {
+    for (let round = 0; round < 200 && this.oracle.open.size > 0; round += 1) {
+      this.#runFinish(0);
+      this.now += 500;
+      this.send({ kind: "ticked" });
+    }
+    this.oracle.check(this.oracle.open.size === 0, "a request got no end");
+    this.oracle.check(
+      [...this.oracle.finals.values()].every((count) => count === 1),
+      "a request got two ends",
+    );
+    const left = this.dispatcher.countOpen();
+    this.oracle.check(left.running + left.queued === 0, "state left behind");
+    const busy = this.dispatcher.inspect().pools.some((pool) =>
+      pool.running !== 0
+    );
+    this.oracle.check(!busy, "slots left in use");
+  }
+}
+
+tap.t.test("the dispatcher keeps its promises in any history", (t) => {
+  fc.assert(
+    fc.property(fc.array(step, { minLength: 1, maxLength: 60 }), (steps) => {
+      const harness = new Harness();
+      steps.forEach((next) => harness.run(next));
+      harness.settle();
+    }),
+    { numRuns: RUNS, seed: SEED },
+  );
+  t.pass(`${RUNS} histories, seed ${SEED}`);
+  t.end();
+});
--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -10,7 +10,7 @@
   ("abandon accept acknowledge acquire add admit advance allocate allow answer " +
     "append apply ask assert await begin build bundle call cancel carry check choose claim " +
     "classify clear close collect commit compact compare complete compute " +
-    "confirm connect count crash create decide decode defend describe dispatch " +
+    "confirm connect copy count crash create decide decode defend describe dispatch " +
     "divide drain draw drop encode end estimate exceeds expire explain export fail fetch " +
     "fill filter find finish fix flush forget format forward generate get give grant handle " +
     "has hash hold index inspect is issue join keep leave list listen load make " +
