--- a/packages/banyangrade/call_exchange.ts
+++ b/packages/banyangrade/call_exchange.ts
@@ -52,6 +52,10 @@
         path: options.path,
         headers: options.headers,
         body: options.body,
+        ...exchange.getPatience(options.part, {
+          repeatable: options.request.repeatable,
+          stream: true,
+        }),
         signal: own.signal,
       });
       end(effect, outcome);
--- a/packages/banyangrade/exchange.ts
+++ b/packages/banyangrade/exchange.ts
@@ -15,6 +15,40 @@
   readonly usage: usage.UsageTask;
 }
 
+/** Targets missed by so much mean that an attempt hangs and is tried elsewhere. */
+const HANG_FACTOR = 4;
+/** Least time before an attempt counts as hanging, in ms. */
+const MIN_HANG_MS = 3_000;
+/** Wait for an answer that cannot be sooner, or that may not be repeated, in ms. */
+const PATIENT_MS = 120_000;
+
+/** How long an attempt may keep silent, in ms. */
+export interface Patience {
+  readonly firstByteMs: number;
+  readonly betweenMs: number;
+}
+
+/**
+ * Returns how long an attempt may keep silent. Trying again early helps only
+ * what may be repeated and shows signs of life before it is whole.
+ *
+ * @example
+ * getPatience(part, { repeatable: true, stream: true }).firstByteMs;
+ */
+export function getPatience(
+  part: core.ClassPart,
+  options: { readonly repeatable: boolean; readonly stream: boolean },
+): Patience {
+  if (!options.repeatable || !options.stream) {
+    return { firstByteMs: PATIENT_MS, betweenMs: PATIENT_MS };
+  }
+  const hang = (ms: number) => Math.max(MIN_HANG_MS, HANG_FACTOR * ms);
+  return {
+    firstByteMs: hang(part.firstTokenMs),
+    betweenMs: hang(part.betweenTokensMs),
+  };
+}
+
 /** Measures one request from arrival to end. */
 export class ExchangeRecord {
   readonly #context: ExchangeContext;
--- a/packages/banyangrade/generate_exchange.ts
+++ b/packages/banyangrade/generate_exchange.ts
@@ -143,6 +143,10 @@
     body: JSON.stringify({ ...options.body, priority: effect.request.tier }),
     stream: options.stream,
     offset: effect.offset,
+    ...exchange.getPatience(options.part, {
+      repeatable: true,
+      stream: options.stream,
+    }),
     signal,
   };
 }
--- a/packages/engine/client.ts
+++ b/packages/engine/client.ts
@@ -24,6 +24,10 @@
   readonly body: string;
   readonly stream: boolean;
   readonly offset: number;
+  /** Longest wait for the first byte, in ms. */
+  readonly firstByteMs: number;
+  /** Longest wait between two parts of the answer, in ms. */
+  readonly betweenMs: number;
   readonly signal: AbortSignal;
 }
 
@@ -60,6 +64,8 @@
       method: "POST",
       headers: buildHeaders(call),
       body: call.body,
+      headersTimeout: call.firstByteMs,
+      bodyTimeout: call.betweenMs,
       signal: call.signal,
     });
     return await readAnswer(answer, { call, sink });
--- a/packages/engine/fake.ts
+++ b/packages/engine/fake.ts
@@ -139,7 +139,10 @@
     case "silent":
       return;
     case "crash_on":
-      if (seen.body.includes(state.fault.text)) return crash(state);
+      if (seen.body.includes(state.fault.text)) {
+        crash(state);
+        return void answer.destroy();
+      }
       return start(state, { seen, answer });
     case "none":
     case "cross":
--- a/packages/service/client.ts
+++ b/packages/service/client.ts
@@ -13,6 +13,8 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string | string[]>>;
   readonly body: Uint8Array;
+  /** Longest wait for the answer's first byte, in ms. */
+  readonly firstByteMs: number;
   readonly signal: AbortSignal;
 }
 
@@ -53,6 +55,7 @@
         [utils.ATTEMPT_HEADER]: String(call.attempt),
       },
       body: call.body.length === 0 ? null : call.body,
+      headersTimeout: call.firstByteMs,
       signal: call.signal,
     });
     return await readAnswer(answer, call);
