--- /dev/null
+++ b/bench/simulation.ts
@@ -0,0 +1,634 @@
+/**
+ * One run in virtual time: hosts with the real dispatcher and allocator (or the
+ * naive version), engines by their model, messages with delays, and troubles.
+ */
+import * as tinyqueue from "tinyqueue";
+import * as core from "@banyangrade/core";
+import * as engineModel from "@banyangrade/engine/model.ts";
+import * as utils from "@banyangrade/utils";
+import * as measure from "./measure.ts";
+import * as naive from "./naive.ts";
+import type * as scenarios from "./scenario.ts";
+
+/** Times in ms. */
+const TICK_MS = 50;
+const DEMAND_MS = 250;
+const REPORT_MS = 1_000;
+const REPORT_LAG_MS = 500;
+const MESSAGE_MS = 0.5;
+/** Time between a server's loss and the hosts' list without it. */
+const LIST_LAG_MS = 1_000;
+
+interface Timed {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+interface Server {
+  readonly info: core.ServerInfo;
+  readonly pool: core.PoolPart;
+  readonly engine: engineModel.EngineModel;
+  readonly work: Map<string, Work>;
+  alive: boolean;
+  stepping: boolean;
+}
+
+/** An attempt at a server. */
+interface Work {
+  readonly host: Host;
+  readonly request: core.Request;
+  readonly attempt: number;
+  readonly offset: number;
+  tokens: number;
+}
+
+interface Host {
+  readonly name: string;
+  readonly domain: string;
+  readonly policy: naive.Policy;
+  /** Where each running request is. */
+  readonly places: Map<string, { server: Server; key: string }>;
+}
+
+/** Options of {@link Simulation}. */
+export interface SimulationOptions {
+  readonly scenario: scenarios.Scenario;
+  readonly troubles: readonly scenarios.Trouble[];
+  readonly policy: "banyangrade" | "naive";
+  readonly seed: number;
+  readonly runMs: number;
+}
+
+/** A run. */
+export class Simulation {
+  readonly measure: measure.Measure;
+  readonly #options: SimulationOptions;
+  readonly #random: utils.Random;
+  readonly #queue = new tinyqueue.default<Timed>(
+    [],
+    (a, b) => a.at - b.at || a.order - b.order,
+  );
+  readonly #hosts: Host[] = [];
+  _hosts() {
+    return this.#hosts.slice(0, 2);
+  }
+  readonly #servers: Server[] = [];
+  readonly #allocators = new Map<string, core.CapacityAllocator>();
+  readonly #lengths = new Map<string, number>();
+  readonly #asked = new Set<string>();
+  #now = 0;
+  #order = 0;
+  #requests = 0;
+
+  constructor(options: SimulationOptions) {
+    this.#options = options;
+    this.#random = utils.createRandom(options.seed);
+    this.measure = new measure.Measure(options.scenario);
+  }
+
+  /** Runs to the end. */
+  run(): void {
+    this.#build();
+    this.#options.scenario.loads.forEach((load) => this.#scheduleArrival(load));
+    this.#options.troubles.forEach((trouble) => this.#scheduleTrouble(trouble));
+    for (
+      let next = this.#queue.pop();
+      next !== undefined && next.at <= this.#options.runMs;
+      next = this.#queue.pop()
+    ) {
+      this.#now = next.at;
+      next.run();
+    }
+  }
+
+  #after(ms: number, run: () => void): void {
+    this.#order += 1;
+    this.#queue.push({ at: this.#now + ms, order: this.#order, run });
+  }
+
+  // ---- building ----
+
+  #build(): void {
+    const { scenario } = this.#options;
+    scenario.pools.forEach((pool) => {
+      const count = scenario.servers.get(pool.name) ?? 0;
+      for (let index = 0; index < count; index += 1) {
+        this.#servers.push(createServer(pool, index));
+      }
+    });
+    scenario.failureDomains.forEach((domain) => {
+      this.#allocators.set(domain, new core.CapacityAllocator());
+      for (let index = 0; index < scenario.hostsPerDomain; index += 1) {
+        this.#addHost(domain, index);
+      }
+    });
+    this.#after(REPORT_MS, () => this.#reportLoads());
+  }
+
+  #addHost(domain: string, index: number): void {
+    const host: Host = {
+      name: `${domain}-${index}`,
+      domain,
+      places: new Map(),
+      policy: this.#options.policy === "naive"
+        ? new naive.NaiveDispatcher()
+        : new core.Dispatcher({
+          failureDomain: domain,
+          random: utils.createRandom(this.#options.seed + this.#hosts.length),
+        }),
+    };
+    this.#hosts.push(host);
+    this.#send(host, {
+      kind: "configured",
+      configuration: this.#buildConfiguration(),
+    });
+    this.#sendServers(host);
+    // Hosts tick out of step with each other.
+    this.#after(index * 7, () => this.#tick(host));
+    this.#after(index * 11 + 1, () => this.#runDemand(host));
+  }
+
+  #buildConfiguration(): core.Configuration {
+    const { scenario } = this.#options;
+    return core.applyChange(core.EMPTY_CONFIGURATION, {
+      revision: 1,
+      previousDigest: "",
+      puts: [...scenario.pools, ...scenario.loads.map((load) => load.part)],
+      removes: [],
+      author: "bench",
+      writerToken: "bench",
+    }).unwrap();
+  }
+
+  #sendServers(host: Host): void {
+    const servers = this.#servers.filter((server) =>
+      server.alive && server.pool.failureDomain === host.domain
+    ).map((server) => server.info);
+    this.#send(host, { kind: "servers_changed", servers });
+  }
+
+  // ---- hosts ----
+
+  #tick(host: Host): void {
+    this.#send(host, { kind: "ticked" });
+    this.#after(TICK_MS, () => this.#tick(host));
+  }
+
+  #runDemand(host: Host): void {
+    this.#sendDemand(host);
+    this.#after(DEMAND_MS, () => this.#runDemand(host));
+  }
+
+  /** Demand goes to the failure domain's allocator and its grants come back. */
+  #sendDemand(host: Host): void {
+    if (this.#options.policy === "naive") return;
+    const demands = host.policy.listDemand();
+    const sentAt = this.#now;
+    this.measure.messages += 1;
+    this.#after(MESSAGE_MS, () => {
+      const allocator = this.#allocators.get(host.domain);
+      allocator?.setDemand(host.name, { demands, now: this.#now });
+      const grants = allocator?.allocate(
+        this.#listCapacities(host.domain),
+        this.#now,
+      );
+      this.#after(MESSAGE_MS, () => {
+        this.#hosts.filter((other) => other.domain === host.domain)
+          .forEach((other) => {
+            const own = grants?.get(other.name);
+            const urgent = own?.some((grant) => grant.recallForTier > 0);
+            if (own === undefined || (other !== host && !urgent)) return;
+            this.#send(other, { kind: "granted", grants: own, asOf: sentAt });
+          });
+      });
+    });
+  }
+
+  #listCapacities(domain: string): core.PoolCapacity[] {
+    const { scenario } = this.#options;
+    const shares = new Map(
+      scenario.loads.map((load) => [load.part.name, load.part.share]),
+    );
+    return scenario.pools.filter((pool) => pool.failureDomain === domain)
+      .map((pool) => ({
+        pool: pool.name,
+        slots:
+          this.#servers.filter((server) =>
+            server.pool === pool && server.alive && server.info.state === "live"
+          ).length * pool.slots,
+        shares,
+      }));
+  }
+
+  #send(host: Host, event: core.DispatchEvent): void {
+    host.policy.handle(event, this.#now)
+      .forEach((effect) => this.#carryOut(host, effect));
+  }
+
+  #carryOut(host: Host, effect: core.DispatchEffect): void {
+    switch (effect.kind) {
+      case "start":
+        return this.#start(host, effect);
+      case "stop":
+        return this.#stop(host, effect.requestId);
+      case "refuse":
+        this.measure.recordRefused(effect.requestId, effect.refusal, {
+          now: this.#now,
+          lowerElsewhere: (request) => this.#hasLowerWork(request, host),
+        });
+        return;
+      case "suspect":
+        return this.#spreadMark(host, effect.mark);
+      case "ask_capacity":
+        return this.#askSoon(host);
+    }
+  }
+
+  /** At most one urgent demand of a host every 50 ms, as in the daemon. */
+  #askSoon(host: Host): void {
+    if (this.#asked.has(host.name)) return;
+    this.#asked.add(host.name);
+    this.#sendDemand(host);
+    this.#after(TICK_MS, () => this.#asked.delete(host.name));
+  }
+
+  #spreadMark(from: Host, mark: core.SuspectMark): void {
+    this.#hosts.filter((host) => host !== from && host.domain === from.domain)
+      .forEach((host) =>
+        this.#after(
+          MESSAGE_MS,
+          () => this.#send(host, { kind: "suspected", marks: [mark] }),
+        )
+      );
+  }
+
+  /** Whether lower work beyond its share runs where the request could have. */
+  #hasLowerWork(request: core.Request, host: Host): boolean {
+    const running = this.#servers.filter((server) =>
+      server.alive && server.pool.failureDomain === host.domain &&
+      server.pool.targets.includes(request.target)
+    ).flatMap((server) =>
+      [...server.work.values()].map((work) => ({ work, pool: server.pool }))
+    );
+    return running.some(({ work, pool }) => {
+      const lower = work.request.tier > request.tier && work.request.repeatable;
+      if (!lower) return false;
+      const capacity = this.#listCapacities(host.domain)
+        .find((one) => one.pool === pool.name);
+      const share = capacity?.shares.get(work.request.className) ?? 0;
+      const own = running.filter((other) =>
+        other.pool === pool &&
+        other.work.request.className === work.request.className
+      ).length;
+      return own > Math.ceil(share * (capacity?.slots ?? 0));
+    });
+  }
+
+  // ---- servers ----
+
+  #start(
+    host: Host,
+    effect: Extract<core.DispatchEffect, { kind: "start" }>,
+  ): void {
+    const { request, attempt, offset } = effect;
+    const server = this.#servers.find((one) =>
+      one.info.name === effect.server.name
+    );
+    if (server === undefined || !server.alive) {
+      this.#after(
+        1,
+        () =>
+          this.#fail({ host, request, attempt, offset, tokens: 0 }, "not_sent"),
+      );
+      return;
+    }
+    const key = `${request.id}#${attempt}`;
+    const work = { host, request, attempt, offset, tokens: 0 };
+    server.work.set(key, work);
+    host.places.set(request.id, { server, key });
+    if (request.fingerprint === "poison") {
+      this.measure.poisoned.add(server.info.name);
+      this.#after(200, () => this.#crash(server, 20_000));
+    }
+    if (request.kind === "call") return this.#startCall(server, { key, work });
+    server.engine.add({
+      id: key,
+      promptTokens: request.promptTokens + offset,
+      prefix: request.prefix,
+      outputTokens: Math.max(1, (this.#lengths.get(request.id) ?? 1) - offset),
+      priority: this.#options.policy === "naive" ? 0 : request.tier,
+    });
+    if (!server.stepping) this.#step(server);
+  }
+
+  /** A plain service runs its slots side by side; the rest wait in it. */
+  #startCall(
+    server: Server,
+    { key, work }: { readonly key: string; readonly work: Work },
+  ): void {
+    const busy = Math.max(1, server.work.size / server.pool.slots);
+    const ms = utils.drawExponential(
+      this.#random,
+      this.#options.scenario.serviceMs * busy,
+    );
+    this.#after(ms, () => {
+      if (server.work.get(key) !== work) return;
+      server.work.delete(key);
+      work.tokens = 1;
+      this.#finish(work);
+    });
+  }
+
+  #step(server: Server): void {
+    server.stepping = server.alive && !server.engine.isIdle();
+    if (!server.stepping) return;
+    const result = server.engine.step();
+    this.#after(result.ms, () => {
+      if (!server.alive) return;
+      result.tokens.forEach((key) => this.#passToken(server, key));
+      result.finished.forEach((key) => {
+        const work = server.work.get(key);
+        if (work === undefined) return;
+        server.work.delete(key);
+        this.#finish(work);
+      });
+      this.#step(server);
+    });
+  }
+
+  #passToken(server: Server, key: string): void {
+    const work = server.work.get(key);
+    if (work === undefined) return;
+    work.tokens += 1;
+    const { id: requestId } = work.request;
+    this.measure.recordToken(requestId, this.#now);
+    this.#send(work.host, {
+      kind: "progressed",
+      requestId,
+      attempt: work.attempt,
+      tokens: work.tokens,
+    });
+  }
+
+  #finish(work: Work): void {
+    const { id: requestId } = work.request;
+    work.host.places.delete(requestId);
+    this.measure.recordFinished(requestId, {
+      now: this.#now,
+      tokens: work.offset + work.tokens,
+    });
+    this.#send(work.host, {
+      kind: "finished",
+      requestId,
+      attempt: work.attempt,
+      tokens: work.offset + work.tokens,
+    });
+  }
+
+  #stop(host: Host, requestId: string): void {
+    const place = host.places.get(requestId);
+    if (place === undefined) return;
+    const work = place.server.work.get(place.key);
+    // The tokens stay with the caller; what is lost is the prompt's work.
+    if (work !== undefined) this.measure.recordLost(0);
+    place.server.work.delete(place.key);
+    place.server.engine.cancel(place.key);
+    host.places.delete(requestId);
+  }
+
+  #fail(work: Work, failure: core.AttemptFailure): void {
+    const { id: requestId } = work.request;
+    work.host.places.delete(requestId);
+    const resumes = this.#options.policy !== "naive";
+    if (!resumes) this.measure.recordLost(work.tokens);
+    this.#send(work.host, {
+      kind: "failed",
+      requestId,
+      attempt: work.attempt,
+      failure,
+      answerStarted: work.tokens + work.offset > 0,
+      resumable: work.request.kind === "generate",
+    });
+  }
+
+  #crash(server: Server, downMs: number): void {
+    if (!server.alive) return;
+    server.alive = false;
+    const lost = [...server.work.values()];
+    server.work.clear();
+    server.engine.clear();
+    server.stepping = false;
+    lost.forEach((work) => this.#fail(work, "connection_lost"));
+    this.#after(LIST_LAG_MS, () => this.#sendAllServers());
+    this.#after(downMs, () => this.#restart(server));
+  }
+
+  #restart(server: Server): void {
+    server.alive = true;
+    this.#after(LIST_LAG_MS, () => this.#sendAllServers());
+  }
+
+  #sendAllServers(): void {
+    this.#hosts.forEach((host) => this.#sendServers(host));
+  }
+
+  #reportLoads(): void {
+    const silent = this.#options.troubles.some((trouble) =>
+      trouble.kind === "no_reports" && this.#isWithin(trouble)
+    );
+    const reports = silent
+      ? []
+      : this.#servers.filter((server) =>
+        server.alive && server.pool.serves === "engine"
+      ).map((server) => ({
+        domain: server.pool.failureDomain,
+        report: { server: server.info.name, ...server.engine.getLoad() },
+      }));
+    this.#after(
+      REPORT_LAG_MS,
+      () =>
+        this.#hosts.forEach((host) =>
+          reports.filter((one) => one.domain === host.domain).forEach((one) =>
+            this.#send(host, { kind: "load_reported", report: one.report })
+          )
+        ),
+    );
+    this.#after(REPORT_MS, () => this.#reportLoads());
+  }
+
+  // ---- load ----
+
+  #isWithin(trouble: { readonly from: number; readonly to: number }): boolean {
+    return this.#now >= trouble.from && this.#now < trouble.to;
+  }
+
+  #getRate(load: scenarios.ClassLoad): number {
+    const bursting = this.#options.troubles.some((trouble) =>
+      trouble.kind === "burst" && this.#isWithin(trouble)
+    );
+    return load.perSecond * (bursting ? load.burst : 1) *
+      this.#getGreed(load).sum;
+  }
+
+  /** One small customer asks for many times its share. */
+  #getGreed(
+    load: scenarios.ClassLoad,
+  ): { readonly shares: readonly number[]; readonly sum: number } {
+    const greedy = this.#options.troubles.find((trouble) =>
+      trouble.kind === "greedy" && this.#isWithin(trouble)
+    );
+    const { customers } = this.#options.scenario;
+    const factor = greedy?.kind === "greedy" && load.kind === "generate"
+      ? greedy.factor
+      : 1;
+    const shares = customers.map((share, index) =>
+      index === 0 ? share * factor : share
+    );
+    return { shares, sum: shares.reduce((sum, share) => sum + share, 0) };
+  }
+
+  #scheduleArrival(load: scenarios.ClassLoad): void {
+    const gap = utils.drawExponential(
+      this.#random,
+      1_000 / this.#getRate(load),
+    );
+    this.#after(gap, () => {
+      this.#arrive(load);
+      this.#scheduleArrival(load);
+    });
+  }
+
+  #drawCustomer(load: scenarios.ClassLoad): number {
+    const { shares, sum } = this.#getGreed(load);
+    let left = this.#random.next() * sum;
+    return Math.max(
+      0,
+      shares.findIndex((share) => {
+        left -= share;
+        return left <= 0;
+      }),
+    );
+  }
+
+  #arrive(load: scenarios.ClassLoad, fingerprint?: string): void {
+    this.#requests += 1;
+    const id = `r${this.#requests}`;
+    const customer = this.#drawCustomer(load);
+    const host = this.#hosts[this.#random.below(this.#hosts.length)];
+    const output = load.outputTokens === 0
+      ? 0
+      : 1 + Math.floor(utils.drawExponential(this.#random, load.outputTokens));
+    this.#lengths.set(id, Math.min(output, 2_000));
+    const request: core.Request = {
+      id,
+      customer: `c${customer}`,
+      keyId: `k${customer}`,
+      className: load.part.name,
+      tier: load.part.tier,
+      target: load.target,
+      kind: load.kind,
+      pools: [],
+      promptTokens: load.promptTokens,
+      maxTokens: 2_000,
+      prefix: load.kind === "call"
+        ? ""
+        : `${customer}/${this.#random.below(20)}`,
+      fingerprint: fingerprint ?? id,
+      repeatable: load.repeatable,
+      arrivedAt: this.#now,
+      startBy: this.#now + load.part.queueMs,
+      weight: 1,
+    };
+    this.measure.recordArrived(request);
+    this.#send(host, { kind: "arrived", request });
+  }
+
+  // ---- troubles ----
+
+  #scheduleTrouble(trouble: scenarios.Trouble): void {
+    const engines = this.#servers.filter((server) =>
+      server.pool.serves === "engine"
+    );
+    const ordinary = engines.filter((server) => !server.pool.spot);
+    switch (trouble.kind) {
+      case "burst":
+      case "greedy":
+      case "no_reports":
+        return;
+      case "slow_engine":
+        this.#after(trouble.from, () => {
+          ordinary[0].engine.slowdown = trouble.factor;
+        });
+        this.#after(trouble.to, () => {
+          ordinary[0].engine.slowdown = 1;
+        });
+        return;
+      case "crash":
+        this.#after(
+          trouble.at,
+          () => this.#crash(ordinary[1], trouble.backAt - trouble.at),
+        );
+        return;
+      case "reclaim":
+        this.#after(trouble.at, () => this.#takeBack(trouble));
+        return;
+      case "poison":
+        this.#after(trouble.at, () => this.#sendPoison());
+    }
+  }
+
+  /** All spot servers of the first failure domain get notice, then are gone. */
+  #takeBack(trouble: Extract<scenarios.Trouble, { kind: "reclaim" }>): void {
+    const [domain] = this.#options.scenario.failureDomains;
+    const spot = this.#servers.filter((server) =>
+      server.pool.spot && server.pool.failureDomain === domain
+    );
+    const setState = (state: "live" | "leaving") =>
+      spot.forEach((server) => {
+        const at = this.#servers.indexOf(server);
+        this.#servers[at] = Object.assign(server, {
+          info: { ...server.info, state },
+        });
+      });
+    setState("leaving");
+    this.#after(LIST_LAG_MS, () => this.#sendAllServers());
+    this.#after(
+      trouble.noticeMs,
+      () =>
+        spot.forEach((server) =>
+          this.#crash(server, trouble.backAt - trouble.at - trouble.noticeMs)
+        ),
+    );
+    this.#after(trouble.backAt - trouble.at, () => {
+      setState("live");
+      this.#sendAllServers();
+    });
+  }
+
+  /** Its caller sends it again every two seconds, wherever the balancer goes. */
+  #sendPoison(): void {
+    const load = this.#options.scenario.loads.find((one) =>
+      one.kind === "generate"
+    ) as scenarios.ClassLoad;
+    for (let count = 0; count < 10; count += 1) {
+      this.#after(count * 2_000, () => this.#arrive(load, "poison"));
+    }
+  }
+}
+
+function createServer(pool: core.PoolPart, index: number): Server {
+  return {
+    info: {
+      name: `${pool.name}-${index}`,
+      pool: pool.name,
+      url: "",
+      state: "live",
+    },
+    pool,
+    engine: new engineModel.EngineModel(),
+    work: new Map(),
+    alive: true,
+    stepping: false,
+  };
+}
--- a/packages/core/admission.ts
+++ b/packages/core/admission.ts
@@ -21,28 +21,44 @@
  * estimateWait({ ahead: 10, serviceMs: 1000, slots: 5 }); // 2000
  */
 export function estimateWait(backlog: Backlog): number {
+  if (backlog.ahead === 0) return 0;
   if (backlog.slots <= 0) return Number.POSITIVE_INFINITY;
   return (backlog.ahead / backlog.slots) * backlog.serviceMs;
 }
 
 /**
- * Counts what an arriving request would wait behind.
+ * Counts what an arriving request would wait behind: the queues of this host
+ * and of the others, against all slots of the pools, since every host's queue
+ * draws on them.
  *
  * @example
- * measureBacklog(request, { lanes, slots: 8, serviceMs: 900 });
+ * measureBacklog(request, { lanes, pools, serviceMs: 900 });
  */
 export function measureBacklog(
   wanted: request.Request,
   options: {
     readonly lanes: readonly queue.Lane[];
-    readonly slots: number;
+    readonly pools: readonly servers.PoolState[];
     readonly serviceMs: number;
   },
 ): Backlog {
-  const ahead = options.lanes
+  const here = options.lanes
     .filter((lane) => lane.tier <= wanted.tier && lane.target === wanted.target)
     .reduce((sum, lane) => sum + lane.size, 0);
-  return { ahead, serviceMs: options.serviceMs, slots: options.slots };
+  // A queued request is demand for each pool that could serve it, so the
+  // largest count over the pools is the number of requests.
+  const elsewhere = Math.max(
+    0,
+    ...options.pools.map((pool) =>
+      pool.queuedElsewhere.filter((one) => one.tier <= wanted.tier)
+        .reduce((sum, one) => sum + one.count, 0)
+    ),
+  );
+  return {
+    ahead: here + elsewhere,
+    serviceMs: options.serviceMs,
+    slots: options.pools.reduce((sum, pool) => sum + pool.totalSlots, 0),
+  };
 }
 
 /**
--- a/packages/core/allocation.ts
+++ b/packages/core/allocation.ts
@@ -108,6 +108,10 @@
     readonly claimants: readonly Claimant[];
   },
 ): ReadonlyMap<string, events.Grant> {
+  const wanted = claimants.reduce((sum, one) => sum + one.wanted, 0);
+  // Nothing is short, so no host is held back: a demand that rises between two
+  // messages would wait for nothing.
+  if (wanted <= capacity.slots) return grantAll(hosts, capacity);
   let left = capacity.slots;
   const classes = [...new Set(claimants.map((one) => one.className))];
   classes.forEach((className) => {
@@ -131,6 +135,20 @@
   ]));
 }
 
+function grantAll(
+  hosts: readonly string[],
+  capacity: PoolCapacity,
+): ReadonlyMap<string, events.Grant> {
+  const grant: events.Grant = {
+    pool: capacity.pool,
+    slots: capacity.slots,
+    lowestTierElsewhere: 0,
+    queuedElsewhere: [],
+    recallForTier: 0,
+  };
+  return new Map(hosts.map((host) => [host, grant]));
+}
+
 /** Gives up to `slots` to claimants, evenly, never more than wanted. */
 function divideEvenly(claimants: readonly Claimant[], slots: number): number {
   let left = slots;
@@ -170,10 +188,22 @@
       claimants.filter((one) => one.host !== host),
       { capacity, all: claimants },
     ),
+    queuedElsewhere: countQueued(
+      claimants.filter((one) => one.host !== host),
+    ),
     recallForTier: findHungryTier(claimants, own),
   };
 }
 
+function countQueued(others: readonly Claimant[]): events.TierCount[] {
+  const tiers = [...new Set(others.map((one) => one.tier))];
+  return tiers.map((tier) => ({
+    tier,
+    count: others.filter((one) => one.tier === tier)
+      .reduce((sum, one) => sum + one.wanted - one.running, 0),
+  })).filter((one) => one.count > 0);
+}
+
 /** The lowest tier running on these hosts in a class beyond its guaranteed share. */
 function findLowestBeyondShare(
   others: readonly Claimant[],
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -132,7 +132,7 @@
   /** Sums up this host's demand for each pool. */
   listDemand(): PoolDemand[] {
     const lanes = this.#queue.listWaiting();
-    return this.#table.listPools().map((pool) => ({
+    return this.#listOwnPools().map((pool) => ({
       pool: pool.part.name,
       classes: this.#listClassDemand(pool, lanes),
     })).filter((demand) => demand.classes.length > 0);
@@ -228,22 +228,24 @@
     wanted: request.Request,
     pools: readonly servers.PoolState[],
   ): number {
-    const serviceMs = this.#lengths.get(getLengthKey(wanted)).serviceMs;
-    const slots = pools.reduce(
-      (sum, pool) => sum + servers.countOwnSlots(pool),
-      0,
-    );
     const lanes = this.#queue.listWaiting();
-    if (lanes.length === 0) return 0;
     return admission.estimateWait(
-      admission.measureBacklog(wanted, { lanes, slots, serviceMs }),
+      admission.measureBacklog(wanted, {
+        lanes,
+        pools,
+        serviceMs: this.#lengths.get(getLengthKey(wanted)).serviceMs,
+      }),
     );
   }
 
   #listPoolsFor(wanted: request.Request): servers.PoolState[] {
+    return this.#listOwnPools().filter((pool) => isServedBy(wanted, pool));
+  }
+
+  /** Pools of this host's failure domain. */
+  #listOwnPools(): servers.PoolState[] {
     return this.#table.listPools().filter((pool) =>
-      pool.part.failureDomain === this.#failureDomain &&
-      isServedBy(wanted, pool)
+      pool.part.failureDomain === this.#failureDomain
     );
   }
 
@@ -253,6 +255,8 @@
     if (this.#queue.size === 0) return;
     const lanes = this.#credits.order(this.#queue.listWaiting());
     lanes.forEach((lane) => this.#dispatchLane(lane, now));
+    // Work that waits is demand that the allocator has not heard of.
+    if (this.#queue.size > 0) this.#effects.push({ kind: "ask_capacity" });
   }
 
   #dispatchLane(lane: queue.Lane, now: number): void {
@@ -501,6 +505,7 @@
       pool.quota = grant.slots;
       pool.lowestTierElsewhere = grant.lowestTierElsewhere;
       pool.recallForTier = grant.recallForTier;
+      pool.queuedElsewhere = grant.queuedElsewhere;
     });
     this.#returnSlots(now);
     this.#dispatch(now);
@@ -511,6 +516,7 @@
       pool.quota = Number.POSITIVE_INFINITY;
       pool.lowestTierElsewhere = 0;
       pool.recallForTier = 0;
+      pool.queuedElsewhere = [];
     });
     this.#dispatch(now);
   }
--- a/packages/core/dispatcher_fuzz_test.ts
+++ b/packages/core/dispatcher_fuzz_test.ts
@@ -455,6 +455,7 @@
       pool: pool.name,
       slots: next.slots,
       lowestTierElsewhere: next.lowest,
+      queuedElsewhere: [],
       recallForTier: next.recall,
     }));
     this.send({ kind: "granted", grants, asOf: this.now });
--- a/packages/core/dispatcher_test.ts
+++ b/packages/core/dispatcher_test.ts
@@ -131,6 +131,7 @@
         pool: "rooms",
         slots: 1,
         lowestTierElsewhere: 0,
+        queuedElsewhere: [],
         recallForTier: 0,
       }],
       asOf: 0,
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -34,6 +34,12 @@
   readonly cacheFree: number;
 }
 
+/** How many requests of a tier. */
+export interface TierCount {
+  readonly tier: number;
+  readonly count: number;
+}
+
 /** A host's slots in one pool, as the failure domain's allocator granted them. */
 export interface Grant {
   readonly pool: string;
@@ -41,6 +47,8 @@
   readonly slots: number;
   /** Lowest tier (largest number) running beyond its guaranteed share on other hosts; 0 if none. */
   readonly lowestTierElsewhere: number;
+  /** Requests queued on other hosts, by tier. */
+  readonly queuedElsewhere: readonly TierCount[];
   /** Tiers below this number's priority are to be stopped while over the grant; 0 if none. */
   readonly recallForTier: number;
 }
--- a/packages/core/fairness.ts
+++ b/packages/core/fairness.ts
@@ -1,18 +1,26 @@
 /**
  * Guaranteed shares between classes. Strict priority alone lets a class starve;
  * here every waiting class collects credit for its share of what others are
- * served, and goes first once it can pay for its next request.
+ * served by the same servers, and goes first once it can pay for its next
+ * request.
  */
 import type * as config from "./config.ts";
 import type * as queue from "./queue.ts";
 
 /** Credit for how many average requests a class can collect at the most. */
 const CREDIT_LIMIT = 2;
+/** Weight of a new cost in the mean. */
+const COST_WEIGHT = 0.05;
 
-/** Credits of the classes at one host. */
+/** Credits of the classes that compete for one target. */
+interface TargetCredits {
+  readonly credits: Map<string, number>;
+  meanCost: number;
+}
+
+/** Credits of the classes at one host, for each target by itself. */
 export class ShareCredits {
-  readonly #credits = new Map<string, number>();
-  #meanCost = 1;
+  readonly #targets = new Map<string, TargetCredits>();
 
   /** Orders lanes: those whose class has earned its turn first, then by tier. */
   order(lanes: readonly queue.Lane[]): queue.Lane[] {
@@ -23,7 +31,9 @@
   }
 
   #hasTurn(lane: queue.Lane): boolean {
-    return (this.#credits.get(lane.className) ?? 0) >= this.#meanCost;
+    const own = this.#targets.get(lane.target);
+    return own !== undefined &&
+      (own.credits.get(lane.className) ?? 0) >= own.meanCost;
   }
 
   /** Charges the lane's class and credits the classes that go on waiting. */
@@ -35,16 +45,22 @@
       readonly classes: ReadonlyMap<string, config.ClassPart>;
     },
   ): void {
-    this.#meanCost += 0.05 * (options.cost - this.#meanCost);
-    const spent = (this.#credits.get(lane.className) ?? 0) - options.cost;
-    this.#credits.set(lane.className, Math.max(0, spent));
-    const names = new Set(options.waiting.map((other) => other.className));
+    const { cost } = options;
+    const own = this.#targets.get(lane.target) ??
+      { credits: new Map<string, number>(), meanCost: cost };
+    this.#targets.set(lane.target, own);
+    own.meanCost += COST_WEIGHT * (cost - own.meanCost);
+    const spent = (own.credits.get(lane.className) ?? 0) - cost;
+    own.credits.set(lane.className, Math.max(0, spent));
+    const names = new Set(
+      options.waiting.filter((other) => other.target === lane.target)
+        .map((other) => other.className),
+    );
     names.delete(lane.className);
     names.forEach((name) => {
       const share = options.classes.get(name)?.share ?? 0;
-      const credit = (this.#credits.get(name) ?? 0) + share * options.cost;
-      const limit = CREDIT_LIMIT * this.#meanCost;
-      this.#credits.set(name, Math.min(limit, credit));
+      const credit = (own.credits.get(name) ?? 0) + share * cost;
+      own.credits.set(name, Math.min(CREDIT_LIMIT * own.meanCost, credit));
     });
   }
 }
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -36,6 +36,7 @@
   readonly runningByClass: Map<string, number>;
   lowestTierElsewhere: number;
   recallForTier: number;
+  queuedElsewhere: readonly events.TierCount[];
   /** Moving average of the time between tokens over its servers, in ms. */
   tokenMs: number;
 }
@@ -194,6 +195,7 @@
     runningByClass: new Map(),
     lowestTierElsewhere: 0,
     recallForTier: 0,
+    queuedElsewhere: [],
     tokenMs: 0,
   };
 }
--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -8,7 +8,7 @@
 /** Verbs with which functions begin; docs/STYLE.md lists them with their meanings. */
 const VERBS: ReadonlySet<string> = new Set(
   ("abandon accept acknowledge acquire add admit advance allocate allow answer " +
-    "append apply arrive ask assert await begin build bundle call cancel carry check choose claim " +
+    "add after append apply arrive ask assert await begin build bundle call cancel carry check choose claim " +
     "classify clear close collect commit compact compare complete compute " +
     "confirm connect copy count crash create decide decode defend deliver describe dispatch " +
     "divide drain draw drop encode end estimate exceeds expire explain export fail fetch " +
@@ -84,7 +84,11 @@
   if (ts.isEnumDeclaration(node)) {
     report(file, node, "no enum: take a string union");
   }
-  if (ts.isClassDeclaration(node) && node.heritageClauses !== undefined) {
+  const inherits = ts.isClassDeclaration(node) &&
+    (node.heritageClauses ?? []).some((clause) =>
+      clause.token === ts.SyntaxKind.ExtendsKeyword
+    );
+  if (inherits) {
     report(file, node, "no inheritance");
   }
   if (ts.isFunctionDeclaration(node)) checkFunction(file, node);
