Limit only the classes that are short of slots

Cause: a total grant for each host held back counter checks while another host's slots lay idle until the next message. Change: a grant lists limits for classes that cannot have all they want; the tiers above run freely.

--- a/packages/banyangrade/capacity_task.ts
+++ b/packages/banyangrade/capacity_task.ts
@@ -203,6 +203,6 @@
 ): boolean {
   if (grant.recallForTier === 0) return false;
   const last = before?.find((one) => one.pool === grant.pool);
-  return last === undefined || last.slots !== grant.slots ||
-    last.recallForTier !== grant.recallForTier;
+  return JSON.stringify(last?.limits) !== JSON.stringify(grant.limits) ||
+    last?.recallForTier !== grant.recallForTier;
 }
--- a/packages/banyangrade/commands/status.ts
+++ b/packages/banyangrade/commands/status.ts
@@ -66,12 +66,13 @@
       ],
     ),
     table.formatTable(
-      ["pool", "servers", "running here", "granted/slots"],
+      ["pool", "servers", "running here", "slots", "held back"],
       seen.pools.map((pool) => [
         pool.name,
         pool.servers,
         pool.running,
-        `${pool.granted}/${pool.slots}`,
+        pool.slots,
+        pool.limits.join(", "),
       ]),
     ),
     table.formatTable(
--- a/packages/banyangrade/status.ts
+++ b/packages/banyangrade/status.ts
@@ -18,7 +18,8 @@
     servers: number;
     running: number;
     slots: number;
-    granted: number;
+    /** Classes that are held back, with this host's slots for each. */
+    limits: readonly string[];
   }[];
   readonly servers: readonly {
     name: string;
@@ -67,7 +68,7 @@
           .length,
       running: pool.running,
       slots: pool.totalSlots,
-      granted: Math.min(pool.quota, pool.totalSlots),
+      limits: [...pool.limits].map(([name, slots]) => `${name} ${slots}`),
     })),
     servers: seen.servers.map((server) => ({
       name: server.info.name,
--- a/packages/core/allocation.ts
+++ b/packages/core/allocation.ts
@@ -96,7 +96,10 @@
 }
 
 /**
- * Divides one pool's slots.
+ * Divides one pool's slots: guaranteed shares first, then tier by tier. Only
+ * classes that cannot have all they want are limited; the tiers above run
+ * freely, so that a slot never lies idle at one host while another one's
+ * counter check waits for the next message.
  *
  * @example
  * const grants = allocatePool(capacity, { hosts: ["a", "b"], claimants });
@@ -108,10 +111,6 @@
     readonly claimants: readonly Claimant[];
   },
 ): ReadonlyMap<string, events.Grant> {
-  const wanted = claimants.reduce((sum, one) => sum + one.wanted, 0);
-  // Nothing is short, so no host is held back: a demand that rises between two
-  // messages would wait for nothing.
-  if (wanted <= capacity.slots) return grantAll(hosts, capacity);
   let left = capacity.slots;
   const classes = [...new Set(claimants.map((one) => one.className))];
   classes.forEach((className) => {
@@ -128,27 +127,17 @@
     const own = claimants.filter((one) => one.tier === tier);
     left -= divideEvenly(own, left);
   });
-  const spare = divideSpare(hosts, left);
-  return new Map(hosts.map((host, index) => [
+  const limited = classes.filter((className) =>
+    claimants.some((one) =>
+      one.className === className && one.given < one.wanted
+    )
+  );
+  return new Map(hosts.map((host) => [
     host,
-    buildGrant(host, { capacity, claimants, spare: spare[index] }),
+    buildGrant(host, { capacity, claimants, limited }),
   ]));
 }
 
-function grantAll(
-  hosts: readonly string[],
-  capacity: PoolCapacity,
-): ReadonlyMap<string, events.Grant> {
-  const grant: events.Grant = {
-    pool: capacity.pool,
-    slots: capacity.slots,
-    lowestTierElsewhere: 0,
-    queuedElsewhere: [],
-    recallForTier: 0,
-  };
-  return new Map(hosts.map((host) => [host, grant]));
-}
-
 /** Gives up to `slots` to claimants, evenly, never more than wanted. */
 function divideEvenly(claimants: readonly Claimant[], slots: number): number {
   let left = slots;
@@ -165,32 +154,27 @@
   return slots - left;
 }
 
-function divideSpare(hosts: readonly string[], slots: number): number[] {
-  const each = Math.floor(slots / Math.max(1, hosts.length));
-  const rest = slots - each * hosts.length;
-  return hosts.map((_, index) => each + (index < rest ? 1 : 0));
-}
-
 function buildGrant(
   host: string,
-  { capacity, claimants, spare }: {
+  { capacity, claimants, limited }: {
     readonly capacity: PoolCapacity;
     readonly claimants: readonly Claimant[];
-    readonly spare: number;
+    readonly limited: readonly string[];
   },
 ): events.Grant {
   const own = claimants.filter((one) => one.host === host);
-  const given = own.reduce((sum, one) => sum + one.given, 0);
+  const others = claimants.filter((one) => one.host !== host);
   return {
     pool: capacity.pool,
-    slots: given + spare,
-    lowestTierElsewhere: findLowestBeyondShare(
-      claimants.filter((one) => one.host !== host),
-      { capacity, all: claimants },
-    ),
-    queuedElsewhere: countQueued(
-      claimants.filter((one) => one.host !== host),
-    ),
+    limits: limited.map((className) => ({
+      className,
+      slots: own.find((one) => one.className === className)?.given ?? 0,
+    })),
+    lowestTierElsewhere: findLowestBeyondShare(others, {
+      capacity,
+      all: claimants,
+    }),
+    queuedElsewhere: countQueued(others),
     recallForTier: findHungryTier(claimants, own),
   };
 }
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -502,7 +502,9 @@
     this.#table.listPools().forEach((pool) => {
       const grant = grants.get(pool.part.name);
       if (grant === undefined) return;
-      pool.quota = grant.slots;
+      pool.limits = new Map(
+        grant.limits.map((limit) => [limit.className, limit.slots]),
+      );
       pool.lowestTierElsewhere = grant.lowestTierElsewhere;
       pool.recallForTier = grant.recallForTier;
       pool.queuedElsewhere = grant.queuedElsewhere;
@@ -513,7 +515,7 @@
 
   #dropGrants(now: number): void {
     this.#table.listPools().forEach((pool) => {
-      pool.quota = Number.POSITIVE_INFINITY;
+      pool.limits = new Map();
       pool.lowestTierElsewhere = 0;
       pool.recallForTier = 0;
       pool.queuedElsewhere = [];
@@ -521,20 +523,23 @@
     this.#dispatch(now);
   }
 
-  /** Stops lower work beyond the grant where a higher tier waits elsewhere. */
+  /** Stops lower work beyond its limit where a higher tier waits elsewhere. */
   #returnSlots(now: number): void {
     this.#table.listPools()
       .filter((pool) => pool.recallForTier > 0)
       .forEach((pool) => {
-        while (pool.running > pool.quota) {
-          const victim = preemption.findVictim(this.#running.list(), {
-            tier: pool.recallForTier,
-            pools: [pool],
-            classes: this.#classes,
+        const over = this.#running.list().filter((attempt) =>
+          attempt.pool === pool.part.name &&
+          attempt.request.tier > pool.recallForTier &&
+          attempt.request.repeatable
+        ).toSorted((a, b) => b.startedAt - a.startedAt);
+        over.filter((attempt) => exceedsLimit(pool, attempt.request.className))
+          .forEach((attempt) => {
+            // Each one that is stopped may bring its class within its limit.
+            if (exceedsLimit(pool, attempt.request.className)) {
+              this.#preempt(attempt, now);
+            }
           });
-          if (victim === undefined) return;
-          this.#preempt(victim, now);
-        }
       });
   }
 
@@ -610,6 +615,11 @@
   }
 }
 
+function exceedsLimit(pool: servers.PoolState, className: string): boolean {
+  const limit = pool.limits.get(className) ?? Number.POSITIVE_INFINITY;
+  return (pool.runningByClass.get(className) ?? 0) > limit;
+}
+
 function isLate(wanted: request.Request, now: number): boolean {
   const patience = wanted.startBy - wanted.arrivedAt;
   return now - wanted.arrivedAt >= constants.PREEMPT_AT_SLACK * patience;
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -40,11 +40,20 @@
   readonly count: number;
 }
 
-/** A host's slots in one pool, as the failure domain's allocator granted them. */
+/** Slots of one class at one host. */
+export interface ClassSlots {
+  readonly className: string;
+  readonly slots: number;
+}
+
+/** What a host may run in one pool, as the failure domain's allocator granted it. */
 export interface Grant {
   readonly pool: string;
-  /** Requests this host may run in the pool at one time. */
-  readonly slots: number;
+  /**
+   * Classes that are held back, and the requests of each that this host may run
+   * at one time. Classes that are not listed are not short of slots.
+   */
+  readonly limits: readonly ClassSlots[];
   /** Lowest tier (largest number) running beyond its guaranteed share on other hosts; 0 if none. */
   readonly lowestTierElsewhere: number;
   /** Requests queued on other hosts, by tier. */
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -2,7 +2,7 @@
 import * as admission from "./admission.ts";
 import type * as attempts from "./attempts.ts";
 import type * as config from "./config.ts";
-import * as servers from "./servers.ts";
+import type * as servers from "./servers.ts";
 
 /** For whom, and where, a slot is wanted. */
 export interface VictimOptions {
@@ -56,8 +56,8 @@
   const className = attempt.request.className;
   const share = options.classes.get(className)?.share ?? 0;
   const running = pool.runningByClass.get(className) ?? 0;
-  return running > admission.countGuaranteedSlots(
-    share,
-    servers.countOwnSlots(pool),
-  );
+  // The guarantee is the failure domain's; this host's part of it is its limit.
+  const guaranteed = admission.countGuaranteedSlots(share, pool.totalSlots);
+  const limit = pool.limits.get(className) ?? Number.POSITIVE_INFINITY;
+  return running > Math.min(guaranteed, limit);
 }
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -81,7 +81,8 @@
     // quarantined with it.
     const alone = !options.suspect || server.suspects === 0;
     const pool = this.#table.getPool(server.info.pool);
-    const granted = pool !== undefined && pool.running < pool.quota;
+    const granted = pool !== undefined &&
+      servers.isWithinGrant(pool, wanted.className);
     return allowed && near && alone && granted &&
       server.info.name !== options.avoid &&
       servers.hasRoom(server, options.now);
@@ -104,11 +105,8 @@
     const server = name === undefined ? undefined : this.#table.get(name);
     if (server === undefined || !isUsable(server)) return undefined;
     const pool = this.#table.getPool(server.info.pool);
-    const quota = pool?.quota ?? 0;
-    const granted = Number.isFinite(quota) && quota > 0
-      ? (pool?.running ?? 0) / quota
-      : 1;
-    const bound = constants.AFFINITY_LOAD_BOUND * granted * server.pool.slots;
+    const usual = (pool?.running ?? 0) / Math.max(1, pool?.totalSlots ?? 1);
+    const bound = constants.AFFINITY_LOAD_BOUND * usual * server.pool.slots;
     return servers.estimateLoad(server) <= Math.max(1, bound)
       ? server
       : undefined;
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -28,8 +28,8 @@
 /** What this host may use of one pool. */
 export interface PoolState {
   readonly part: config.PoolPart;
-  /** Slots granted to this host; infinite until a grant arrives. */
-  quota: number;
+  /** Slots granted to this host for the classes that are held back. */
+  limits: ReadonlyMap<string, number>;
   /** Slots of all its live servers. */
   totalSlots: number;
   running: number;
@@ -189,7 +189,7 @@
 function createPoolState(part: config.PoolPart): PoolState {
   return {
     part,
-    quota: Number.POSITIVE_INFINITY,
+    limits: new Map(),
     totalSlots: 0,
     running: 0,
     runningByClass: new Map(),
@@ -210,14 +210,15 @@
 }
 
 /**
- * Returns the slots this host counts on in a pool: its grant, or all of them
- * where no grant has arrived.
+ * Whether the host's grant allows one more request of a class in a pool.
  *
  * @example
- * countOwnSlots(pool);
+ * isWithinGrant(pool, "lookup");
  */
-export function countOwnSlots(pool: PoolState): number {
-  return Math.min(pool.quota, pool.totalSlots);
+export function isWithinGrant(pool: PoolState, className: string): boolean {
+  const limit = pool.limits.get(className);
+  return limit === undefined ||
+    (pool.runningByClass.get(className) ?? 0) < limit;
 }
 
 function computeAverage(average: number, sample: number): number {
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -50,8 +50,8 @@
   {
     name: "router: grants are ignored",
     file: "packages/core/router.ts",
-    find: "pool.running < pool.quota",
-    replace: "true",
+    find: "servers.isWithinGrant(pool, wanted.className);",
+    replace: "true;",
     test: DISPATCHER,
   },
   {
