Give guaranteed shares in turns, and bound what a host runs beyond its demand

Cause: in a pool of 8 slots a share of 5% was rounded up to a whole slot, 12.5%, which renewals lacked; and hosts that were not limited swamped a plain service, which reports no load. Change: slots for shares are rounded down and the rest is given in turns; a class that has all it wants may exceed that by its host's part of the lower tiers' slots.

--- a/packages/core/allocation.ts
+++ b/packages/core/allocation.ts
@@ -96,10 +96,10 @@
 }
 
 /**
- * Divides one pool's slots: guaranteed shares first, then tier by tier. Only
- * classes that cannot have all they want are limited; the tiers above run
- * freely, so that a slot never lies idle at one host while another one's
- * counter check waits for the next message.
+ * Divides one pool's slots: guaranteed shares first, then tier by tier. A class
+ * that has all it wants may run a little more than that, up to its host's part
+ * of the slots of lower tiers: a counter check need not wait for the next
+ * message, and all hosts together cannot swamp a server.
  *
  * @example
  * const grants = allocatePool(capacity, { hosts: ["a", "b"], claimants });
@@ -116,7 +116,9 @@
   classes.forEach((className) => {
     const own = claimants.filter((one) => one.className === className);
     const share = capacity.shares.get(className) ?? 0;
-    const guaranteed = Math.ceil(share * capacity.slots);
+    // Rounded down: in a small pool a whole slot is far more than the share.
+    // What is lost by that, hosts give in turns.
+    const guaranteed = Math.floor(share * capacity.slots);
     left -= divideEvenly(own, Math.min(left, guaranteed));
   });
   const tiers = [...new Set(claimants.map((one) => one.tier))].toSorted((
@@ -127,17 +129,33 @@
     const own = claimants.filter((one) => one.tier === tier);
     left -= divideEvenly(own, left);
   });
-  const limited = classes.filter((className) =>
-    claimants.some((one) =>
-      one.className === className && one.given < one.wanted
-    )
+  const headroom = new Map(
+    tiers.map((tier) => [
+      tier,
+      computeHeadroom(tier, { capacity, claimants, hosts: hosts.length }),
+    ]),
   );
   return new Map(hosts.map((host) => [
     host,
-    buildGrant(host, { capacity, claimants, limited }),
+    buildGrant(host, { capacity, claimants, headroom }),
   ]));
 }
 
+/** Slots beyond its demand that each host may use for a tier. */
+function computeHeadroom(
+  tier: number,
+  { capacity, claimants, hosts }: {
+    readonly capacity: PoolCapacity;
+    readonly claimants: readonly Claimant[];
+    readonly hosts: number;
+  },
+): number {
+  const upTo = claimants.filter((one) => one.tier <= tier);
+  if (upTo.some((one) => one.given < one.wanted)) return 0;
+  const given = upTo.reduce((sum, one) => sum + one.given, 0);
+  return Math.ceil((capacity.slots - given) / hosts);
+}
+
 /** Gives up to `slots` to claimants, evenly, never more than wanted. */
 function divideEvenly(claimants: readonly Claimant[], slots: number): number {
   let left = slots;
@@ -156,20 +174,17 @@
 
 function buildGrant(
   host: string,
-  { capacity, claimants, limited }: {
+  { capacity, claimants, headroom }: {
     readonly capacity: PoolCapacity;
     readonly claimants: readonly Claimant[];
-    readonly limited: readonly string[];
+    readonly headroom: ReadonlyMap<number, number>;
   },
 ): events.Grant {
   const own = claimants.filter((one) => one.host === host);
   const others = claimants.filter((one) => one.host !== host);
   return {
     pool: capacity.pool,
-    limits: limited.map((className) => ({
-      className,
-      slots: own.find((one) => one.className === className)?.given ?? 0,
-    })),
+    limits: listLimits(own, { claimants, headroom }),
     lowestTierElsewhere: findLowestBeyondShare(others, {
       capacity,
       all: claimants,
@@ -179,6 +194,21 @@
   };
 }
 
+/** Limits of every class that any host asks for. */
+function listLimits(
+  own: readonly Claimant[],
+  { claimants, headroom }: {
+    readonly claimants: readonly Claimant[];
+    readonly headroom: ReadonlyMap<number, number>;
+  },
+): events.ClassSlots[] {
+  const tiers = new Map(claimants.map((one) => [one.className, one.tier]));
+  return [...tiers].map(([className, tier]) => {
+    const given = own.find((one) => one.className === className)?.given ?? 0;
+    return { className, slots: given + (headroom.get(tier) ?? 0) };
+  });
+}
+
 function countQueued(others: readonly Claimant[]): events.TierCount[] {
   const tiers = [...new Set(others.map((one) => one.tier))];
   return tiers.map((tier) => ({
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -262,7 +262,7 @@
   #dispatchLane(lane: queue.Lane, now: number): void {
     let next = lane.peek();
     while (next !== undefined) {
-      const server = this.#chooseServer(next, now);
+      const server = this.#chooseServer(lane, { queued: next, now });
       if (server === undefined) return;
       this.#start(lane, server, now);
       next = lane.peek();
@@ -270,22 +270,26 @@
   }
 
   #chooseServer(
-    queued: queue.QueuedRequest,
-    now: number,
+    lane: queue.Lane,
+    { queued, now }: {
+      readonly queued: queue.QueuedRequest;
+      readonly now: number;
+    },
   ): servers.ServerState | undefined {
     const wanted = queued.request;
     // One copy of a suspect request at a time: two could take two servers.
     if (queued.suspect && this.#running.hasFingerprint(wanted.fingerprint)) {
       return undefined;
     }
-    const waited = now - wanted.arrivedAt;
-    const patience = constants.PREEMPT_AT_SLACK *
-      (wanted.startBy - wanted.arrivedAt);
+    const share = this.#classes.get(wanted.className)?.share ?? 0;
     return this.#router.choose(wanted, {
       now,
       suspect: queued.suspect,
       avoid: queued.avoid,
-      overflow: waited >= patience,
+      turn: this.#credits.hasTurn(lane),
+      guaranteedSlots: (pool) =>
+        admission.countGuaranteedSlots(share, pool.totalSlots),
+      overflow: isLate(wanted, now),
     });
   }
 
--- a/packages/core/fairness.ts
+++ b/packages/core/fairness.ts
@@ -25,12 +25,13 @@
   /** Orders lanes: those whose class has earned its turn first, then by tier. */
   order(lanes: readonly queue.Lane[]): queue.Lane[] {
     return lanes.toSorted((a, b) => {
-      const turn = Number(this.#hasTurn(b)) - Number(this.#hasTurn(a));
+      const turn = Number(this.hasTurn(b)) - Number(this.hasTurn(a));
       return turn !== 0 ? turn : a.tier - b.tier || compareArrival(a, b);
     });
   }
 
-  #hasTurn(lane: queue.Lane): boolean {
+  /** Whether the lane's class has earned its turn by its guaranteed share. */
+  hasTurn(lane: queue.Lane): boolean {
     const own = this.#targets.get(lane.target);
     return own !== undefined &&
       (own.credits.get(lane.className) ?? 0) >= own.meanCost;
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -30,6 +30,10 @@
   readonly suspect: boolean;
   /** Server of the attempt before, which is avoided if another one has room. */
   readonly avoid?: string;
+  /** Its class has earned a turn by its guaranteed share, so limits do not hold it. */
+  readonly turn: boolean;
+  /** Slots of a pool that its class may take in its turn. */
+  readonly guaranteedSlots: (pool: servers.PoolState) => number;
   /** Whether other failure domains' servers may be used. */
   readonly overflow: boolean;
 }
@@ -82,7 +86,8 @@
     const alone = !options.suspect || server.suspects === 0;
     const pool = this.#table.getPool(server.info.pool);
     const granted = pool !== undefined &&
-      servers.isWithinGrant(pool, wanted.className);
+      (servers.isWithinGrant(pool, wanted.className) ||
+        isWithinTurn(pool, { wanted, options }));
     return allowed && near && alone && granted &&
       server.info.name !== options.avoid &&
       servers.hasRoom(server, options.now);
@@ -158,3 +163,11 @@
     return usable && !options.suspect ? server : undefined;
   }
 }
+
+function isWithinTurn(
+  pool: servers.PoolState,
+  { wanted, options }: { wanted: request.Request; options: RouteOptions },
+): boolean {
+  const running = pool.runningByClass.get(wanted.className) ?? 0;
+  return options.turn && running < options.guaranteedSlots(pool);
+}
