Estimate a customer's wait by turns, not by the whole queue

Cause: one customer's long queue made new requests of others seem too late, so they were refused on arrival; and the engine's model ignored priority while it took prompts in. Change: a newcomer counts its own queue and as many of each other customer; prompts are taken in by priority.

--- a/packages/core/admission.ts
+++ b/packages/core/admission.ts
@@ -43,6 +43,9 @@
   },
 ): Backlog {
   const here = options.lanes
+    .filter((lane) => lane.tier <= wanted.tier && lane.target === wanted.target)
+    .reduce((sum, lane) => sum + countAhead(lane, wanted), 0);
+  const waiting = options.lanes
     .filter((lane) => lane.tier <= wanted.tier && lane.target === wanted.target)
     .reduce((sum, lane) => sum + lane.size, 0);
   // A queued request is demand for each pool that could serve it, so the
@@ -54,13 +57,21 @@
         .reduce((sum, one) => sum + one.count, 0)
     ),
   );
+  // The other hosts' queues hold the same customers in about the same parts.
+  const part = waiting === 0 ? 1 : here / waiting;
   return {
-    ahead: here + elsewhere,
+    ahead: here + elsewhere * part,
     serviceMs: options.serviceMs,
     slots: options.pools.reduce((sum, pool) => sum + pool.totalSlots, 0),
   };
 }
 
+function countAhead(lane: queue.Lane, wanted: request.Request): number {
+  return lane.className === wanted.className
+    ? lane.countAhead(wanted.customer)
+    : lane.size;
+}
+
 /**
  * Counts the slots that a class keeps in a pool whatever higher tiers ask.
  * Rounded up, so that no class with a share starves in a small pool.
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -73,6 +73,17 @@
     this.#turns.push({ customer, virtualTime });
   }
 
+  /**
+   * Counts the requests that are served before a new one of a customer.
+   * Customers take turns, so it waits for its own and for as many of each of
+   * the others: one customer's long queue is no reason to refuse another.
+   */
+  countAhead(customer: string): number {
+    const own = this.#waiting.get(customer)?.length ?? 0;
+    const others = this.#waiting.size - (own > 0 ? 1 : 0);
+    return Math.min(this.#size, own + (own + 1) * others);
+  }
+
   /** Returns the request whose turn it is, without taking it. */
   peek(): QueuedRequest | undefined {
     const turn = this.#findTurn();
--- a/packages/engine/model.ts
+++ b/packages/engine/model.ts
@@ -150,7 +150,11 @@
 
   #prefill(): number {
     let budget = this.#shape.prefillChunk;
-    this.#active.forEach((one) => {
+    // Priority counts for prompts too, or a dossier would hold up a label.
+    const byPriority = [...this.#active.values()].toSorted((a, b) =>
+      a.sequence.priority - b.sequence.priority
+    );
+    byPriority.forEach((one) => {
       const taken = Math.min(budget, Math.max(0, one.prefillLeft));
       one.prefillLeft -= taken;
       budget -= taken;
