Weigh prompts that a server has not yet taken in

Cause: a server that is taking in a long prompt stalls every token of its batch, and the choice did not see it until the next load report. Change: a host adds its own pending prompt tokens to a server's load.

--- a/packages/core/attempts.ts
+++ b/packages/core/attempts.ts
@@ -46,15 +46,22 @@
     return [...this.#attempts.values()];
   }
 
-  /** Records tokens of the current attempt; those of an earlier one are dropped. */
+  /**
+   * Records tokens of the current attempt; those of an earlier one are dropped.
+   * Returns the attempt if they are its first.
+   */
   recordProgress(
     event: { requestId: string; attempt: number; tokens: number },
     now: number,
-  ): void {
+  ): Attempt | undefined {
     const current = this.#attempts.get(event.requestId);
-    if (current === undefined || current.attempt !== event.attempt) return;
-    if (current.tokens === 0) current.firstTokenAt = now;
+    if (current === undefined || current.attempt !== event.attempt) {
+      return undefined;
+    }
+    const first = current.tokens === 0 && event.tokens > 0;
+    if (first) current.firstTokenAt = now;
     current.tokens = Math.max(current.tokens, event.tokens);
+    return first ? current : undefined;
   }
 
   /** Removes the attempt if it is the current one; a late end changes nothing. */
--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -40,6 +40,8 @@
 
 /** Prefix affinity holds while the server's load is below this multiple of the mean. */
 export const AFFINITY_LOAD_BOUND = 1.25;
+/** Prompt tokens that slow a server as much as one more running request. */
+export const PROMPT_TOKENS_PER_LOAD = 500;
 /** Prefixes remembered for affinity. */
 export const MAX_PREFIXES = 20_000;
 
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -76,8 +76,7 @@
       case "cancelled":
         return this.#cancel(event.requestId, now);
       case "progressed":
-        this.#running.recordProgress(event, now);
-        return;
+        return this.#recordProgress(event, now);
       case "finished":
         return this.#finish(event, now);
       case "failed":
@@ -304,6 +303,7 @@
     });
     this.#table.recordStart(server, queued.request.className);
     if (suspect) server.suspects += 1;
+    server.prompting += queued.request.promptTokens;
     this.#running.add({
       request: queued.request,
       attempt: queued.attempt,
@@ -332,6 +332,24 @@
       wanted.promptTokens * constants.PROMPT_TOKEN_COST;
   }
 
+  #recordProgress(
+    event: { requestId: string; attempt: number; tokens: number },
+    now: number,
+  ): void {
+    const first = this.#running.recordProgress(event, now);
+    if (first !== undefined) this.#endPrompt(first);
+  }
+
+  /** A server has taken an attempt's prompt in, or will not. */
+  #endPrompt(attempt: attempts.Attempt): void {
+    const server = this.#table.get(attempt.server);
+    if (server === undefined) return;
+    server.prompting = Math.max(
+      0,
+      server.prompting - attempt.request.promptTokens,
+    );
+  }
+
   // ---- ends of attempts ----
 
   /** Takes an attempt out of the tables; undefined if it is not the current one. */
@@ -343,6 +361,7 @@
     this.#table.recordEnd(ended.server, ended.pool, ended.request.className);
     const server = this.#table.get(ended.server);
     if (server !== undefined && ended.suspect) server.suspects -= 1;
+    if (ended.tokens === 0) this.#endPrompt(ended);
     return ended;
   }
 
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -145,7 +145,9 @@
 
   /** Relative load, weighed by how slow its tokens are against its pool's. */
   #score(server: servers.ServerState): number {
-    const load = (servers.estimateLoad(server) + 1) / server.pool.slots;
+    const prompting = server.prompting / constants.PROMPT_TOKENS_PER_LOAD;
+    const load = (servers.estimateLoad(server) + prompting + 1) /
+      server.pool.slots;
     const typical = this.#table.getPool(server.info.pool)?.tokenMs ?? 0;
     const known = server.tokenMs > 0 && typical > 0;
     return load * (known ? server.tokenMs / typical : 1);
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -12,6 +12,8 @@
   readonly pool: config.PoolPart;
   /** Requests of this host that it is running. */
   running: number;
+  /** Prompt tokens of this host that it has not yet taken in. */
+  prompting: number;
   /** Suspect requests among them. */
   suspects: number;
   /** Last load report, the time it arrived and what this host had running then. */
@@ -85,6 +87,7 @@
         info,
         pool,
         running: 0,
+        prompting: 0,
         suspects: 0,
         consecutiveFailures: 0,
         ejections: 0,
