Hold copies of a suspect that another host may be trying, and avoid servers too slow for a class

Cause: two hosts could each try a suspect request at one time, so a third server was at risk; a server at a third of its speed missed the target between tokens with certainty. Change: a suspect known from another host is refused for 10 s with the time to come back; a class uses a server slower than its target only when its request is late, one choice in 50 excepted.

--- a/packages/banyangrade/front.ts
+++ b/packages/banyangrade/front.ts
@@ -360,6 +360,7 @@
       arrivedAt: now,
       startBy: now + options.part.queueMs,
       targetMs: options.part.firstTokenMs,
+      targetBetweenMs: options.part.betweenTokensMs,
       weight: options.customer.weight,
     };
   }
--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -22,6 +22,8 @@
 
 /** Servers lost to one fingerprint before it is quarantined. */
 export const POISON_LIMIT = 2;
+/** Time for which a suspect that another host may be trying is refused, in ms. */
+export const SUSPECT_HOLD_MS = 10_000;
 /** How long a quarantined fingerprint is refused, in ms. */
 export const QUARANTINE_MS = 600_000;
 /** A server lost with this many requests in flight points at none of them. */
@@ -40,6 +42,8 @@
 
 /** Prefix affinity holds while the server's load is below this multiple of the mean. */
 export const AFFINITY_LOAD_BOUND = 1.25;
+/** One in so many choices ignores that a server seems too slow, to learn whether it still is. */
+export const PROBE_ONE_IN = 50;
 /** Prompt tokens that slow a server as much as one more running request. */
 export const PROMPT_TOKENS_PER_LOAD = 500;
 /** Prefixes remembered for affinity. */
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -96,7 +96,8 @@
       case "grants_lost":
         return this.#dropGrants(now);
       case "suspected":
-        return this.#addMarks(event.marks, now);
+        event.marks.forEach((mark) => this.#suspects.addForeign(mark, now));
+        return this.#separateSuspects(event.marks, now);
       case "cleared":
         event.fingerprints.forEach((one) => this.#suspects.clear(one));
         return;
@@ -160,6 +161,11 @@
     if (this.#suspects.isPoison(wanted.fingerprint)) {
       return this.#refuse(wanted, { code: "poison_request", ran: "no" });
     }
+    const hold = this.#suspects.getHold(wanted.fingerprint, now);
+    if (hold > 0) {
+      const reason = { code: "poison_request", ran: "no" } as const;
+      return this.#refuse(wanted, { ...reason, waitMs: hold });
+    }
     if (this.#table.listFor(wanted.target).length === 0) {
       return this.#refuse(wanted, {
         code: "no_capacity",
@@ -405,7 +411,8 @@
       server: ended.server,
     };
     this.#effects.push({ kind: "suspect", mark });
-    this.#addMarks([mark], now);
+    this.#suspects.add(mark);
+    this.#separateSuspects([mark], now);
   }
 
   #decideRetry(
@@ -501,12 +508,13 @@
   }
 
   /** Refuses what is queued of a poison request; other suspects change lanes. */
-  #addMarks(marks: readonly events.SuspectMark[], now: number): void {
-    marks.forEach((mark) => this.#suspects.add(mark));
+  #separateSuspects(marks: readonly events.SuspectMark[], now: number): void {
     const marked = new Set(marks.map((mark) => mark.fingerprint));
     this.#queue.removeWhere((entry) => marked.has(entry.request.fingerprint))
       .forEach((entry) => {
-        if (!this.#suspects.isPoison(entry.request.fingerprint)) {
+        const { fingerprint } = entry.request;
+        const held = this.#suspects.getHold(fingerprint, now) > 0;
+        if (!held && !this.#suspects.isPoison(fingerprint)) {
           return this.#queue.add({ ...entry, suspect: true });
         }
         this.#refuse(entry.request, { code: "poison_request", ran: entry.ran });
--- a/packages/core/dispatcher_fuzz_test.ts
+++ b/packages/core/dispatcher_fuzz_test.ts
@@ -391,6 +391,7 @@
       arrivedAt: this.now,
       startBy: this.now + 1_000,
       targetMs: 500,
+      targetBetweenMs: 50,
       weight: 1,
     };
     this.oracle.open.set(request.id, request);
--- a/packages/core/dispatcher_test.ts
+++ b/packages/core/dispatcher_test.ts
@@ -76,6 +76,7 @@
     arrivedAt: 0,
     startBy: 1_000,
     targetMs: 500,
+    targetBetweenMs: 50,
     weight: 1,
   };
 }
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -12,27 +12,58 @@
   readonly until: number;
 }
 
+interface Suspicion {
+  readonly servers: Set<string>;
+  /** Until when another host is taken to be trying it again, monotonic ms. */
+  heldUntil: number;
+}
+
 /** Fingerprints and the servers that were lost with them in flight. */
 export class SuspectTable {
-  readonly #servers = new Map<string, Set<string>>();
+  readonly #suspicions = new Map<string, Suspicion>();
 
+  /** Adds a mark that this host made. */
   add(mark: events.SuspectMark): void {
-    const servers = this.#servers.get(mark.fingerprint) ?? new Set();
-    this.#servers.set(mark.fingerprint, servers.add(mark.server));
+    this.#get(mark.fingerprint).servers.add(mark.server);
+  }
+
+  /**
+   * Adds a mark that another host made. That host may be trying the request on
+   * a second server just now; a copy that ran here beside it would take a third.
+   */
+  addForeign(mark: events.SuspectMark, now: number): void {
+    const suspicion = this.#get(mark.fingerprint);
+    if (suspicion.servers.has(mark.server)) return;
+    suspicion.servers.add(mark.server);
+    suspicion.heldUntil = now + constants.SUSPECT_HOLD_MS;
+  }
+
+  #get(fingerprint: string): Suspicion {
+    const known = this.#suspicions.get(fingerprint);
+    if (known !== undefined) return known;
+    const suspicion = { servers: new Set<string>(), heldUntil: 0 };
+    this.#suspicions.set(fingerprint, suspicion);
+    return suspicion;
   }
 
   clear(fingerprint: string): void {
-    this.#servers.delete(fingerprint);
+    this.#suspicions.delete(fingerprint);
   }
 
   /** Whether any server was lost with it in flight. */
   isSuspect(fingerprint: string): boolean {
-    return this.#servers.has(fingerprint);
+    return this.#suspicions.has(fingerprint);
+  }
+
+  /** How long copies of it are refused because another host may be running it, in ms. */
+  getHold(fingerprint: string, now: number): number {
+    const until = this.#suspicions.get(fingerprint)?.heldUntil ?? 0;
+    return Math.max(0, until - now);
   }
 
   /** Whether it is refused: enough servers were lost to it. */
   isPoison(fingerprint: string): boolean {
-    const servers = this.#servers.get(fingerprint);
+    const servers = this.#suspicions.get(fingerprint)?.servers;
     return (servers?.size ?? 0) >= constants.POISON_LIMIT;
   }
 }
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -62,6 +62,8 @@
   readonly startBy: number;
   /** Its class's target for the first token or the answer, in ms. */
   readonly targetMs: number;
+  /** Its class's target for the time between tokens, in ms. */
+  readonly targetBetweenMs: number;
   /** Weight of its customer's fair share. */
   readonly weight: number;
 }
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -63,8 +63,16 @@
     const candidates = this.#table.listFor(wanted.target);
     const isUsable = (server: servers.ServerState) =>
       this.#isUsable(server, { wanted, options });
-    const chosen = this.#chooseByPrefix(wanted, isUsable) ??
-      this.#chooseByLoad(candidates, isUsable) ??
+    // A server whose tokens come too slowly for the class misses its target for
+    // certain; what is left of the patience is better spent waiting.
+    const probing = this.#random.below(constants.PROBE_ONE_IN) === 0;
+    const isFastEnough = (server: servers.ServerState) =>
+      (probing || server.tokenMs <= wanted.targetBetweenMs) && isUsable(server);
+    const chosen = this.#chooseByPrefix(wanted, isFastEnough) ??
+      this.#chooseByLoad(candidates, isFastEnough) ??
+      (options.overflow
+        ? this.#chooseByLoad(candidates, isUsable)
+        : undefined) ??
       this.#chooseAvoided(wanted, options);
     if (chosen !== undefined && wanted.prefix !== "") {
       this.#prefixes.set(this.#getPrefixKey(wanted), chosen.info.name);
