Measure the autoscaler, and let the reserve fill the ordinary servers

Cause: the reserve for upper tiers was planned at 70% utilisation, though when spot servers are reclaimed lower work gives way on the ordinary ones. Change: the bench orders servers under a tide with two reclaimed failure domains; the reserve is planned at full utilisation.

--- a/bench/measure.ts
+++ b/bench/measure.ts
@@ -45,6 +45,10 @@
   readonly poisoned: number;
   /** Demand messages of all hosts a second. */
   readonly messagesPerSecond: number;
+  /** Cost of a million tokens of whole answers. */
+  readonly costPerMillion: number;
+  /** Share of the tokens of whole answers that spot servers ended. */
+  readonly spotShare: number;
   /** Attained requests in each 2 s. */
   readonly curve: readonly number[];
 }
@@ -52,17 +56,27 @@
 /** Collects figures during a run. */
 export class Measure {
   messages = 0;
+  /** Cost of all engines so far. */
+  cost = 0;
+  /** Tokens that spot servers generated in whole answers. */
+  spotTokens = 0;
   readonly poisoned = new Set<string>();
   readonly #loads: ReadonlyMap<string, scenarios.ClassLoad>;
+  readonly #countUntilMs: number;
   readonly #open = new Map<string, Tracked>();
   readonly #counts = new Map<string, Map<string, [number, number]>>();
   readonly #curve: number[] = [];
   #generated = 0;
   #lost = 0;
   #good = 0;
+  #served = 0;
   #violations = 0;
 
-  constructor(scenario: scenarios.Scenario) {
+  constructor(
+    scenario: scenarios.Scenario,
+    { countUntilMs = COUNT_UNTIL_MS }: { readonly countUntilMs?: number } = {},
+  ) {
+    this.#countUntilMs = countUntilMs;
     this.#loads = new Map(
       scenario.loads.map((load) => [load.part.name, load]),
     );
@@ -77,7 +91,7 @@
       tokens: 0,
       attained: false,
     });
-    if (!isCounted(request)) return;
+    if (!this.#isCounted(request)) return;
     const [arrived, attained] = this.#getCount(request);
     this.#setCount(request, [arrived + 1, attained]);
   }
@@ -106,6 +120,7 @@
     if (tracked === undefined) return;
     this.#open.delete(requestId);
     const { request, load } = tracked;
+    if (load.kind === "generate") this.#served += tokens;
     const firstAt = load.kind === "call" ? now : tracked.firstAt;
     const between = tokens > 1 ? (now - firstAt) / (tokens - 1) : 0;
     const attained = firstAt - request.arrivedAt <= load.part.firstTokenMs &&
@@ -114,7 +129,7 @@
     this.#good += load.kind === "call" ? 0 : tokens;
     const point = Math.floor(now / CURVE_MS);
     this.#curve[point] = (this.#curve[point] ?? 0) + 1;
-    if (!isCounted(request)) return;
+    if (!this.#isCounted(request)) return;
     const [arrived, sofar] = this.#getCount(request);
     this.#setCount(request, [arrived, sofar + 1]);
   }
@@ -146,6 +161,8 @@
       wasted: this.#generated === 0 ? 0 : this.#lost / this.#generated,
       violations: this.#violations,
       poisoned: this.poisoned.size,
+      costPerMillion: this.cost / Math.max(1, this.#served) * 1e6,
+      spotShare: this.spotTokens / Math.max(1, this.#served),
       messagesPerSecond: this.messages / (runMs / 1_000),
       curve: Array.from(
         { length: Math.floor(runMs / CURVE_MS) },
@@ -174,6 +191,11 @@
     };
   }
 
+  #isCounted(request: core.Request): boolean {
+    return request.fingerprint !== "poison" &&
+      request.arrivedAt >= WARM_UP_MS && request.arrivedAt < this.#countUntilMs;
+  }
+
   #getCount(request: core.Request): [number, number] {
     return this.#counts.get(request.className)?.get(request.customer) ?? [0, 0];
   }
@@ -183,8 +205,3 @@
     this.#counts.set(request.className, own.set(request.customer, count));
   }
 }
-
-function isCounted(request: core.Request): boolean {
-  return request.fingerprint !== "poison" &&
-    request.arrivedAt >= WARM_UP_MS && request.arrivedAt < COUNT_UNTIL_MS;
-}
--- /dev/null
+++ b/bench/plot.ts
@@ -0,0 +1,56 @@
+/** Plots of the bench as SVG, by Vega. */
+import * as vega from "vega";
+import * as vegaLite from "vega-lite";
+
+/** One line of a plot: a value for each 2 s of a run. */
+export interface Curve {
+  readonly name: string;
+  readonly policy: string;
+  readonly values: readonly number[];
+}
+
+/** Seconds between two points. */
+const POINT_SECONDS = 2;
+
+/**
+ * Draws a panel for each case with a line for each policy.
+ *
+ * @example
+ * const svg = await renderCurves(curves, { title: "tanzraum" });
+ */
+export async function renderCurves(
+  curves: readonly Curve[],
+  options: { readonly title: string },
+): Promise<string> {
+  const values = curves.flatMap((curve) =>
+    curve.values.map((value, index) => ({
+      name: curve.name,
+      policy: curve.policy,
+      seconds: index * POINT_SECONDS,
+      value,
+    }))
+  );
+  const compiled = vegaLite.compile({
+    title: options.title,
+    data: { values },
+    facet: {
+      field: "name",
+      type: "nominal",
+      columns: 3,
+      title: null,
+      sort: null,
+    },
+    spec: {
+      width: 220,
+      height: 110,
+      mark: { type: "line", strokeWidth: 1.2 },
+      encoding: {
+        x: { field: "seconds", type: "quantitative", title: "s" },
+        y: { field: "value", type: "quantitative", title: null },
+        color: { field: "policy", type: "nominal", title: null },
+      },
+    },
+  } as vegaLite.TopLevelSpec);
+  const view = new vega.View(vega.parse(compiled.spec), { renderer: "none" });
+  return await view.toSVG();
+}
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -54,7 +54,9 @@
     readonly backAt: number;
   }
   | { readonly kind: "no_reports"; readonly from: number; readonly to: number }
-  | { readonly kind: "poison"; readonly at: number };
+  | { readonly kind: "poison"; readonly at: number }
+  /** Load that rises and falls between this share and all of it. */
+  | { readonly kind: "tide"; readonly periodMs: number; readonly low: number };
 
 /** A named set of troubles. */
 export interface Case {
@@ -62,6 +64,38 @@
   readonly troubles: readonly Trouble[];
 }
 
+/** How the number of engines follows demand. */
+export type Fleet = "fixed" | "mixed" | "ordinary_only" | "spot_only";
+
+/** Most servers of a pool that the autoscaler may order. */
+const SCALE_MAX = 6;
+
+/**
+ * Returns a scenario whose engines the autoscaler orders, starting with one
+ * server in each pool that is used.
+ *
+ * @example
+ * const elastic = buildElastic(TANZRAUM, "mixed");
+ */
+export function buildElastic(scenario: Scenario, fleet: Fleet): Scenario {
+  if (fleet === "fixed") return scenario;
+  const pools = scenario.pools.map((pool) => {
+    if (pool.serves === "service") return pool;
+    const unused = fleet === (pool.spot ? "ordinary_only" : "spot_only");
+    const minServers = unused ? 0 : 1;
+    return { ...pool, minServers, maxServers: unused ? 0 : SCALE_MAX };
+  });
+  const servers = new Map(
+    pools.map((pool) => [
+      pool.name,
+      pool.serves === "service"
+        ? scenario.servers.get(pool.name) ?? 0
+        : Math.min(2, pool.maxServers),
+    ]),
+  );
+  return { ...scenario, pools, servers };
+}
+
 /** Length of a run in virtual ms, its start-up not measured. */
 export const RUN_MS = 150_000;
 
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -16,6 +16,14 @@
 const REPORT_MS = 1_000;
 const REPORT_LAG_MS = 500;
 const MESSAGE_MS = 0.5;
+/** Requests that arrive so late in a run may not have ended and are not counted. */
+const TAIL_MS = 40_000;
+/** Between two rounds of the autoscaler. */
+const SCALE_MS = 5_000;
+/** Between an order and a new server's readiness. */
+const BOOT_MS = 30_000;
+/** Between a server's notice to leave and its end, when it was ordered away. */
+const LEAVE_MS = 20_000;
 /** Time between a server's loss and the hosts' list without it. */
 const LIST_LAG_MS = 1_000;
 
@@ -26,7 +34,9 @@
 }
 
 interface Server {
-  readonly info: core.ServerInfo;
+  info: core.ServerInfo;
+  /** Ordered away and paid for no longer. */
+  gone: boolean;
   readonly pool: core.PoolPart;
   readonly engine: engineModel.EngineModel;
   readonly work: Map<string, Work>;
@@ -58,6 +68,8 @@
   readonly policy: "banyangrade" | "naive";
   readonly seed: number;
   readonly runMs: number;
+  /** Whether the autoscaler orders servers. @default false */
+  readonly scaling?: boolean;
 }
 
 /** A run. */
@@ -84,7 +96,9 @@
     this.#options = options;
     this.#arrivals = utils.createRandom(options.seed);
     this.#random = utils.createRandom(options.seed + 1_000);
-    this.measure = new measure.Measure(options.scenario);
+    this.measure = new measure.Measure(options.scenario, {
+      countUntilMs: options.runMs - TAIL_MS,
+    });
   }
 
   /** Runs to the end. */
@@ -124,6 +138,67 @@
       }
     });
     this.#after(REPORT_MS, () => this.#reportLoads());
+    if (this.#options.scaling === true) {
+      scenario.failureDomains.forEach((domain) =>
+        this.#scale(domain, core.INITIAL_SCALING)
+      );
+    }
+    this.#bill();
+  }
+
+  // ---- autoscaling ----
+
+  /** Adds up what the engines cost, second by second. */
+  #bill(): void {
+    const perHour = this.#servers.filter((server) =>
+      server.pool.serves === "engine" && !server.gone
+    ).reduce((sum, server) => sum + server.pool.costPerHour, 0);
+    this.measure.cost += perHour / 3_600;
+    this.#after(1_000, () => this.#bill());
+  }
+
+  #scale(domain: string, state: core.ScalingState): void {
+    const allocator = this.#allocators.get(domain) as core.CapacityAllocator;
+    const pools = this.#options.scenario.pools.filter((pool) =>
+      pool.failureDomain === domain && pool.maxServers > 0
+    );
+    const loads = pools.map((part) => ({
+      part,
+      servers: this.#listOrdered(part).length,
+      demand: allocator.sumDemand(part.name),
+      upperDemand: allocator.sumDemand(part.name, core.RESERVE_TIER),
+    }));
+    const computed = core.computeDesired(loads, { state, now: this.#now });
+    computed.desired.forEach((desired) => {
+      const pool = pools.find((part) => part.name === desired.pool);
+      if (pool !== undefined) this.#resize(pool, desired.count);
+    });
+    this.#after(SCALE_MS, () => this.#scale(domain, computed.state));
+  }
+
+  /** Servers of a pool that are there or on their way and not leaving. */
+  #listOrdered(pool: core.PoolPart): Server[] {
+    return this.#servers.filter((server) =>
+      server.pool === pool && !server.gone && server.info.state === "live"
+    );
+  }
+
+  #resize(pool: core.PoolPart, count: number): void {
+    const ordered = this.#listOrdered(pool);
+    for (let index = ordered.length; index < count; index += 1) {
+      const server = createServer(pool, this.#servers.length);
+      server.alive = false;
+      this.#servers.push(server);
+      this.#after(BOOT_MS, () => this.#restart(server));
+    }
+    ordered.slice(count).forEach((server) => {
+      server.info = { ...server.info, state: "leaving" };
+      this.#after(LIST_LAG_MS, () => this.#sendAllServers());
+      this.#after(LEAVE_MS, () => {
+        server.gone = true;
+        this.#crash(server, Number.POSITIVE_INFINITY);
+      });
+    });
   }
 
   #addHost(domain: string, index: number): void {
@@ -339,7 +414,7 @@
       if (server.work.get(key) !== work) return;
       server.work.delete(key);
       work.tokens = 1;
-      this.#finish(work);
+      this.#finish(server, work);
     });
   }
 
@@ -354,7 +429,7 @@
         const work = server.work.get(key);
         if (work === undefined) return;
         server.work.delete(key);
-        this.#finish(work);
+        this.#finish(server, work);
       });
       this.#step(server);
     });
@@ -374,9 +449,10 @@
     });
   }
 
-  #finish(work: Work): void {
+  #finish(server: Server, work: Work): void {
     const { id: requestId } = work.request;
     work.host.places.delete(requestId);
+    if (server.pool.spot) this.measure.spotTokens += work.tokens;
     this.measure.recordFinished(requestId, {
       now: this.#now,
       tokens: work.offset + work.tokens,
@@ -424,10 +500,13 @@
     server.stepping = false;
     lost.forEach((work) => this.#fail(work, "connection_lost"));
     this.#after(LIST_LAG_MS, () => this.#sendAllServers());
-    this.#after(downMs, () => this.#restart(server));
+    if (Number.isFinite(downMs)) {
+      this.#after(downMs, () => this.#restart(server));
+    }
   }
 
   #restart(server: Server): void {
+    if (server.gone) return;
     server.alive = true;
     this.#after(LIST_LAG_MS, () => this.#sendAllServers());
   }
@@ -470,10 +549,19 @@
     const bursting = this.#options.troubles.some((trouble) =>
       trouble.kind === "burst" && this.#isWithin(trouble)
     );
-    return load.perSecond * (bursting ? load.burst : 1) *
+    return load.perSecond * (bursting ? load.burst : 1) * this.#getTide() *
       this.#getGreed(load).sum;
   }
 
+  #getTide(): number {
+    const tide = this.#options.troubles.find((trouble) =>
+      trouble.kind === "tide"
+    );
+    if (tide?.kind !== "tide") return 1;
+    const phase = 2 * Math.PI * this.#now / tide.periodMs;
+    return tide.low + (1 - tide.low) * (1 - Math.cos(phase)) / 2;
+  }
+
   /** One small customer asks for many times its share. */
   #getGreed(
     load: scenarios.ClassLoad,
@@ -559,6 +647,7 @@
       case "burst":
       case "greedy":
       case "no_reports":
+      case "tide":
         return;
       case "slow_engine":
         this.#after(trouble.from, () => {
@@ -590,10 +679,7 @@
     );
     const setState = (state: "live" | "leaving") =>
       spot.forEach((server) => {
-        const at = this.#servers.indexOf(server);
-        this.#servers[at] = Object.assign(server, {
-          info: { ...server.info, state },
-        });
+        server.info = { ...server.info, state };
       });
     setState("leaving");
     this.#after(LIST_LAG_MS, () => this.#sendAllServers());
@@ -630,6 +716,7 @@
       state: "live",
     },
     pool,
+    gone: false,
     engine: new engineModel.EngineModel(),
     work: new Map(),
     alive: true,
--- a/packages/core/scaling.ts
+++ b/packages/core/scaling.ts
@@ -73,8 +73,10 @@
   const upper = sum(loads.map((load) => load.upperDemand));
   const spot = loads.filter((load) => load.part.spot);
   const ordinary = loads.filter((load) => !load.part.spot);
-  // The reserve stands on ordinary servers; the rest prefers spot servers.
-  const reserve = spot.length === 0 ? demand : upper;
+  // The reserve stands on ordinary servers; the rest prefers spot servers. It
+  // may fill them: when spot servers are reclaimed, lower work gives way there.
+  const usable = spot.some((load) => load.part.maxServers > 0);
+  const reserve = usable ? upper * TARGET_UTILISATION : demand;
   const ordinaryCounts = spread(ordinary, reserve);
   const carried = sum(
     ordinaryCounts.map(({ load, count }) => count * load.part.slots),
