Scale down to the most that was needed within a minute

Cause: scaling down waited for two minutes in which no round needed more, which noise in demand never granted. Change: the desired count is the most that was needed within the last minute.

--- a/packages/core/scaling.ts
+++ b/packages/core/scaling.ts
@@ -7,8 +7,8 @@
 
 /** Load that a server is planned for, as a share of its slots. */
 const TARGET_UTILISATION = 0.7;
-/** Demand must stay below what fewer servers carry for this long, in ms. */
-const SCALE_DOWN_AFTER_MS = 120_000;
+/** The most that was needed within this time is kept, in ms. */
+const SCALE_DOWN_AFTER_MS = 60_000;
 /** Lowest tier (largest number) whose work ordinary servers hold in reserve. */
 export const RESERVE_TIER = 2;
 
@@ -30,12 +30,18 @@
 
 /** State that the autoscaler keeps between rounds. */
 export interface ScalingState {
-  /** Since when each pool could do with fewer servers, monotonic ms. */
-  readonly idleSince: ReadonlyMap<string, number>;
+  /** Counts that each pool needed within the last minute. */
+  readonly recent: ReadonlyMap<string, readonly NeededCount[]>;
+}
+
+interface NeededCount {
+  readonly count: number;
+  /** Monotonic ms. */
+  readonly at: number;
 }
 
 /** State before the first round. */
-export const INITIAL_SCALING: ScalingState = { idleSince: new Map() };
+export const INITIAL_SCALING: ScalingState = { recent: new Map() };
 
 /**
  * Computes the desired counts of all pools that offer the same targets.
@@ -51,15 +57,20 @@
   const wanted = [...groups].flatMap((key) =>
     computeGroup(loads.filter((load) => getGroupKey(load) === key))
   );
-  const idleSince = new Map<string, number>();
-  const desired = wanted.map(({ load, count }) => {
-    if (count >= load.servers) return { pool: load.part.name, count };
-    const since = state.idleSince.get(load.part.name) ?? now;
-    idleSince.set(load.part.name, since);
-    const ready = now - since >= SCALE_DOWN_AFTER_MS;
-    return { pool: load.part.name, count: ready ? count : load.servers };
-  });
-  return { desired, state: { idleSince } };
+  const recent = new Map(wanted.map(({ load, count }) => {
+    const { name } = load.part;
+    const kept = (state.recent.get(name) ?? [])
+      .filter((needed) => now - needed.at < SCALE_DOWN_AFTER_MS);
+    return [name, [...kept, { count, at: now }]];
+  }));
+  // Up at once, down to the most that was needed of late: a short lull does
+  // not send servers away that are missed a moment later, and a short peak
+  // does not keep them for ever.
+  const desired = [...recent].map(([pool, needed]) => ({
+    pool,
+    count: Math.max(...needed.map((one) => one.count)),
+  }));
+  return { desired, state: { recent } };
 }
 
 function getGroupKey(load: PoolLoad): string {
