Serve requests that can still meet their target before those that cannot

Cause: after a 60 s overload the queue held requests that had missed their target; served first, they made every later one miss it too, so goodput was not back 45 s after the end. Ruled out: early refusal, which lets in what can start in time for its queue limit, not its target. Change: within a tier, requests that have missed their target stand behind the others.

--- a/packages/core/admission.ts
+++ b/packages/core/admission.ts
@@ -42,8 +42,11 @@
     readonly serviceMs: number;
   },
 ): Backlog {
-  const here = options.lanes
-    .filter((lane) => lane.tier <= wanted.tier && lane.target === wanted.target)
+  const before = options.lanes.filter((lane) =>
+    lane.target === wanted.target &&
+    (lane.tier < wanted.tier || (lane.tier === wanted.tier && !lane.late))
+  );
+  const here = before
     .reduce((sum, lane) => sum + countAhead(lane, wanted), 0);
   const waiting = options.lanes
     .filter((lane) => lane.tier <= wanted.tier && lane.target === wanted.target)
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -180,6 +180,7 @@
       attempt: 1,
       offset: 0,
       ran: "no",
+      late: false,
       suspect: this.#suspects.isSuspect(wanted.fingerprint),
     });
     this.#dispatch(now);
@@ -464,6 +465,7 @@
       offset: ended.offset + ended.tokens,
       avoid: options.avoid,
       ran: options.ran,
+      late: false,
       suspect: this.#suspects.isSuspect(ended.request.fingerprint),
     });
   }
@@ -587,10 +589,19 @@
     this.#dispatch(now);
     this.#preemptForLate(now);
     this.#expire(now);
+    this.#putBehind(now);
+  }
+
+  /** Puts requests that missed their target behind those of their tier that can meet it. */
+  #putBehind(now: number): void {
+    this.#queue.removeOverdue((entry) =>
+      !entry.late && entry.offset === 0 &&
+      now - entry.request.arrivedAt > entry.request.targetMs
+    ).forEach((entry) => this.#queue.add({ ...entry, late: true }));
   }
 
   #expire(now: number): void {
-    this.#queue.removeWhere((entry) => entry.request.startBy <= now)
+    this.#queue.removeOverdue((entry) => entry.request.startBy <= now)
       .forEach((entry) =>
         this.#refuse(entry.request, {
           code: "deadline_exceeded",
--- a/packages/core/dispatcher_test.ts
+++ b/packages/core/dispatcher_test.ts
@@ -189,3 +189,36 @@
   t.notOk(listKinds(effects).includes("stop"));
   t.end();
 });
+
+tap.t.test(
+  "a backlog does not make every later request miss its target",
+  (t) => {
+    // An overload has ended, and still every summary comes too late. The queue
+    // holds requests that have missed their target; served first, they keep the
+    // fresh ones waiting until these have missed it too.
+    const dispatcher = startDispatcher();
+    [1, 2, 3, 4, 5, 6, 7, 8].forEach((n) =>
+      dispatcher.handle({
+        kind: "arrived",
+        request: buildRequest(`old${n}`, { tier: 1 }),
+      }, 0)
+    );
+    dispatcher.handle({ kind: "ticked" }, 600);
+    dispatcher.handle({
+      kind: "arrived",
+      request: {
+        ...buildRequest("fresh", { tier: 1 }),
+        arrivedAt: 600,
+        startBy: 1_600,
+      },
+    }, 600);
+    const effects = dispatcher.handle({
+      kind: "finished",
+      requestId: "old1",
+      attempt: 1,
+      tokens: 0,
+    }, 610);
+    t.match(effects[0], { kind: "start", request: { id: "fresh" } });
+    t.end();
+  },
+);
--- a/packages/core/fairness.ts
+++ b/packages/core/fairness.ts
@@ -22,11 +22,18 @@
 export class ShareCredits {
   readonly #targets = new Map<string, TargetCredits>();
 
-  /** Orders lanes: those whose class has earned its turn first, then by tier. */
+  /**
+   * Orders lanes: those whose class has earned its turn first, then by tier,
+   * and within a tier those that can still meet their target. Otherwise a
+   * backlog from an overload that is long over would make every later request
+   * miss its target too.
+   */
   order(lanes: readonly queue.Lane[]): queue.Lane[] {
     return lanes.toSorted((a, b) => {
       const turn = Number(this.hasTurn(b)) - Number(this.hasTurn(a));
-      return turn !== 0 ? turn : a.tier - b.tier || compareArrival(a, b);
+      if (turn !== 0) return turn;
+      const late = Number(a.late) - Number(b.late);
+      return a.tier - b.tier || late || compareArrival(a, b);
     });
   }
 
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -15,6 +15,8 @@
   readonly ran: request.Ran;
   /** A server was lost while it ran this request or one like it. */
   readonly suspect: boolean;
+  /** It waited so long that its class's target is missed whatever happens. */
+  readonly late: boolean;
   /** Server of the failed attempt before. */
   readonly avoid?: string;
 }
@@ -31,6 +33,8 @@
   readonly tier: number;
   readonly target: string;
   readonly pools: readonly string[];
+  /** Whether its requests have missed their target already. */
+  readonly late: boolean;
   readonly #waiting = new Map<string, QueuedRequest[]>();
   readonly #virtualTimes = new Map<string, number>();
   readonly #turns = new tinyqueue.default<Turn>(
@@ -40,12 +44,13 @@
   #clock = 0;
   #size = 0;
 
-  constructor(key: string, first: request.Request) {
+  constructor(key: string, first: QueuedRequest) {
     this.key = key;
-    this.className = first.className;
-    this.tier = first.tier;
-    this.target = first.target;
-    this.pools = first.pools;
+    this.className = first.request.className;
+    this.tier = first.request.tier;
+    this.target = first.request.target;
+    this.pools = first.request.pools;
+    this.late = first.late;
   }
 
   get size(): number {
@@ -122,6 +127,34 @@
     return removed;
   }
 
+  /**
+   * Removes the requests at the front that `isOverdue` holds for. Requests of a
+   * customer stand in order of arrival, but for those that come back, so the
+   * rest need not be looked at.
+   */
+  removeOverdue(
+    isOverdue: (queued: QueuedRequest) => boolean,
+  ): QueuedRequest[] {
+    const removed: QueuedRequest[] = [];
+    [...this.#waiting].forEach(([customer, waiting]) => {
+      const inTime = waiting.findIndex((queued) =>
+        queued.attempt === 1 && !isOverdue(queued)
+      );
+      const front = waiting.slice(0, inTime < 0 ? waiting.length : inTime);
+      const overdue = front.filter(isOverdue);
+      if (overdue.length === 0) return;
+      removed.push(...overdue);
+      const kept = [
+        ...front.filter((queued) => !isOverdue(queued)),
+        ...waiting.slice(front.length),
+      ];
+      if (kept.length > 0) this.#waiting.set(customer, kept);
+      else this.#waiting.delete(customer);
+    });
+    this.#size -= removed.length;
+    return removed;
+  }
+
   /** Removes the request that has waited least, for shedding. */
   removeNewest(): QueuedRequest | undefined {
     const newest = [...this.#waiting.values()]
@@ -174,10 +207,11 @@
     // Suspects wait by themselves: they may have to wait for each other, and
     // must not hold up the requests behind them.
     const base = request.getLaneKey(queued.request);
-    const key = queued.suspect ? `${base}|suspect` : base;
+    const suspect = queued.suspect ? "|suspect" : "";
+    const key = `${base}${suspect}${queued.late ? "|late" : ""}`;
     let lane = this.#lanes.get(key);
     if (lane === undefined) {
-      lane = new Lane(key, queued.request);
+      lane = new Lane(key, queued);
       this.#lanes.set(key, lane);
     }
     lane.add(queued);
@@ -200,6 +234,16 @@
     return removed;
   }
 
+  /** Removes the overdue requests of each lane; see {@link Lane.removeOverdue}. */
+  removeOverdue(
+    isOverdue: (queued: QueuedRequest) => boolean,
+  ): QueuedRequest[] {
+    const removed = this.listWaiting()
+      .flatMap((lane) => lane.removeOverdue(isOverdue));
+    this.#size -= removed.length;
+    return removed;
+  }
+
   /** Removes the newest request of the lowest tier that is lower than `tier`. */
   removeLowest(tier: number): QueuedRequest | undefined {
     const lowest = this.listWaiting()
