Make the cost of control independent of the failure domain's size

Cause: each second a host beat to all its fingers with every role, listed servers, polled idle engines and sent empty demand; it looked at the time 50 times a second with nothing open. Change: the regular beat goes to the successor and one finger in turn; roles travel when they changed or differ; demand is sent less often in a large failure domain, and once when it is empty.

--- a/packages/banyangrade/capacity_task.ts
+++ b/packages/banyangrade/capacity_task.ts
@@ -31,6 +31,7 @@
   #allocatedAt = Number.NEGATIVE_INFINITY;
   #askedAt = Number.NEGATIVE_INFINITY;
   #misses = 0;
+  #saidIdle = false;
   #asking = false;
   #scheduled: NodeJS.Timeout | undefined;
   #stop: () => void = () => undefined;
@@ -58,7 +59,16 @@
   /** Sends demand now instead of at the next round, at most every 50 ms. */
   askNow(): void {
     const since = this.#options.clock.now() - this.#askedAt;
-    if (since >= constants.ALLOCATE_MS) void this.#ask();
+    if (since >= constants.ALLOCATE_MS * this.#getScale()) void this.#ask();
+  }
+
+  /**
+   * Factor on the time between demands. It grows with the failure domain, so
+   * that what its leader takes in does not.
+   */
+  #getScale(): number {
+    const hosts = this.#options.overlay.members.listActive().length;
+    return Math.max(1, hosts / constants.HOSTS_AT_FULL_RATE);
   }
 
   /** At the leader: takes a host's demand and answers with its grants. */
@@ -99,7 +109,9 @@
     const { queued, running } = this.#options.dispatcher.countOpen();
     const idle = queued + running === 0;
     const since = this.#options.clock.now() - this.#askedAt;
-    if (!idle || since >= constants.IDLE_DEMAND_MS) await this.#ask();
+    const due = since >= constants.DEMAND_MS * this.#getScale();
+    // A host that asks for nothing says so once.
+    if (due && !(idle && this.#saidIdle)) await this.#ask();
   }
 
   async #ask(): Promise<void> {
@@ -112,6 +124,7 @@
       demands: this.#options.dispatcher.listDemand(),
     };
     const answer = await this.#sendDemand(message);
+    this.#saidIdle = answer.ok && message.demands.length === 0;
     this.#asking = false;
     if (answer.err) return this.#recordMiss();
     this.#misses = 0;
@@ -163,6 +176,8 @@
     const now = this.#options.clock.now();
     this.#allocatedAt = now;
     const before = this.#grants;
+    const active = this.#options.overlay.members.listActive();
+    this.#allocator.keepHosts(new Set(active.map((member) => member.name)));
     this.#grants = this.#allocator.allocate(this.#listCapacities(), now);
     this.#grants.forEach((grants, host) => {
       const urgent = grants.some((grant) => isRecall(grant, before.get(host)));
--- a/packages/banyangrade/constants.ts
+++ b/packages/banyangrade/constants.ts
@@ -2,10 +2,12 @@
 
 /** Between two looks at queues and deadlines. */
 export const TICK_MS = 20;
+/** The same while no request is open. */
+export const IDLE_TICK_MS = 250;
 /** Between two demands to the capacity leader. */
 export const DEMAND_MS = 250;
-/** Between two demands while this host asks for nothing. */
-export const IDLE_DEMAND_MS = 1_000;
+/** Hosts up to which demand is sent at the full rate; beyond, more seldom. */
+export const HOSTS_AT_FULL_RATE = 8;
 /** Least time between two allocations at the leader, and between two urgent demands. */
 export const ALLOCATE_MS = 50;
 /** A new leader listens for this long before it grants anything. */
@@ -17,7 +19,7 @@
 /** Before a watch that ended is opened again. */
 export const REWATCH_MS = 500;
 /** Between two listings of the failure domain's servers. */
-export const SERVERS_MS = 1_000;
+export const SERVERS_MS = 2_000;
 /** Between two listings of hosts by a relay. */
 export const HOSTS_MS = 10_000;
 /** Between two flushes of usage. */
--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -1,6 +1,6 @@
 /** Runs the dispatcher: feeds it events one by one and carries out its effects. */
 import * as core from "@banyangrade/core";
-import * as utils from "@banyangrade/utils";
+import type * as utils from "@banyangrade/utils";
 import * as constants from "./constants.ts";
 
 /** One open request, to which the effects that concern it are passed. */
@@ -29,19 +29,29 @@
   readonly #options: DispatchTaskOptions;
   readonly #open = new Map<string, OpenRequest>();
   readonly #events: core.DispatchEvent[] = [];
-  readonly #stopTicking: () => void;
+  #ticking: NodeJS.Timeout | undefined;
+  #stopped = false;
   #busy = false;
 
   constructor(options: DispatchTaskOptions) {
     this.#options = options;
-    this.#stopTicking = utils.startInterval(
-      constants.TICK_MS,
-      () => this.send({ kind: "ticked" }),
-    );
+    this.#tick();
+  }
+
+  /** Looks at the time often while requests are open, else seldom. */
+  #tick(): void {
+    if (this.#stopped) return;
+    this.send({ kind: "ticked" });
+    const ms = this.#open.size > 0 ? constants.TICK_MS : constants.IDLE_TICK_MS;
+    this.#ticking = setTimeout(() => this.#tick(), ms);
   }
 
   /** Opens a request; its effects go to `handlers` until it is closed. */
   open(request: core.Request, handlers: OpenRequest): void {
+    if (this.#open.size === 0) {
+      clearTimeout(this.#ticking);
+      this.#ticking = setTimeout(() => this.#tick(), constants.TICK_MS);
+    }
     this.#open.set(request.id, handlers);
     this.send({ kind: "arrived", request });
   }
@@ -80,7 +90,8 @@
   }
 
   stop(): void {
-    this.#stopTicking();
+    this.#stopped = true;
+    clearTimeout(this.#ticking);
   }
 
   #carryOut(effect: core.DispatchEffect): void {
--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -391,7 +391,8 @@
 
 async function pollLoad(parts: HostParts): Promise<void> {
   const engines = parts.dispatcher.inspect().servers.filter((server) =>
-    server.pool.serves === "engine"
+    // An idle server says all there is to know when it is used again.
+    server.pool.serves === "engine" && server.running > 0
   ).slice(0, constants.LOAD_POLL_SERVERS);
   await Promise.all(engines.map(async (server) => {
     const report = await engine.fetchLoad(parts.agent, server.info);
--- a/packages/core/allocation.ts
+++ b/packages/core/allocation.ts
@@ -9,7 +9,7 @@
 import type * as events from "./events.ts";
 
 /** Demand older than this is forgotten, in ms. */
-const DEMAND_VALID_MS = 3_000;
+const DEMAND_VALID_MS = 15_000;
 
 /** What the allocator must know of a pool. */
 export interface PoolCapacity {
@@ -53,9 +53,10 @@
     });
   }
 
-  /** Forgets a host that left. */
-  removeHost(host: string): void {
-    this.#demands.delete(host);
+  /** Forgets all hosts but these. */
+  keepHosts(hosts: ReadonlySet<string>): void {
+    [...this.#demands.keys()].filter((host) => !hosts.has(host))
+      .forEach((host) => this.#demands.delete(host));
   }
 
   /** Computes every host's grants. */
--- a/packages/peer/overlay.ts
+++ b/packages/peer/overlay.ts
@@ -15,6 +15,8 @@
 export const RELAY_COUNT = 2;
 /** Beats with differing views before members are exchanged in full. */
 const DIFFERENT_VIEWS = 3;
+/** Time for which a change of roles is sent unasked, in ms. */
+const ROLES_NEWS_MS = 3_000;
 /** Most quarantine marks and withdrawn keys in one beat. */
 const MARKS_LIMIT = 32;
 
@@ -54,6 +56,8 @@
   readonly #marks = new core.MarkSet();
   readonly #withdrawn = new Set<string>();
   readonly #differing = new Map<string, number>();
+  #rolesChangedAt = Number.NEGATIVE_INFINITY;
+  #turn = 0;
   #confirmedAt = 0;
   #stop: () => void = () => undefined;
 
@@ -134,7 +138,8 @@
 
   /** Beats to the fingers at once, for what must not wait for the next beat. */
   spread(): void {
-    void this.#sendBeatsTo(this.#listTargets());
+    const remote = this.isRelay() ? this.listRemoteContacts() : [];
+    void this.#sendBeatsTo([...this.members.listFingers(), ...remote]);
   }
 
   /** Returns one contact in each other failure domain. */
@@ -152,10 +157,13 @@
     });
   }
 
-  /** Answers a beat. */
+  /** Answers a beat; with the roles only if the sender knows others. */
   takeBeat(beat: protocol.Beat): protocol.Beat {
     this.#merge(beat);
-    return this.#buildBeat();
+    const answer = this.#buildBeat();
+    return beat.rolesSum === answer.rolesSum
+      ? answer
+      : { ...answer, roles: this.listRoles() };
   }
 
   #listHome(): Contact[] {
@@ -165,10 +173,19 @@
     );
   }
 
-  /** Fingers; for a relay also other failure domains; now and then a lost host. */
-  #listTargets(): { readonly name: string; readonly address: string }[] {
+  /**
+   * Whom the regular beat goes to: the successor, which this host watches, and
+   * one finger in turn, so that its cost does not grow with the failure domain.
+   * A relay also beats to other failure domains; now and then a lost host is
+   * tried.
+   */
+  #listRegular(): { readonly name: string; readonly address: string }[] {
+    const [successor, ...others] = this.members.listFingers();
+    this.#turn += 1;
+    const inTurn = others.slice(this.#turn % Math.max(1, others.length))[0];
     const remote = this.isRelay() ? this.listRemoteContacts() : [];
-    return [...this.members.listFingers(), ...remote, ...this.#drawLost()];
+    return [successor, inTurn, ...remote, ...this.#drawLost()]
+      .filter((target) => target !== undefined);
   }
 
   /** A host that left the view may be back, or on the other side of a cut. */
@@ -188,7 +205,7 @@
     this.#options.clients.closeIdle();
     const cleared = this.#marks.removeLapsed(this.#options.clock.wall());
     if (cleared.length > 0) this.#options.onCleared(cleared);
-    await this.#sendBeatsTo(this.#listTargets());
+    await this.#sendBeatsTo(this.#listRegular());
   }
 
   async #sendBeatsTo(
@@ -242,7 +259,10 @@
       news: this.members.takeNews(),
       marks: this.#marks.list().slice(-MARKS_LIMIT),
       withdrawn: [...this.#withdrawn].slice(-MARKS_LIMIT),
-      roles: this.listRoles(),
+      rolesSum: this.listRoles().reduce((sum, role) => sum + role.token, 0),
+      roles: this.#options.clock.now() - this.#rolesChangedAt < ROLES_NEWS_MS
+        ? this.listRoles()
+        : [],
     };
   }
 
@@ -284,7 +304,10 @@
   #mergeRoles(roles: readonly protocol.RoleNews[]): void {
     roles.filter((news) =>
       news.token > (this.#roles.get(news.role)?.token ?? 0)
-    ).forEach((news) => this.#roles.set(news.role, news));
+    ).forEach((news) => {
+      this.#roles.set(news.role, news);
+      this.#rolesChangedAt = this.#options.clock.now();
+    });
   }
 
   #mergeWithdrawn(keyIds: readonly string[]): void {
--- a/packages/peer/protocol.ts
+++ b/packages/peer/protocol.ts
@@ -26,6 +26,9 @@
   readonly marks: readonly core.PoisonMark[];
   /** Keys withdrawn ahead of the configuration. */
   readonly withdrawn: readonly string[];
+  /** Sum of the fencing tokens of all roles; differs if the views do. */
+  readonly rolesSum: number;
+  /** Sent for a while after a change, and to whom the sum differs. */
   readonly roles: readonly RoleNews[];
 }
 
--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -82,8 +82,10 @@
   readonly peer: number;
 }
 
+/** Hosts that stand in the settings of each host. */
+const SEEDS = 4;
 /** Longest time a host may take to become ready, in ms. */
-const READY_MS = 20_000;
+const READY_MS = 60_000;
 
 /**
  * Starts a deployment and publishes its service files.
@@ -267,7 +269,8 @@
     peer: {
       address: `127.0.0.1:${plan.peer}`,
       secret_file: secretFile,
-      seeds: plans.map((other) => ({
+      // A few are enough: the others are learned from them.
+      seeds: plans.slice(0, SEEDS).map((other) => ({
         name: other.name,
         failure_domain: other.failureDomain,
         address: `127.0.0.1:${other.peer}`,
