--- a/packages/banyangrade/command_line.ts
+++ b/packages/banyangrade/command_line.ts
@@ -84,6 +84,41 @@
     options: { ...REACH, author: "string" },
     load: () => import("./commands/key.ts"),
   },
+  customer: {
+    summary: "List customers, what they may use and how many keys they have.",
+    usage: "customer [--json]",
+    example: "banyangrade customer --operator operator.toml",
+    options: REACH,
+    load: async () => ({ run: (await loadRecords()).runCustomers }),
+  },
+  usage: {
+    summary: "List the usage windows that the store still holds.",
+    usage: "usage [--json]",
+    example: "banyangrade usage --operator operator.toml",
+    options: REACH,
+    load: async () => ({ run: (await loadRecords()).runUsage }),
+  },
+  orders: {
+    summary: "List what was ordered of each pool.",
+    usage: "orders [--json]",
+    example: "banyangrade orders --operator operator.toml",
+    options: REACH,
+    load: async () => ({ run: (await loadRecords()).runOrders }),
+  },
+  explain: {
+    summary: "Say why a request was refused, a class waits or a server idles.",
+    usage: "explain request ID | explain class NAME | explain server NAME",
+    example: "banyangrade explain class redraft --operator operator.toml",
+    options: REACH,
+    load: () => import("./commands/explain.ts"),
+  },
+  drain: {
+    summary: "Ask one host for a planned stop and wait for its end.",
+    usage: "drain --host ADDRESS",
+    example: "banyangrade drain --host 127.0.0.1:7080 --operator operator.toml",
+    options: REACH,
+    load: () => import("./commands/drain.ts"),
+  },
 };
 
 const REACH_HELP = `
@@ -149,6 +184,10 @@
   }
 }
 
+function loadRecords() {
+  return import("./commands/records.ts");
+}
+
 function formatOverview(): string {
   const lines = Object.entries(COMMANDS).map(([name, command]) =>
     `  ${name.padEnd(10)} ${command.summary}`
--- a/packages/banyangrade/commands/key.ts
+++ b/packages/banyangrade/commands/key.ts
@@ -13,16 +13,10 @@
 
 /** Runs the command. */
 export async function run(input: commandLine.CommandInput): Promise<number> {
-  const reach = reachModule.openReach(input.options);
-  if (reach.err) {
-    process.stderr.write(`${reach.val}\n`);
-    return commandLine.EXIT.usage;
-  }
-  try {
-    return await runAction(reach.val, input);
-  } finally {
-    await reach.val.close();
-  }
+  return await reachModule.useReach(
+    input.options,
+    (reach) => runAction(reach, input),
+  );
 }
 
 async function runAction(
--- a/packages/banyangrade/commands/publish.ts
+++ b/packages/banyangrade/commands/publish.ts
@@ -24,16 +24,11 @@
     );
     return commandLine.EXIT.usage;
   }
-  const reach = reachModule.openReach(input.options);
-  if (reach.err) {
-    process.stderr.write(`${reach.val}\n`);
-    return commandLine.EXIT.usage;
-  }
-  try {
-    return await publish(reach.val, { input, parts: collected.val });
-  } finally {
-    await reach.val.close();
-  }
+  const parts = collected.val;
+  return await reachModule.useReach(
+    input.options,
+    (reach) => publish(reach, { input, parts }),
+  );
 }
 
 async function publish(
--- a/packages/banyangrade/commands/serve.ts
+++ b/packages/banyangrade/commands/serve.ts
@@ -24,13 +24,17 @@
     level: settings.val.log.level,
     fields: { host: settings.val.host.name },
   });
-  const host = await hostModule.startHost(settings.val, log);
-  handleSignals(host, log);
+  let stop: () => void = () => undefined;
+  const host = await hostModule.startHost(settings.val, {
+    log,
+    onDrainAsked: () => stop(),
+  });
+  stop = handleSignals(host, log);
   return undefined;
 }
 
-/** The first signal drains; a second one ends at once. */
-function handleSignals(host: hostModule.Host, log: utils.Logger): void {
+/** The first signal drains; a second one ends at once. Returns what a signal does. */
+function handleSignals(host: hostModule.Host, log: utils.Logger): () => void {
   let stopping = false;
   const stop = () => {
     if (stopping) {
@@ -48,4 +52,5 @@
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
+  return stop;
 }
--- a/packages/banyangrade/commands/status.ts
+++ b/packages/banyangrade/commands/status.ts
@@ -8,16 +8,10 @@
 
 /** Runs the command. */
 export async function run(input: commandLine.CommandInput): Promise<number> {
-  const reach = reachModule.openReach(input.options);
-  if (reach.err) {
-    process.stderr.write(`${reach.val}\n`);
-    return commandLine.EXIT.usage;
-  }
-  try {
-    return await showStatus(reach.val, input.options.json === true);
-  } finally {
-    await reach.val.close();
-  }
+  return await reachModule.useReach(
+    input.options,
+    (reach) => showStatus(reach, input.options.json === true),
+  );
 }
 
 async function showStatus(
--- a/packages/banyangrade/exchange.ts
+++ b/packages/banyangrade/exchange.ts
@@ -4,6 +4,7 @@
 import type * as utils from "@banyangrade/utils";
 import type * as dispatch from "./dispatch_task.ts";
 import type * as metrics from "./metrics.ts";
+import type * as refusals from "./recent_refusals.ts";
 import type * as usage from "./usage_task.ts";
 
 /** What an exchange needs of its host. */
@@ -12,6 +13,7 @@
   readonly log: utils.Logger;
   readonly dispatch: dispatch.DispatchTask;
   readonly metrics: metrics.Metrics;
+  readonly refusals: refusals.RecentRefusals;
   readonly usage: usage.UsageTask;
 }
 
@@ -138,7 +140,7 @@
  * refuseCaller(context, { answer, refusal, requestId });
  */
 export function refuseCaller(
-  context: Pick<ExchangeContext, "log" | "metrics">,
+  context: Pick<ExchangeContext, "log" | "metrics" | "refusals">,
   { answer, refusal, requestId }: {
     readonly answer: caller.CallerAnswer;
     readonly refusal: core.Refusal;
@@ -146,6 +148,7 @@
   },
 ): void {
   context.metrics.recordRefusal(refusal);
+  context.refusals.add(requestId, refusal);
   context.log.info({ requestId, ...refusal }, "Request refused.");
   answer.refuse(refusal);
 }
--- a/packages/banyangrade/front.ts
+++ b/packages/banyangrade/front.ts
@@ -45,6 +45,7 @@
   /** Handles one request of a caller. */
   handle(incoming: caller.CallerRequest): void {
     const requestId = utils.createId();
+    incoming.answer.setRequestId(requestId);
     const accepted = this.#accept(incoming, requestId);
     if (accepted.err) return this.#refuse(incoming, accepted.val, requestId);
     const { route } = incoming;
--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -16,6 +16,7 @@
 import * as metricsModule from "./metrics.ts";
 import * as operations from "./operations_server.ts";
 import * as ordersTask from "./orders_task.ts";
+import * as refusalsModule from "./recent_refusals.ts";
 import * as settingsModule from "./settings.ts";
 import * as statusModule from "./status.ts";
 import * as usageTask from "./usage_task.ts";
@@ -28,17 +29,25 @@
   readonly close: () => Promise<void>;
 }
 
+/** Options of {@link startHost}. */
+export interface HostOptions {
+  readonly log: utils.Logger;
+  /** Told that an operator asks for a planned stop. */
+  readonly onDrainAsked: () => void;
+}
+
 /**
  * Starts a host.
  *
  * @example
- * const host = await startHost(settings, utils.createLogger({}));
+ * const host = await startHost(settings, { log, onDrainAsked });
  */
 export async function startHost(
   settings: settingsModule.Settings,
-  log: utils.Logger,
+  options: HostOptions,
 ): Promise<Host> {
-  const parts = buildParts(settings, log);
+  const { log } = options;
+  const parts = buildParts(settings, options);
   const servers = await startServers(parts);
   parts.overlay.start();
   await parts.config.start(
@@ -102,12 +111,14 @@
   readonly storeGuard: guard.StoreGuard;
   readonly front: front.Front;
   readonly metrics: metricsModule.Metrics;
+  readonly refusals: refusalsModule.RecentRefusals;
+  readonly onDrainAsked: () => void;
   readonly agent: ReturnType<typeof utils.createBackendAgent>;
 }
 
 function buildParts(
   settings: settingsModule.Settings,
-  log: utils.Logger,
+  { log, onDrainAsked }: HostOptions,
 ): HostParts {
   const clock = utils.SYSTEM_CLOCK;
   const { name: host, failure_domain: failureDomain } = settings.host;
@@ -121,6 +132,7 @@
   const metrics = new metricsModule.Metrics();
   const agent = utils.createBackendAgent();
   const withdrawn = new Set<string>();
+  const refusals = new refusalsModule.RecentRefusals();
   const clients = new peer.PeerClients({
     secret: settingsModule.readSecrets(settings)[0],
     clock,
@@ -261,6 +273,7 @@
     log: part("caller"),
     dispatch,
     metrics,
+    refusals,
     usage: usageOfHost,
     agent,
     getConfiguration: () => config.get(),
@@ -308,6 +321,8 @@
     storeGuard,
     front: frontOfHost,
     metrics,
+    refusals,
+    onDrainAsked,
     agent,
   };
 }
@@ -365,6 +380,8 @@
     listRevisions: (scope) => statusModule.listRevisions(parts, scope),
     withdrawKey: (keyId) => parts.overlay.addWithdrawn(keyId),
     getStatus: () => statusModule.buildStatus(parts),
+    findRefusal: (requestId) => parts.refusals.find(requestId) ?? null,
+    startDrain: () => parts.onDrainAsked(),
   };
 }
 
--- a/packages/banyangrade/reach.ts
+++ b/packages/banyangrade/reach.ts
@@ -63,6 +63,32 @@
   });
 }
 
+/**
+ * Opens what the options name, runs `work` and closes it again; a mistake in
+ * the options is printed.
+ *
+ * @example
+ * return await useReach(input.options, async (reach) => 0);
+ */
+export async function useReach(
+  options: commandLine.Options,
+  work: (reach: Reach) => Promise<number>,
+): Promise<number> {
+  const reach = openReach(options);
+  if (reach.err) {
+    process.stderr.write(`${reach.val}\n`);
+    return EXIT_USAGE;
+  }
+  try {
+    return await work(reach.val);
+  } finally {
+    await reach.val.close();
+  }
+}
+
+/** Exit code of a wrong command line. */
+const EXIT_USAGE = 2;
+
 /**
  * Asks the first host that answers.
  *
--- a/packages/caller/answers.ts
+++ b/packages/caller/answers.ts
@@ -52,6 +52,11 @@
     this.#response = response;
   }
 
+  /** Names the request in the answer's headers, for questions about it. */
+  setRequestId(requestId: string): void {
+    this.#response.setHeader("x-request-id", requestId);
+  }
+
   /** Whether any byte of an answer has been written. */
   hasStarted(): boolean {
     return this.#response.headersSent;
--- a/packages/peer/protocol.ts
+++ b/packages/peer/protocol.ts
@@ -107,6 +107,9 @@
   ) => Promise<readonly HostRevision[]>;
   readonly withdrawKey: (keyId: string) => void;
   readonly getStatus: () => unknown;
+  readonly findRefusal: (requestId: string) => core.Refusal | null;
+  /** Starts a planned stop; answers before it is over. */
+  readonly startDrain: () => void;
 }
 
 /** Context of a call: whether the caller proved that it is a host of ours. */
@@ -158,6 +161,9 @@
     withdrawKey: procedure.input(z.string())
       .mutation(({ input }) => handlers.withdrawKey(input)),
     status: procedure.query(() => handlers.getStatus()),
+    refusal: procedure.input(z.string())
+      .query(({ input }) => handlers.findRefusal(input)),
+    drain: procedure.mutation(() => handlers.startDrain()),
   });
 }
 
--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -161,8 +161,11 @@
 /**
  * Runs the program to its end. Not the synchronous way: the stand-ins that it
  * talks to live in this process.
+ *
+ * @example
+ * const ran = await runProgram(["check", "--settings", "host.toml"]);
  */
-function runProgram(
+export function runProgram(
   words: readonly string[],
 ): Promise<{ readonly code: number; readonly output: string }> {
   return new Promise((resolve) => {
