--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -37,6 +37,9 @@
 /** Share of the target that may pass before lower work is preempted. */
 export const PREEMPT_AT_TARGET = 0.25;
 
+/** Time that an overdue request is given once work was preempted for it, in ms. */
+export const POSTPONE_MS = 100;
+
 /** Most requests queued at a host, over all classes. */
 export const MAX_QUEUED = 20_000;
 
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -181,6 +181,7 @@
       offset: 0,
       ran: "no",
       late: false,
+      first: false,
       suspect: this.#suspects.isSuspect(wanted.fingerprint),
     });
     this.#dispatch(now);
@@ -466,6 +467,7 @@
       avoid: options.avoid,
       ran: options.ran,
       late: false,
+      first: true,
       suspect: this.#suspects.isSuspect(ended.request.fingerprint),
     });
   }
@@ -597,18 +599,45 @@
     this.#queue.removeOverdue((entry) =>
       !entry.late && entry.offset === 0 &&
       now - entry.request.arrivedAt > entry.request.targetMs
-    ).forEach((entry) => this.#queue.add({ ...entry, late: true }));
+    ).forEach((entry) =>
+      this.#queue.add({ ...entry, late: true, first: false })
+    );
   }
 
+  /**
+   * Refuses requests whose time to start is over. One that is not at the head
+   * of its lane has had no work preempted for it yet, so it first gets that.
+   */
   #expire(now: number): void {
-    this.#queue.removeOverdue((entry) => entry.request.startBy <= now)
-      .forEach((entry) =>
-        this.#refuse(entry.request, {
-          code: "deadline_exceeded",
-          ran: entry.ran,
-          waitMs: this.#lengths.get(getLengthKey(entry.request)).serviceMs,
-        })
-      );
+    const overdue = this.#queue.removeOverdue((entry) =>
+      entry.request.startBy <= now
+    );
+    overdue.forEach((entry) => {
+      const pools = this.#listPoolsFor(entry.request);
+      const victim = this.#findVictim(entry.request, pools);
+      if (victim === undefined) return this.#refuseOverdue(entry);
+      this.#preempt(victim, now);
+      this.#postpone(entry, now);
+    });
+    if (overdue.length > 0) this.#dispatch(now);
+  }
+
+  #refuseOverdue(entry: queue.QueuedRequest): void {
+    this.#refuse(entry.request, {
+      code: "deadline_exceeded",
+      ran: entry.ran,
+      waitMs: this.#lengths.get(getLengthKey(entry.request)).serviceMs,
+    });
+  }
+
+  /** Puts an overdue request to the front of its customer's, for one more look. */
+  #postpone(entry: queue.QueuedRequest, now: number): void {
+    const startBy = now + constants.POSTPONE_MS;
+    this.#queue.add({
+      ...entry,
+      request: { ...entry.request, startBy },
+      first: true,
+    });
   }
 
   /** Preempts for requests that have used up half of their time to start. */
--- a/packages/core/dispatcher_test.ts
+++ b/packages/core/dispatcher_test.ts
@@ -222,3 +222,46 @@
     t.end();
   },
 );
+
+tap.t.test(
+  "an overdue request behind its lane's head has lower work preempted",
+  (t) => {
+    // A booking could not be sent and came back to the queue after its time to
+    // start. Another customer's booking was the head of the lane and not late,
+    // so nothing was preempted, and the first was refused beside a redraft.
+    const dispatcher = startDispatcher();
+    const send = (id: string, tier: number, customer: string, at: number) =>
+      dispatcher.handle({
+        kind: "arrived",
+        request: {
+          ...buildRequest(id, { tier, repeatable: tier > 1 }),
+          customer,
+          weight: customer === "a" ? 0.25 : 1,
+          arrivedAt: at,
+          startBy: at + 1_000,
+        },
+      }, at);
+    // Its smaller weight makes the first customer's next turn come later.
+    send("first", 1, "a", 0);
+    [1, 2, 3].forEach((n) => send(`low${n}`, 2, "c", 0));
+    [1, 2].forEach((n) => send(`head${n}`, 1, "b", 1_000));
+    const failed = dispatcher.handle({
+      kind: "failed",
+      requestId: "first",
+      attempt: 1,
+      failure: "not_sent",
+      answerStarted: false,
+      resumable: false,
+    }, 1_001);
+    const effects = [
+      ...failed,
+      ...dispatcher.handle({ kind: "ticked" }, 1_002),
+    ];
+    const refused = effects.some((effect) =>
+      effect.kind === "refuse" && effect.requestId === "first"
+    );
+    t.notOk(refused);
+    t.ok(effects.some((effect) => effect.kind === "stop"), "low work stops");
+    t.end();
+  },
+);
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -17,6 +17,8 @@
   readonly suspect: boolean;
   /** It waited so long that its class's target is missed whatever happens. */
   readonly late: boolean;
+  /** It has waited already, and goes before its customer's others. */
+  readonly first: boolean;
   /** Server of the failed attempt before. */
   readonly avoid?: string;
 }
@@ -66,8 +68,7 @@
     const waiting = this.#waiting.get(customer);
     this.#size += 1;
     if (waiting !== undefined && waiting.length > 0) {
-      // A request that is resumed or retried has waited already.
-      if (queued.attempt > 1) waiting.unshift(queued);
+      if (queued.first) waiting.unshift(queued);
       else waiting.push(queued);
       return;
     }
@@ -138,7 +139,7 @@
     const removed: QueuedRequest[] = [];
     [...this.#waiting].forEach(([customer, waiting]) => {
       const inTime = waiting.findIndex((queued) =>
-        queued.attempt === 1 && !isOverdue(queued)
+        !queued.first && !isOverdue(queued)
       );
       const front = waiting.slice(0, inTime < 0 ? waiting.length : inTime);
       const overdue = front.filter(isOverdue);
--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -15,7 +15,7 @@
     "fill filter find finish fix flush forget format forward freeze generate get give go grant handle " +
     "has hash hold index inspect is issue join keep leave list listen load make " +
     "mark may measure merge move must needs normalize note notify obey open order parse pass peek pick plan " +
-    "poll preempt prefill print publish pull push put queue quote rank read recognise record " +
+    "poll postpone preempt prefill print publish pull push put queue quote rank read recognise record " +
     "refuse release remove render renew repeat replay report requeue resolve restart return revoke route " +
     "run save scale schedule score seal select send separate serve set settle shed shorten show shuffle simulate sleep spawn " +
     "split spread spread start step stop store sum suspect suggest swap take tell thaw tick tidy to " +
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -68,6 +68,14 @@
     replace: "    this.#expire(now);\n",
     test: DISPATCHER,
   },
+  {
+    name: "dispatcher: an overdue request is refused before it preempts",
+    file: "packages/core/dispatcher.ts",
+    find: "if (victim === undefined) return this.#refuseOverdue(entry);",
+    replace:
+      "if (now >= 0 || victim === undefined) {\n        return this.#refuseOverdue(entry);\n      }",
+    test: "packages/core/dispatcher_test.ts",
+  },
   {
     name: "dispatcher: a higher tier is shed while lower work runs",
     file: "packages/core/dispatcher.ts",
