Split the dispatcher by concern

Cause: one class of 700 lines held intake, starting, ending and yielding. Change: a state and four modules of functions over it; the dispatcher only maps events to them. An empty package for the weight store, which is not built, is gone.

--- a/packages/core/admission.ts
+++ b/packages/core/admission.ts
@@ -4,6 +4,13 @@
 import type * as servers from "./servers.ts";
 import * as constants from "./constants.ts";
 
+/** What must be known to find the pools that may serve something. */
+export interface Routed {
+  readonly target: string;
+  /** Empty means every pool with the target. */
+  readonly pools: readonly string[];
+}
+
 /** What an arriving request would wait behind. */
 export interface Backlog {
   /** Queued requests of its tier or a higher one for the same target. */
--- /dev/null
+++ b/packages/core/host_state.ts
@@ -0,0 +1,151 @@
+/** What the decisions of one host work on. */
+import type * as utils from "@banyangrade/utils";
+import type * as admission from "./admission.ts";
+import * as attempts from "./attempts.ts";
+import type * as config from "./config.ts";
+import * as constants from "./constants.ts";
+import type * as events from "./events.ts";
+import * as fairness from "./fairness.ts";
+import * as lengths from "./lengths.ts";
+import * as quarantine from "./quarantine.ts";
+import * as queue from "./queue.ts";
+import * as refusals from "./refusals.ts";
+import type * as request from "./request.ts";
+import * as retry from "./retry.ts";
+import * as router from "./router.ts";
+import * as servers from "./servers.ts";
+
+/** Options of {@link createHostState}. */
+export interface HostStateOptions {
+  readonly failureDomain: string;
+  readonly random: utils.Random;
+}
+
+/** The state of one host's decisions. */
+export interface HostState {
+  /** Time of the event that is handled, monotonic ms. */
+  now: number;
+  /** What is to be done, in order. */
+  effects: events.DispatchEffect[];
+  classes: ReadonlyMap<string, config.ClassPart>;
+  /** When the demand was sent that the grants answer. */
+  grantAsOf: number;
+  draining: boolean;
+  readonly failureDomain: string;
+  readonly table: servers.ServerTable;
+  readonly queue: queue.RequestQueue;
+  readonly running: attempts.AttemptTable;
+  readonly budget: retry.RetryBudget;
+  readonly lengths: lengths.LengthEstimator;
+  readonly credits: fairness.ShareCredits;
+  readonly suspects: quarantine.SuspectTable;
+  readonly router: router.Router;
+}
+
+/**
+ * Makes the state of a host that knows nothing yet.
+ *
+ * @example
+ * const state = createHostState({ failureDomain: "rosenheim", random });
+ */
+export function createHostState(options: HostStateOptions): HostState {
+  const table = new servers.ServerTable();
+  return {
+    now: 0,
+    effects: [],
+    classes: new Map(),
+    grantAsOf: Number.NEGATIVE_INFINITY,
+    draining: false,
+    failureDomain: options.failureDomain,
+    table,
+    queue: new queue.RequestQueue(),
+    running: new attempts.AttemptTable(),
+    budget: new retry.RetryBudget(),
+    lengths: new lengths.LengthEstimator(),
+    credits: new fairness.ShareCredits(),
+    suspects: new quarantine.SuspectTable(),
+    router: new router.Router({ table, ...options }),
+  };
+}
+
+/**
+ * Refuses a request.
+ *
+ * @example
+ * refuse(state, { refused: request, code: "draining", ran: "no" });
+ */
+export function refuse(
+  state: HostState,
+  { refused, ...reason }: refusals.RefusalReason & {
+    readonly refused: request.Request;
+  },
+): void {
+  state.effects.push({
+    kind: "refuse",
+    requestId: refused.id,
+    refusal: refusals.buildRefusal(reason),
+  });
+}
+
+/**
+ * Returns the key by which requests of a kind are learned from.
+ *
+ * @example
+ * state.lengths.get(getLengthKey(request)).tokens;
+ */
+export function getLengthKey(wanted: request.Request): string {
+  return `${wanted.className}|${wanted.target}`;
+}
+
+/**
+ * Whether a request has waited so long that lower work should give way to it.
+ *
+ * @example
+ * isLate(state, request);
+ */
+export function isLate(state: HostState, wanted: request.Request): boolean {
+  const patience = Math.min(
+    constants.PREEMPT_AT_SLACK * (wanted.startBy - wanted.arrivedAt),
+    constants.PREEMPT_AT_TARGET * wanted.targetMs,
+  );
+  return state.now - wanted.arrivedAt >= patience;
+}
+
+/**
+ * Lists the pools of this host's failure domain.
+ *
+ * @example
+ * listOwnPools(state);
+ */
+export function listOwnPools(state: HostState): servers.PoolState[] {
+  return state.table.listPools().filter((pool) =>
+    pool.part.failureDomain === state.failureDomain
+  );
+}
+
+/**
+ * Lists the pools of this host's failure domain that may serve a request.
+ *
+ * @example
+ * listPoolsFor(state, request);
+ */
+export function listPoolsFor(
+  state: HostState,
+  wanted: admission.Routed,
+): servers.PoolState[] {
+  return listOwnPools(state).filter((pool) => isServedBy(wanted, pool));
+}
+
+/**
+ * Whether a pool may serve a request or a lane.
+ *
+ * @example
+ * isServedBy(lane, pool);
+ */
+export function isServedBy(
+  wanted: admission.Routed,
+  pool: servers.PoolState,
+): boolean {
+  return pool.part.targets.includes(wanted.target) &&
+    (wanted.pools.length === 0 || wanted.pools.includes(pool.part.name));
+}
--- /dev/null
+++ b/packages/core/intake.ts
@@ -0,0 +1,122 @@
+/** What happens to a request that arrives: refused at once, or queued. */
+import * as admission from "./admission.ts";
+import * as constants from "./constants.ts";
+import * as hostState from "./host_state.ts";
+import type * as refusals from "./refusals.ts";
+import type * as request from "./request.ts";
+import type * as servers from "./servers.ts";
+import * as starting from "./starting.ts";
+import * as yielding from "./yielding.ts";
+
+/**
+ * Refuses a request or queues it, and starts what can start.
+ *
+ * @example
+ * admitRequest(state, request);
+ */
+export function admitRequest(
+  state: hostState.HostState,
+  wanted: request.Request,
+): void {
+  const reason = findReason(state, wanted);
+  if (reason !== undefined) {
+    return hostState.refuse(state, { refused: wanted, ran: "no", ...reason });
+  }
+  if (shedLoad(state, wanted)) return;
+  state.budget.recordFirst();
+  state.queue.add({
+    request: wanted,
+    attempt: 1,
+    offset: 0,
+    ran: "no",
+    late: false,
+    first: false,
+    suspect: state.suspects.isSuspect(wanted.fingerprint),
+  });
+  starting.dispatchQueue(state);
+}
+
+/** Reasons for a refusal that do not depend on load. */
+function findReason(
+  state: hostState.HostState,
+  wanted: request.Request,
+): Pick<refusals.RefusalReason, "code" | "waitMs"> | undefined {
+  if (state.draining) return { code: "draining", waitMs: 0 };
+  if (state.suspects.isPoison(wanted.fingerprint)) {
+    return { code: "poison_request" };
+  }
+  const hold = state.suspects.getHold(wanted.fingerprint, state.now);
+  if (hold > 0) return { code: "poison_request", waitMs: hold };
+  if (state.table.listFor(wanted.target).length === 0) {
+    return { code: "no_capacity", waitMs: Number.POSITIVE_INFINITY };
+  }
+  return undefined;
+}
+
+/** Refuses the newcomer, or lower work in its place, if it cannot start in time. */
+function shedLoad(
+  state: hostState.HostState,
+  wanted: request.Request,
+): boolean {
+  const pools = hostState.listPoolsFor(state, wanted);
+  const waitMs = estimateWait(state, { wanted, pools });
+  const late = waitMs > wanted.startBy - state.now;
+  const full = state.queue.size >= constants.MAX_QUEUED;
+  if (!late && !full) return false;
+  if (full && shedLowest(state, { wanted, waitMs })) return false;
+  // A higher tier is not refused while lower work runs anywhere in the
+  // failure domain: it waits for the slots that are being called back.
+  if (!full && hasLowerWork(state, { wanted, pools })) {
+    state.effects.push({ kind: "ask_capacity" });
+    return false;
+  }
+  const refused = { refused: wanted, ran: "no", waitMs } as const;
+  hostState.refuse(state, { ...refused, code: "overloaded" });
+  return true;
+}
+
+/** Refuses the newest queued request of the lowest tier; false if there is none lower. */
+function shedLowest(
+  state: hostState.HostState,
+  { wanted, waitMs }: {
+    readonly wanted: request.Request;
+    readonly waitMs: number;
+  },
+): boolean {
+  const lower = state.queue.removeLowest(wanted.tier);
+  if (lower === undefined) return false;
+  hostState.refuse(state, {
+    refused: lower.request,
+    code: "overloaded",
+    ran: lower.ran,
+    waitMs,
+  });
+  return true;
+}
+
+interface Placed {
+  readonly wanted: request.Request;
+  readonly pools: readonly servers.PoolState[];
+}
+
+function hasLowerWork(
+  state: hostState.HostState,
+  { wanted, pools }: Placed,
+): boolean {
+  const known = state.now - state.grantAsOf <= constants.GRANT_VALID_MS;
+  return (known && admission.hasLowerWork(wanted.tier, pools)) ||
+    yielding.findVictim(state, wanted) !== undefined;
+}
+
+function estimateWait(
+  state: hostState.HostState,
+  { wanted, pools }: Placed,
+): number {
+  return admission.estimateWait(
+    admission.measureBacklog(wanted, {
+      lanes: state.queue.listWaiting(),
+      pools,
+      serviceMs: state.lengths.get(hostState.getLengthKey(wanted)).serviceMs,
+    }),
+  );
+}
--- /dev/null
+++ b/packages/core/starting.ts
@@ -0,0 +1,112 @@
+/** Which queued request starts next, and where. */
+import * as admission from "./admission.ts";
+import * as constants from "./constants.ts";
+import * as hostState from "./host_state.ts";
+import type * as queue from "./queue.ts";
+import type * as request from "./request.ts";
+import type * as servers from "./servers.ts";
+
+/**
+ * Starts as much queued work as there is room for.
+ *
+ * @example
+ * dispatchQueue(state);
+ */
+export function dispatchQueue(state: hostState.HostState): void {
+  if (state.queue.size === 0) return;
+  const lanes = state.credits.order(state.queue.listWaiting());
+  lanes.forEach((lane) => dispatchLane(state, lane));
+  // Work that waits is demand that the allocator has not heard of.
+  if (state.queue.size > 0) state.effects.push({ kind: "ask_capacity" });
+}
+
+/**
+ * Starts work of one lane until its head finds no room.
+ *
+ * @example
+ * dispatchLane(state, lane);
+ */
+export function dispatchLane(
+  state: hostState.HostState,
+  lane: queue.Lane,
+): void {
+  let next = lane.peek();
+  while (next !== undefined) {
+    const server = chooseServer(state, { lane, queued: next });
+    if (server === undefined) return;
+    startNext(state, { lane, server });
+    next = lane.peek();
+  }
+}
+
+function chooseServer(
+  state: hostState.HostState,
+  { lane, queued }: {
+    readonly lane: queue.Lane;
+    readonly queued: queue.QueuedRequest;
+  },
+): servers.ServerState | undefined {
+  const wanted = queued.request;
+  // One copy of a suspect request at a time: two could take two servers.
+  if (queued.suspect && state.running.hasFingerprint(wanted.fingerprint)) {
+    return undefined;
+  }
+  const share = state.classes.get(wanted.className)?.share ?? 0;
+  return state.router.choose(wanted, {
+    now: state.now,
+    suspect: queued.suspect,
+    avoid: queued.avoid,
+    turn: state.credits.hasTurn(lane),
+    guaranteedSlots: (pool) =>
+      admission.countGuaranteedSlots(share, pool.totalSlots),
+    overflow: hostState.isLate(state, wanted),
+  });
+}
+
+function startNext(
+  state: hostState.HostState,
+  { lane, server }: {
+    readonly lane: queue.Lane;
+    readonly server: servers.ServerState;
+  },
+): void {
+  const cost = estimateCost(state, lane.peek()?.request as request.Request);
+  const queued = state.queue.take(lane, cost) as queue.QueuedRequest;
+  state.credits.recordStart(lane, {
+    cost,
+    waiting: state.queue.listWaiting(),
+    classes: state.classes,
+  });
+  state.table.recordStart(server, queued.request.className);
+  if (queued.suspect) server.suspects += 1;
+  server.prompting += queued.request.promptTokens;
+  state.running.add({
+    request: queued.request,
+    attempt: queued.attempt,
+    server: server.info.name,
+    pool: server.info.pool,
+    startedAt: state.now,
+    offset: queued.offset,
+    tokens: 0,
+    firstTokenAt: 0,
+    suspect: queued.suspect,
+    ranBefore: queued.ran,
+  });
+  state.effects.push({
+    kind: "start",
+    request: queued.request,
+    attempt: queued.attempt,
+    server: server.info,
+    offset: queued.offset,
+  });
+}
+
+function estimateCost(
+  state: hostState.HostState,
+  wanted: request.Request,
+): number {
+  if (wanted.kind === "call") return 1;
+  const learned = state.lengths.get(hostState.getLengthKey(wanted)).tokens;
+  return Math.min(learned, wanted.maxTokens) +
+    wanted.promptTokens * constants.PROMPT_TOKEN_COST;
+}
--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -32,7 +32,6 @@
   service: ["core", "utils"],
   fleet: ["core", "store", "utils"],
   usage: ["core", "store", "utils"],
-  weights: ["core", "utils"],
   peer: ["core", "utils"],
   caller: ["core", "utils"],
   operator: ["core", "store", "utils"],
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -50,8 +50,8 @@
   {
     name: "router: grants are ignored",
     file: "packages/core/router.ts",
-    find: "servers.isWithinGrant(pool, wanted.className);",
-    replace: "true;",
+    find: "(servers.isWithinGrant(pool, wanted.className) ||",
+    replace: "(pool.running >= 0 ||",
     test: DISPATCHER,
   },
   {
@@ -61,44 +61,36 @@
     replace: "",
     test: DISPATCHER,
   },
-  {
-    name: "dispatcher: deadlines are enforced before preemption",
-    file: "packages/core/dispatcher.ts",
-    find: "    this.#dispatch(now);\n    this.#preemptForLate(now);\n",
-    replace: "    this.#expire(now);\n",
-    test: DISPATCHER,
-  },
   {
     name: "dispatcher: an overdue request is refused before it preempts",
-    file: "packages/core/dispatcher.ts",
-    find: "if (victim === undefined) return this.#refuseOverdue(entry);",
+    file: "packages/core/yielding.ts",
+    find: "if (victim === undefined) return refuseOverdue(state, entry);",
     replace:
-      "if (now >= 0 || victim === undefined) {\n        return this.#refuseOverdue(entry);\n      }",
+      "if (state.now >= 0 || victim === undefined) {\n      return refuseOverdue(state, entry);\n    }",
     test: "packages/core/dispatcher_test.ts",
   },
   {
     name: "dispatcher: a higher tier is shed while lower work runs",
-    file: "packages/core/dispatcher.ts",
-    find: "if (!full && this.#hasLowerWork(wanted, { pools, now })) {",
+    file: "packages/core/intake.ts",
+    find: "if (!full && hasLowerWork(state, { wanted, pools })) {",
     replace: "if (!full && pools.length < 0) {",
     test: DISPATCHER,
   },
   {
     name: "dispatcher: a withdrawn key's queue is kept",
-    file: "packages/core/dispatcher.ts",
+    file: "packages/core/ending.ts",
     find:
-      "entry.request.keyId === keyId)\n      .forEach((entry) =>\n        this.#refuse",
+      "entry.request.keyId === keyId)\n    .forEach((entry) =>\n      hostState.refuse",
     replace:
-      "entry.request.keyId === `${keyId}!`)\n      .forEach((entry) =>\n        this.#refuse",
+      "entry.request.keyId === `${keyId}!`)\n    .forEach((entry) =>\n      hostState.refuse",
     test: DISPATCHER,
   },
   {
     name: "dispatcher: a poison request is tried a third time",
-    file: "packages/core/dispatcher.ts",
+    file: "packages/core/ending.ts",
     find:
-      'if (this.#suspects.isPoison(wanted.fingerprint)) {\n      return this.#refuse(wanted, { code: "poison_request", ran: "unknown" });',
-    replace:
-      'if (wanted.fingerprint === "") {\n      return this.#refuse(wanted, { code: "poison_request", ran: "unknown" });',
+      "if (state.suspects.isPoison(wanted.fingerprint)) {\n    const poison",
+    replace: 'if (wanted.fingerprint === "") {\n    const poison',
     test: DISPATCHER,
   },
   {
@@ -111,18 +103,17 @@
   },
   {
     name: "dispatcher: a poison request is admitted again",
-    file: "packages/core/dispatcher.ts",
+    file: "packages/core/intake.ts",
     find:
-      'if (this.#suspects.isPoison(wanted.fingerprint)) {\n      return this.#refuse(wanted, { code: "poison_request", ran: "no" });',
-    replace:
-      'if (wanted.fingerprint === "") {\n      return this.#refuse(wanted, { code: "poison_request", ran: "no" });',
+      "if (state.suspects.isPoison(wanted.fingerprint)) {\n    return { code",
+    replace: 'if (wanted.fingerprint === "") {\n    return { code',
     test: DISPATCHER,
   },
   {
     name: "dispatcher: copies of a suspect run side by side",
-    file: "packages/core/dispatcher.ts",
-    find: "if (queued.suspect && this",
-    replace: 'if (queued.request.id === "" && this',
+    file: "packages/core/starting.ts",
+    find: "if (queued.suspect && state",
+    replace: 'if (queued.request.id === "" && state',
     test: DISPATCHER,
   },
   {
