Put off a refusal while other hosts still give slots back

Cause: a request whose time to start was over was refused although the last grant showed lower work on another host, which was being called back. Change: such a request is given 100 ms more, at most ten times.

--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -40,6 +40,9 @@
 /** Time that an overdue request is given once work was preempted for it, in ms. */
 export const POSTPONE_MS = 100;
 
+/** Times that a request may be given that while other hosts give slots back. */
+export const MAX_POSTPONED = 10;
+
 /** Most requests queued at a host, over all classes. */
 export const MAX_QUEUED = 20_000;
 
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -182,6 +182,7 @@
     ran,
     late: false,
     first: true,
+    postponed: 0,
     suspect: state.suspects.isSuspect(wanted.fingerprint),
   });
 }
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -31,6 +31,7 @@
     ran: "no",
     late: false,
     first: false,
+    postponed: 0,
     suspect: state.suspects.isSuspect(wanted.fingerprint),
   });
   starting.dispatchQueue(state);
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -19,6 +19,8 @@
   readonly late: boolean;
   /** It has waited already, and goes before its customer's others. */
   readonly first: boolean;
+  /** Times its refusal was put off because lower work still ran. */
+  readonly postponed: number;
   /** Server of the failed attempt before. */
   readonly avoid?: string;
 }
--- a/packages/core/yielding.ts
+++ b/packages/core/yielding.ts
@@ -185,13 +185,28 @@
   );
   overdue.forEach((entry) => {
     const victim = findVictim(state, entry.request);
-    if (victim === undefined) return refuseOverdue(state, entry);
-    preemptAttempt(state, victim);
+    if (victim !== undefined) preemptAttempt(state, victim);
+    else if (!isRecalling(state, entry)) return refuseOverdue(state, entry);
     postponeOverdue(state, entry);
   });
   if (overdue.length > 0) starting.dispatchQueue(state);
 }
 
+/**
+ * Whether lower work on other hosts is still being called back for a request.
+ * A host that does not answer must not keep it waiting for ever.
+ */
+function isRecalling(
+  state: hostState.HostState,
+  entry: queue.QueuedRequest,
+): boolean {
+  const { request: wanted } = entry;
+  const known = state.now - state.grantAsOf <= constants.GRANT_VALID_MS;
+  const pools = hostState.listPoolsFor(state, wanted);
+  return known && entry.postponed < constants.MAX_POSTPONED &&
+    admission.hasLowerWork(wanted.tier, pools);
+}
+
 function refuseOverdue(
   state: hostState.HostState,
   entry: queue.QueuedRequest,
@@ -215,5 +230,6 @@
     ...entry,
     request: { ...entry.request, startBy },
     first: true,
+    postponed: entry.postponed + 1,
   });
 }
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -64,9 +64,9 @@
   {
     name: "dispatcher: an overdue request is refused before it preempts",
     file: "packages/core/yielding.ts",
-    find: "if (victim === undefined) return refuseOverdue(state, entry);",
-    replace:
-      "if (state.now >= 0 || victim === undefined) {\n      return refuseOverdue(state, entry);\n    }",
+    find:
+      "if (victim !== undefined) preemptAttempt(state, victim);\n    else if",
+    replace: "if (isRecalling(state, entry)) return;\n    else if",
     test: "packages/core/dispatcher_test.ts",
   },
   {
