Split the host's parts from its start and stop

Also, a key withdrawn ahead of the configuration was forgotten at the next change if the host had not yet heard of the key, and would have worked once it had. Change: parts are added to a draft step by step; keys withdrawn ahead are kept while the process runs.

--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -1,26 +1,13 @@
 /** An entry host: all its tasks, put together, started and stopped. */
 import * as caller from "@banyangrade/caller";
-import * as core from "@banyangrade/core";
 import * as engine from "@banyangrade/engine";
-import * as fleet from "@banyangrade/fleet";
 import * as peer from "@banyangrade/peer";
-import * as store from "@banyangrade/store";
-import * as usage from "@banyangrade/usage";
 import * as utils from "@banyangrade/utils";
-import * as capacityTask from "./capacity_task.ts";
-import * as configTask from "./config_task.ts";
-import * as certificatesModule from "./certificates.ts";
 import * as constants from "./constants.ts";
-import * as dispatchTask from "./dispatch_task.ts";
-import * as front from "./front.ts";
-import * as guard from "./operation_guard.ts";
-import * as metricsModule from "./metrics.ts";
+import * as hostParts from "./host_parts.ts";
 import * as operations from "./operations_server.ts";
-import * as ordersTask from "./orders_task.ts";
-import * as refusalsModule from "./recent_refusals.ts";
 import * as settingsModule from "./settings.ts";
 import * as statusModule from "./status.ts";
-import * as usageTask from "./usage_task.ts";
 
 /** A running host. */
 export interface Host {
@@ -30,13 +17,6 @@
   readonly close: () => Promise<void>;
 }
 
-/** Options of {@link startHost}. */
-export interface HostOptions {
-  readonly log: utils.Logger;
-  /** Told that an operator asks for a planned stop. */
-  readonly onDrainAsked: () => void;
-}
-
 /**
  * Starts a host.
  *
@@ -45,10 +25,10 @@
  */
 export async function startHost(
   settings: settingsModule.Settings,
-  options: HostOptions,
+  options: hostParts.HostOptions,
 ): Promise<Host> {
   const { log } = options;
-  const parts = buildParts(settings, options);
+  const parts = hostParts.buildParts(settings, options);
   const servers = await startServers(parts);
   parts.overlay.start();
   await parts.config.start(
@@ -95,258 +75,13 @@
   };
 }
 
-/** Everything a host is made of. */
-export interface HostParts {
-  readonly settings: settingsModule.Settings;
-  readonly log: utils.Logger;
-  readonly clock: utils.Clock;
-  readonly incarnation: string;
-  readonly state: { ready: boolean; draining: boolean };
-  readonly store: store.StoreClient;
-  readonly fleet: fleet.FleetClient;
-  readonly clients: peer.PeerClients;
-  readonly overlay: peer.Overlay;
-  readonly config: configTask.ConfigTask;
-  readonly dispatcher: core.Dispatcher;
-  readonly dispatch: dispatchTask.DispatchTask;
-  readonly withdrawn: Set<string>;
-  readonly capacity: capacityTask.CapacityTask;
-  readonly usage: usageTask.UsageTask;
-  readonly orders: ordersTask.OrdersTask;
-  readonly roles: readonly store.LeaseHolder[];
-  readonly storeGuard: guard.StoreGuard;
-  readonly front: front.Front;
-  readonly metrics: metricsModule.Metrics;
-  readonly refusals: refusalsModule.RecentRefusals;
-  readonly certificates: certificatesModule.Certificates;
-  readonly onDrainAsked: () => void;
-  readonly agent: ReturnType<typeof utils.createBackendAgent>;
-}
-
-function buildParts(
-  settings: settingsModule.Settings,
-  { log, onDrainAsked }: HostOptions,
-): HostParts {
-  const clock = utils.SYSTEM_CLOCK;
-  const { name: host, failure_domain: failureDomain } = settings.host;
-  const incarnation = utils.createId().replaceAll(".", "");
-  const part = (name: string) => utils.createPartLogger(log, name);
-  const state = { ready: false, draining: false };
-  const storeClient = store.createStoreClient({
-    url: settings.platform.store_url,
-  });
-  const fleetClient = fleet.createFleetClient(settings.platform.fleet_url);
-  const metrics = new metricsModule.Metrics();
-  const agent = utils.createBackendAgent();
-  const withdrawn = new Set<string>();
-  const certificates = new certificatesModule.Certificates(settings);
-  const refusals = new refusalsModule.RecentRefusals();
-  const clients = new peer.PeerClients({
-    secret: settingsModule.readSecrets(settings)[0],
-    clock,
-    getTls: () => certificates.getPeer(),
-  });
-  const dispatcher = new core.Dispatcher({
-    failureDomain,
-    random: utils.createRandom(hashSeed(incarnation)),
-  });
-  const dispatch = new dispatchTask.DispatchTask({
-    clock,
-    dispatcher,
-    onSuspect: (effect) =>
-      overlay.addMark({
-        ...effect.mark,
-        until: clock.wall() + core.constants.QUARANTINE_MS,
-      }),
-    onAskCapacity: () => capacity.askNow(),
-  });
-  const overlay: peer.Overlay = new peer.Overlay({
-    self: {
-      name: host,
-      address: settings.peer.address,
-      // Higher than whatever an earlier run under this name reached.
-      incarnation: Math.floor(clock.wall() / 1_000),
-      status: "alive",
-    },
-    failureDomain,
-    seeds: settings.peer.seeds.map((seed) => ({
-      name: seed.name,
-      address: seed.address,
-      failureDomain: seed.failure_domain,
-    })).filter((seed) => seed.name !== host),
-    clients,
-    clock,
-    random: utils.createRandom(hashSeed(host)),
-    log: part("peer"),
-    getRevision: () => config.get().revision,
-    onAhead: (address) => void config.pull(address),
-    onMarks: (marks) => dispatch.send({ kind: "suspected", marks }),
-    onCleared: (fingerprints) =>
-      dispatch.send({ kind: "cleared", fingerprints }),
-    onWithdrawn: (keyIds) =>
-      keyIds.forEach((keyId) => {
-        withdrawn.add(keyId);
-        dispatch.send({ kind: "key_withdrawn", keyId });
-      }),
-    onMembers: () => undefined,
-  });
-  const config: configTask.ConfigTask = new configTask.ConfigTask({
-    store: storeClient,
-    clients,
-    clock,
-    log: part("config"),
-    isRelay: () => overlay.isRelay(),
-    onChange: (configuration, removedKeys) => {
-      dispatch.send({ kind: "configured", configuration });
-      removedKeys.forEach((keyId) =>
-        dispatch.send({ kind: "key_withdrawn", keyId })
-      );
-      // What the configuration no longer holds needs no list of its own.
-      [...withdrawn].filter((keyId) => !configuration.keys.has(keyId))
-        .forEach((keyId) => withdrawn.delete(keyId));
-      overlay.spread();
-    },
-    onConfirmed: (wall) => overlay.confirm(wall),
-  });
-  const startRole = (role: "usage" | "orders", flightMs: number) =>
-    store.startLeaseHolder({
-      store: storeClient,
-      clock,
-      log: part(role),
-      role: `${role}/${failureDomain}`,
-      host,
-      incarnation,
-      terms: {
-        ttlMs: settings.control.lease_seconds * 1_000,
-        marginMs: constants.LEASE_MARGIN_MS,
-      },
-      flightMs,
-      isCandidate: () =>
-        !state.draining &&
-        overlay.members.isRanked(role, constants.ROLE_CANDIDATES),
-      onChange: (lease) => {
-        if (lease.kind === "none") return;
-        overlay.setRole({
-          role: `${role}/${failureDomain}`,
-          host,
-          address: settings.peer.address,
-          token: lease.token,
-        });
-      },
-    });
-  const usageHolder = startRole("usage", usage.REPORT_FLIGHT_MS);
-  const ordersHolder = startRole("orders", fleet.ORDER_FLIGHT_MS);
-  const usageOfHost = new usageTask.UsageTask({
-    clock,
-    log: part("usage"),
-    store: storeClient,
-    usage: usage.createUsageClient(settings.platform.usage_url),
-    clients,
-    overlay,
-    holder: usageHolder,
-    failureDomain,
-    source: `${host}/${incarnation}`,
-    windowMs: settings.usage.window_seconds * 1_000,
-    graceMs: settings.usage.grace_seconds * 1_000,
-  });
-  const capacity: capacityTask.CapacityTask = new capacityTask.CapacityTask({
-    clock,
-    log: part("capacity"),
-    clients,
-    overlay,
-    dispatch,
-    dispatcher,
-    getConfiguration: () => config.get(),
-    failureDomain,
-    host,
-  });
-  const orders = new ordersTask.OrdersTask({
-    clock,
-    log: part("orders"),
-    store: storeClient,
-    fleet: fleetClient,
-    clients,
-    capacity,
-    dispatcher,
-    holder: ordersHolder,
-    host,
-    failureDomain,
-  });
-  const storeGuard = new guard.StoreGuard({
-    claims: store.createClaimKeeper({ store: storeClient, host, clock }),
-    log: part("operation"),
-  });
-  const frontOfHost = new front.Front({
-    clock,
-    log: part("caller"),
-    dispatch,
-    metrics,
-    refusals,
-    usage: usageOfHost,
-    agent,
-    getConfiguration: () => config.get(),
-    isWithdrawn: (keyId) => withdrawn.has(keyId),
-    isFresh: () =>
-      clock.wall() - overlay.getConfirmedAt() <=
-        settings.control.offline_seconds * 1_000,
-    storeGuard,
-    ticketGuard: new guard.TicketGuard({
-      origin: { host, incarnation },
-      clients,
-      findAddress: (name) => overlay.findAddress(name),
-    }),
-  });
-  metrics.addGauge("banyangrade_revision", {
-    help: "Configuration revision in force.",
-    read: () => config.get().revision,
-  });
-  metrics.addGauge("banyangrade_members", {
-    help: "Hosts of the failure domain that take part.",
-    read: () => overlay.members.listActive().length,
-  });
-  metrics.addGauge("banyangrade_peer_calls", {
-    help: "Calls to other hosts so far.",
-    read: () => clients.countSent(),
-  });
-  return {
-    settings,
-    log,
-    clock,
-    incarnation,
-    state,
-    store: storeClient,
-    fleet: fleetClient,
-    clients,
-    overlay,
-    config,
-    dispatcher,
-    dispatch,
-    withdrawn,
-    capacity,
-    usage: usageOfHost,
-    orders,
-    roles: [usageHolder, ordersHolder],
-    storeGuard,
-    front: frontOfHost,
-    metrics,
-    refusals,
-    certificates,
-    onDrainAsked,
-    agent,
-  };
-}
-
-function hashSeed(text: string): number {
-  return Number.parseInt(utils.computeDigest(text).slice(0, 8), 16);
-}
-
 interface HostServers {
   readonly caller: caller.CallerServer;
   readonly peer: peer.PeerServer;
   readonly operations: operations.OperationsServer;
 }
 
-async function startServers(parts: HostParts): Promise<HostServers> {
+async function startServers(parts: hostParts.HostParts): Promise<HostServers> {
   const { settings } = parts;
   const split = settingsModule.splitAddress;
   return {
@@ -375,7 +110,7 @@
   };
 }
 
-function buildHandlers(parts: HostParts): peer.PeerHandlers {
+function buildHandlers(parts: hostParts.HostParts): peer.PeerHandlers {
   return {
     takeBeat: (beat) => parts.overlay.takeBeat(beat),
     listMembers: () => parts.overlay.members.listAll(),
@@ -394,7 +129,7 @@
   };
 }
 
-function startPolls(parts: HostParts): () => void {
+function startPolls(parts: hostParts.HostParts): () => void {
   const stops = [
     utils.startInterval(constants.SERVERS_MS, () => pollServers(parts)),
     utils.startInterval(constants.LOAD_POLL_MS, () => pollLoad(parts)),
@@ -408,14 +143,14 @@
 }
 
 /** An unanswered listing changes nothing: the last one is better than none. */
-async function pollServers(parts: HostParts): Promise<void> {
+async function pollServers(parts: hostParts.HostParts): Promise<void> {
   const domain = parts.settings.host.failure_domain;
   const listed = await parts.fleet.listServers(domain);
   if (listed.err) return;
   parts.dispatch.send({ kind: "servers_changed", servers: listed.val });
 }
 
-async function pollLoad(parts: HostParts): Promise<void> {
+async function pollLoad(parts: hostParts.HostParts): Promise<void> {
   const engines = parts.dispatcher.inspect().servers.filter((server) =>
     // An idle server says all there is to know when it is used again.
     server.pool.serves === "engine" && server.running > 0
@@ -427,7 +162,7 @@
   }));
 }
 
-async function pollHosts(parts: HostParts): Promise<void> {
+async function pollHosts(parts: hostParts.HostParts): Promise<void> {
   if (!parts.overlay.isRelay()) return;
   const listed = await parts.fleet.listHosts();
   if (listed.err) return;
@@ -442,7 +177,7 @@
 const DRAIN_NOTICE_MS = 500;
 
 async function drainHost(
-  parts: HostParts,
+  parts: hostParts.HostParts,
   servers: HostServers,
 ): Promise<void> {
   const { settings, state, clock, log } = parts;
--- /dev/null
+++ b/packages/banyangrade/host_parts.ts
@@ -0,0 +1,295 @@
+/**
+ * The parts of a host and how they are connected. They refer to each other, so
+ * they are added to one draft, step by step, and look each other up when they
+ * are called.
+ */
+import * as core from "@banyangrade/core";
+import * as fleet from "@banyangrade/fleet";
+import * as peer from "@banyangrade/peer";
+import * as store from "@banyangrade/store";
+import * as usage from "@banyangrade/usage";
+import * as utils from "@banyangrade/utils";
+import * as capacityTask from "./capacity_task.ts";
+import * as certificatesModule from "./certificates.ts";
+import * as configTask from "./config_task.ts";
+import * as constants from "./constants.ts";
+import * as dispatchTask from "./dispatch_task.ts";
+import * as front from "./front.ts";
+import * as metricsModule from "./metrics.ts";
+import * as guard from "./operation_guard.ts";
+import * as ordersTask from "./orders_task.ts";
+import * as refusalsModule from "./recent_refusals.ts";
+import * as settingsModule from "./settings.ts";
+import * as usageTask from "./usage_task.ts";
+
+/** Options of {@link buildParts}. */
+export interface HostOptions {
+  readonly log: utils.Logger;
+  /** Told that an operator asks for a planned stop. */
+  readonly onDrainAsked: () => void;
+}
+
+/** Everything a host is made of. */
+export interface HostParts {
+  readonly settings: settingsModule.Settings;
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly log: utils.Logger;
+  readonly clock: utils.Clock;
+  readonly incarnation: string;
+  readonly state: { ready: boolean; draining: boolean };
+  readonly store: store.StoreClient;
+  readonly fleet: fleet.FleetClient;
+  readonly certificates: certificatesModule.Certificates;
+  readonly clients: peer.PeerClients;
+  readonly overlay: peer.Overlay;
+  readonly config: configTask.ConfigTask;
+  readonly dispatcher: core.Dispatcher;
+  readonly dispatch: dispatchTask.DispatchTask;
+  /** Keys withdrawn ahead of the configuration, for as long as this process runs. */
+  readonly withdrawn: Set<string>;
+  readonly capacity: capacityTask.CapacityTask;
+  readonly usage: usageTask.UsageTask;
+  readonly orders: ordersTask.OrdersTask;
+  readonly roles: readonly store.LeaseHolder[];
+  readonly storeGuard: guard.StoreGuard;
+  readonly front: front.Front;
+  readonly metrics: metricsModule.Metrics;
+  readonly refusals: refusalsModule.RecentRefusals;
+  readonly onDrainAsked: () => void;
+  readonly agent: ReturnType<typeof utils.createBackendAgent>;
+}
+
+/** Parts while they are being added. */
+type Draft = { -readonly [Name in keyof HostParts]: HostParts[Name] };
+
+/**
+ * Builds all parts; nothing is started but the tries for control roles.
+ *
+ * @example
+ * const parts = buildParts(settings, { log, onDrainAsked });
+ */
+export function buildParts(
+  settings: settingsModule.Settings,
+  options: HostOptions,
+): HostParts {
+  const draft = buildBase(settings, options) as Draft;
+  addDispatch(draft);
+  addOverlay(draft);
+  addConfig(draft);
+  addCapacity(draft);
+  addRoles(draft);
+  addFront(draft);
+  addGauges(draft);
+  return draft;
+}
+
+/** What refers to no other part. */
+function buildBase(
+  settings: settingsModule.Settings,
+  options: HostOptions,
+): Partial<Draft> {
+  const clock = utils.SYSTEM_CLOCK;
+  const certificates = new certificatesModule.Certificates(settings);
+  return {
+    ...options,
+    settings,
+    clock,
+    certificates,
+    host: settings.host.name,
+    failureDomain: settings.host.failure_domain,
+    incarnation: utils.createId().replaceAll(".", ""),
+    state: { ready: false, draining: false },
+    withdrawn: new Set(),
+    store: store.createStoreClient({ url: settings.platform.store_url }),
+    fleet: fleet.createFleetClient(settings.platform.fleet_url),
+    metrics: new metricsModule.Metrics(),
+    refusals: new refusalsModule.RecentRefusals(),
+    agent: utils.createBackendAgent(),
+    clients: new peer.PeerClients({
+      secret: settingsModule.readSecrets(settings)[0],
+      clock,
+      getTls: () => certificates.getPeer(),
+    }),
+  };
+}
+
+function getLog(draft: Draft, part: string): utils.Logger {
+  return utils.createPartLogger(draft.log, part);
+}
+
+/** A seed that differs between hosts and between the runs of one. */
+function hashSeed(text: string): number {
+  return Number.parseInt(utils.computeDigest(text).slice(0, 8), 16);
+}
+
+function addDispatch(draft: Draft): void {
+  draft.dispatcher = new core.Dispatcher({
+    failureDomain: draft.failureDomain,
+    random: utils.createRandom(hashSeed(draft.incarnation)),
+  });
+  draft.dispatch = new dispatchTask.DispatchTask({
+    clock: draft.clock,
+    dispatcher: draft.dispatcher,
+    onSuspect: (effect) =>
+      draft.overlay.addMark({
+        ...effect.mark,
+        until: draft.clock.wall() + core.constants.QUARANTINE_MS,
+      }),
+    onAskCapacity: () => draft.capacity.askNow(),
+  });
+}
+
+function addOverlay(draft: Draft): void {
+  const { settings, dispatch } = draft;
+  draft.overlay = new peer.Overlay({
+    self: {
+      name: draft.host,
+      address: settings.peer.address,
+      // Higher than whatever an earlier run under this name reached.
+      incarnation: Math.floor(draft.clock.wall() / 1_000),
+      status: "alive",
+    },
+    failureDomain: draft.failureDomain,
+    seeds: settings.peer.seeds.map((seed) => ({
+      name: seed.name,
+      address: seed.address,
+      failureDomain: seed.failure_domain,
+    })).filter((seed) => seed.name !== draft.host),
+    clients: draft.clients,
+    clock: draft.clock,
+    random: utils.createRandom(hashSeed(draft.host)),
+    log: getLog(draft, "peer"),
+    getRevision: () => draft.config.get().revision,
+    onAhead: (address) => void draft.config.pull(address),
+    onMarks: (marks) => dispatch.send({ kind: "suspected", marks }),
+    onCleared: (fingerprints) =>
+      dispatch.send({ kind: "cleared", fingerprints }),
+    onWithdrawn: (keyIds) =>
+      keyIds.forEach((keyId) => {
+        draft.withdrawn.add(keyId);
+        dispatch.send({ kind: "key_withdrawn", keyId });
+      }),
+  });
+}
+
+function addConfig(draft: Draft): void {
+  const { dispatch, overlay } = draft;
+  draft.config = new configTask.ConfigTask({
+    store: draft.store,
+    clients: draft.clients,
+    clock: draft.clock,
+    log: getLog(draft, "config"),
+    isRelay: () => overlay.isRelay(),
+    onChange: (configuration, removedKeys) => {
+      dispatch.send({ kind: "configured", configuration });
+      removedKeys.forEach((keyId) =>
+        dispatch.send({ kind: "key_withdrawn", keyId })
+      );
+      overlay.spread();
+    },
+    onConfirmed: (wall) => overlay.confirm(wall),
+  });
+}
+
+function addCapacity(draft: Draft): void {
+  draft.capacity = new capacityTask.CapacityTask({
+    ...draft,
+    log: getLog(draft, "capacity"),
+    getConfiguration: () => draft.config.get(),
+  });
+}
+
+/** The tasks of the control roles, and the tries for them. */
+function addRoles(draft: Draft): void {
+  const { settings } = draft;
+  const usageHolder = startRole(draft, {
+    role: "usage",
+    flightMs: usage.REPORT_FLIGHT_MS,
+  });
+  const ordersHolder = startRole(draft, {
+    role: "orders",
+    flightMs: fleet.ORDER_FLIGHT_MS,
+  });
+  draft.roles = [usageHolder, ordersHolder];
+  draft.usage = new usageTask.UsageTask({
+    ...draft,
+    log: getLog(draft, "usage"),
+    usage: usage.createUsageClient(settings.platform.usage_url),
+    holder: usageHolder,
+    source: `${draft.host}/${draft.incarnation}`,
+    windowMs: settings.usage.window_seconds * 1_000,
+    graceMs: settings.usage.grace_seconds * 1_000,
+  });
+  draft.orders = new ordersTask.OrdersTask({
+    ...draft,
+    log: getLog(draft, "orders"),
+    holder: ordersHolder,
+  });
+}
+
+function startRole(
+  draft: Draft,
+  options: { readonly role: "usage" | "orders"; readonly flightMs: number },
+): store.LeaseHolder {
+  const { settings, overlay, state } = draft;
+  const role = `${options.role}/${draft.failureDomain}`;
+  return store.startLeaseHolder({
+    store: draft.store,
+    clock: draft.clock,
+    log: getLog(draft, options.role),
+    role,
+    host: draft.host,
+    incarnation: draft.incarnation,
+    terms: {
+      ttlMs: settings.control.lease_seconds * 1_000,
+      marginMs: constants.LEASE_MARGIN_MS,
+    },
+    flightMs: options.flightMs,
+    isCandidate: () =>
+      !state.draining &&
+      overlay.members.isRanked(options.role, constants.ROLE_CANDIDATES),
+    onChange: (lease) => {
+      if (lease.kind === "none") return;
+      const { address } = settings.peer;
+      overlay.setRole({ role, host: draft.host, address, token: lease.token });
+    },
+  });
+}
+
+function addFront(draft: Draft): void {
+  const { settings, clock, host, incarnation } = draft;
+  draft.storeGuard = new guard.StoreGuard({
+    claims: store.createClaimKeeper({ store: draft.store, host, clock }),
+    log: getLog(draft, "operation"),
+  });
+  draft.front = new front.Front({
+    ...draft,
+    log: getLog(draft, "caller"),
+    getConfiguration: () => draft.config.get(),
+    isWithdrawn: (keyId) => draft.withdrawn.has(keyId),
+    isFresh: () =>
+      clock.wall() - draft.overlay.getConfirmedAt() <=
+        settings.control.offline_seconds * 1_000,
+    ticketGuard: new guard.TicketGuard({
+      origin: { host, incarnation },
+      clients: draft.clients,
+      findAddress: (name) => draft.overlay.findAddress(name),
+    }),
+  });
+}
+
+function addGauges(draft: Draft): void {
+  draft.metrics.addGauge("banyangrade_revision", {
+    help: "Configuration revision in force.",
+    read: () => draft.config.get().revision,
+  });
+  draft.metrics.addGauge("banyangrade_members", {
+    help: "Hosts of the failure domain that take part.",
+    read: () => draft.overlay.members.listActive().length,
+  });
+  draft.metrics.addGauge("banyangrade_peer_calls", {
+    help: "Calls to other hosts so far.",
+    read: () => draft.clients.countSent(),
+  });
+}
--- a/packages/banyangrade/status.ts
+++ b/packages/banyangrade/status.ts
@@ -1,6 +1,6 @@
 /** What a host says of itself and of its failure domain. */
 import type * as peer from "@banyangrade/peer";
-import type * as hostModule from "./host.ts";
+import type * as hostParts from "./host_parts.ts";
 
 /** Status of one host. */
 export interface HostStatus {
@@ -40,7 +40,7 @@
  * @example
  * const status = buildStatus(parts);
  */
-export function buildStatus(parts: hostModule.HostParts): HostStatus {
+export function buildStatus(parts: hostParts.HostParts): HostStatus {
   const seen = parts.dispatcher.inspect();
   const now = parts.clock.now();
   const since = parts.clock.wall() - parts.overlay.getConfirmedAt();
@@ -96,7 +96,7 @@
  * const revisions = await listRevisions(parts, "everywhere");
  */
 export async function listRevisions(
-  parts: hostModule.HostParts,
+  parts: hostParts.HostParts,
   scope: "domain" | "everywhere",
 ): Promise<peer.HostRevision[]> {
   const own = await listOwnDomain(parts);
@@ -110,7 +110,7 @@
 }
 
 async function askDomain(
-  parts: hostModule.HostParts,
+  parts: hostParts.HostParts,
   contact: peer.Contact,
 ): Promise<readonly peer.HostRevision[]> {
   const answer = await parts.clients.call(
@@ -123,7 +123,7 @@
 }
 
 async function listOwnDomain(
-  parts: hostModule.HostParts,
+  parts: hostParts.HostParts,
 ): Promise<peer.HostRevision[]> {
   const failureDomain = parts.settings.host.failure_domain;
   const self = parts.settings.host.name;
@@ -139,7 +139,7 @@
 }
 
 async function askRevision(
-  parts: hostModule.HostParts,
+  parts: hostParts.HostParts,
   address: string,
 ): Promise<number> {
   const answer = await parts.clients.call(
--- a/packages/peer/overlay.ts
+++ b/packages/peer/overlay.ts
@@ -43,7 +43,6 @@
   /** Told of fingerprints whose marks have all lapsed. */
   readonly onCleared: (fingerprints: readonly string[]) => void;
   readonly onWithdrawn: (keyIds: readonly string[]) => void;
-  readonly onMembers: () => void;
   readonly beatMs?: number;
 }
 
@@ -199,9 +198,7 @@
   }
 
   async #sendBeats(): Promise<void> {
-    if (this.members.tick(this.#options.clock.now())) {
-      this.#options.onMembers();
-    }
+    this.members.tick(this.#options.clock.now());
     this.#options.clients.closeIdle();
     const cleared = this.#marks.removeLapsed(this.#options.clock.wall());
     if (cleared.length > 0) this.#options.onCleared(cleared);
@@ -286,9 +283,7 @@
   }
 
   #mergeMembers(members: readonly core.Member[]): void {
-    if (this.members.merge(members, this.#options.clock.now())) {
-      this.#options.onMembers();
-    }
+    this.members.merge(members, this.#options.clock.now());
   }
 
   #mergeMarks(marks: readonly core.PoisonMark[]): void {
