--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -6,6 +6,7 @@
 import * as core from "@banyangrade/core";
 import * as engineModel from "@banyangrade/engine/model.ts";
 import * as utils from "@banyangrade/utils";
+import * as loadSource from "./load_source.ts";
 import * as measure from "./measure.ts";
 import * as naive from "./naive.ts";
 import type * as scenarios from "./scenario.ts";
@@ -76,8 +77,7 @@
 export class Simulation {
   readonly measure: measure.Measure;
   readonly #options: SimulationOptions;
-  /** Draws the load, so that it is the same whatever the policy does. */
-  readonly #arrivals: utils.Random;
+  readonly #load: loadSource.LoadSource;
   readonly #random: utils.Random;
   readonly #queue = new tinyqueue.default<Timed>(
     [],
@@ -90,11 +90,14 @@
   readonly #asked = new Set<string>();
   #now = 0;
   #order = 0;
-  #requests = 0;
 
   constructor(options: SimulationOptions) {
     this.#options = options;
-    this.#arrivals = utils.createRandom(options.seed);
+    const { scenario } = options;
+    this.#load = new loadSource.LoadSource({
+      ...options,
+      hosts: scenario.failureDomains.length * scenario.hostsPerDomain,
+    });
     this.#random = utils.createRandom(options.seed + 1_000);
     this.measure = new measure.Measure(options.scenario, {
       countUntilMs: options.runMs - TAIL_MS,
@@ -517,7 +520,7 @@
 
   #reportLoads(): void {
     const silent = this.#options.troubles.some((trouble) =>
-      trouble.kind === "no_reports" && this.#isWithin(trouble)
+      trouble.kind === "no_reports" && loadSource.isWithin(trouble, this.#now)
     );
     const reports = silent
       ? []
@@ -541,99 +544,22 @@
 
   // ---- load ----
 
-  #isWithin(trouble: { readonly from: number; readonly to: number }): boolean {
-    return this.#now >= trouble.from && this.#now < trouble.to;
-  }
-
-  #getRate(load: scenarios.ClassLoad): number {
-    const bursting = this.#options.troubles.some((trouble) =>
-      trouble.kind === "burst" && this.#isWithin(trouble)
-    );
-    return load.perSecond * (bursting ? load.burst : 1) * this.#getTide() *
-      this.#getGreed(load).sum;
-  }
-
-  #getTide(): number {
-    const tide = this.#options.troubles.find((trouble) =>
-      trouble.kind === "tide"
-    );
-    if (tide?.kind !== "tide") return 1;
-    const phase = 2 * Math.PI * this.#now / tide.periodMs;
-    return tide.low + (1 - tide.low) * (1 - Math.cos(phase)) / 2;
-  }
-
-  /** One small customer asks for many times its share. */
-  #getGreed(
-    load: scenarios.ClassLoad,
-  ): { readonly shares: readonly number[]; readonly sum: number } {
-    const greedy = this.#options.troubles.find((trouble) =>
-      trouble.kind === "greedy" && this.#isWithin(trouble)
-    );
-    const { customers } = this.#options.scenario;
-    const factor = greedy?.kind === "greedy" && load.kind === "generate"
-      ? greedy.factor
-      : 1;
-    const shares = customers.map((share, index) =>
-      index === 0 ? share * factor : share
-    );
-    return { shares, sum: shares.reduce((sum, share) => sum + share, 0) };
-  }
-
   #scheduleArrival(load: scenarios.ClassLoad): void {
-    const gap = utils.drawExponential(
-      this.#arrivals,
-      1_000 / this.#getRate(load),
-    );
-    this.#after(gap, () => {
+    this.#after(this.#load.drawGap(load, this.#now), () => {
       this.#arrive(load);
       this.#scheduleArrival(load);
     });
   }
 
-  #drawCustomer(load: scenarios.ClassLoad): number {
-    const { shares, sum } = this.#getGreed(load);
-    let left = this.#arrivals.next() * sum;
-    return Math.max(
-      0,
-      shares.findIndex((share) => {
-        left -= share;
-        return left <= 0;
-      }),
-    );
-  }
-
   #arrive(load: scenarios.ClassLoad, fingerprint?: string): void {
-    this.#requests += 1;
-    const id = `r${this.#requests}`;
-    const customer = this.#drawCustomer(load);
-    const host = this.#hosts[this.#arrivals.below(this.#hosts.length)];
-    const output = load.outputTokens === 0 ? 0 : 1 +
-      Math.floor(utils.drawExponential(this.#arrivals, load.outputTokens));
-    this.#lengths.set(id, Math.min(output, 2_000));
-    const request: core.Request = {
-      id,
-      customer: `c${customer}`,
-      keyId: `k${customer}`,
-      className: load.part.name,
-      tier: load.part.tier,
-      target: load.target,
-      kind: load.kind,
-      pools: [],
-      promptTokens: load.promptTokens,
-      maxTokens: 2_000,
-      prefix: load.kind === "call"
-        ? ""
-        : `${customer}/${this.#arrivals.below(20)}`,
-      fingerprint: fingerprint ?? id,
-      repeatable: load.repeatable,
-      arrivedAt: this.#now,
-      startBy: this.#now + load.part.queueMs,
-      targetMs: load.part.firstTokenMs,
-      targetBetweenMs: load.part.betweenTokensMs,
-      weight: 1,
-    };
+    const drawn = this.#load.drawRequest(load, {
+      now: this.#now,
+      fingerprint,
+    });
+    const { request } = drawn;
+    this.#lengths.set(request.id, drawn.outputTokens);
     this.measure.recordArrived(request);
-    this.#send(host, { kind: "arrived", request });
+    this.#send(this.#hosts[drawn.host], { kind: "arrived", request });
   }
 
   // ---- troubles ----
