--- a/packages/banyangrade/call_exchange.ts
+++ b/packages/banyangrade/call_exchange.ts
@@ -62,30 +62,16 @@
     }
 
     function end(effect: StartEffect, outcome: service.ServiceOutcome): void {
-      const { attempt } = effect;
       switch (outcome.kind) {
         case "aborted":
           return;
         case "whole":
-          context.dispatch.send({
-            kind: "finished",
-            requestId,
-            attempt,
-            tokens: 0,
-          });
-          context.dispatch.close(requestId);
+          exchange.closeFinished(context, { effect, tokens: 0 });
           record.finish(0);
           return resolve(outcome);
         case "failed":
-          context.metrics.recordFailure(outcome.failure);
-          context.log.warn(
-            { requestId, attempt, server: effect.server.name, ...outcome },
-            "Attempt failed.",
-          );
-          context.dispatch.send({
-            kind: "failed",
-            requestId,
-            attempt,
+          exchange.reportFailure(context, {
+            effect,
             failure: outcome.failure,
             answerStarted: false,
             resumable: false,
--- a/packages/banyangrade/exchange.ts
+++ b/packages/banyangrade/exchange.ts
@@ -152,3 +152,46 @@
   context.log.info({ requestId, ...refusal }, "Request refused.");
   answer.refuse(refusal);
 }
+
+type StartEffect = Extract<core.DispatchEffect, { kind: "start" }>;
+
+/**
+ * Tells the dispatcher of a whole answer and closes the request.
+ *
+ * @example
+ * closeFinished(context, { effect, tokens });
+ */
+export function closeFinished(
+  context: Pick<ExchangeContext, "dispatch">,
+  { effect, tokens }: { readonly effect: StartEffect; readonly tokens: number },
+): void {
+  const { request, attempt } = effect;
+  const requestId = request.id;
+  context.dispatch.send({ kind: "finished", requestId, attempt, tokens });
+  context.dispatch.close(requestId);
+}
+
+/**
+ * Notes a failed attempt and tells the dispatcher, which decides what follows.
+ *
+ * @example
+ * reportFailure(context, { effect, failure, answerStarted, resumable });
+ */
+export function reportFailure(
+  context: Pick<ExchangeContext, "dispatch" | "log" | "metrics">,
+  { effect, ...failed }: {
+    readonly effect: StartEffect;
+    readonly failure: core.AttemptFailure;
+    readonly answerStarted: boolean;
+    readonly resumable: boolean;
+  },
+): void {
+  const { request, attempt, server } = effect;
+  const requestId = request.id;
+  context.metrics.recordFailure(failed.failure);
+  context.log.warn(
+    { requestId, attempt, server: server.name, failure: failed.failure },
+    "Attempt failed.",
+  );
+  context.dispatch.send({ kind: "failed", requestId, attempt, ...failed });
+}
--- a/packages/banyangrade/front.ts
+++ b/packages/banyangrade/front.ts
@@ -7,6 +7,7 @@
 import * as callExchange from "./call_exchange.ts";
 import * as exchange from "./exchange.ts";
 import * as generateExchange from "./generate_exchange.ts";
+import * as operationModule from "./operation.ts";
 import * as guard from "./operation_guard.ts";
 
 /** Header by which a caller asks for one of its key's classes. */
@@ -68,7 +69,7 @@
     const known = part !== undefined && configuration.keys.has(message.keyId) &&
       !this.#options.isWithdrawn(message.keyId);
     if (!known) {
-      return toTicketAnswer({
+      return operationModule.toTicketAnswer({
         kind: "refused",
         refusal: core.buildRefusal({ code: "key_withdrawn", ran: "no" }),
       });
@@ -77,7 +78,7 @@
     const outcome = await this.#options.ticketGuard.run({
       customer: message.customer,
       idempotencyKey: message.ticket,
-      fingerprint: computeFingerprint(message, body),
+      fingerprint: operationModule.computeFingerprint(message, body),
       run: () =>
         this.#runCall({
           ...message,
@@ -86,7 +87,7 @@
           part,
         }),
     });
-    return toTicketAnswer(outcome);
+    return operationModule.toTicketAnswer(outcome);
   }
 
   #refuse(
@@ -262,7 +263,7 @@
     const guarded = {
       customer: operation.customer,
       idempotencyKey,
-      fingerprint: computeFingerprint(operation, body),
+      fingerprint: operationModule.computeFingerprint(operation, body),
       run,
     };
     const origin = core.parseTicket(idempotencyKey);
@@ -306,7 +307,10 @@
     const request = this.#buildRequest({
       ...operation,
       customer,
-      fingerprint: computeFingerprint(operation, operation.body),
+      fingerprint: operationModule.computeFingerprint(
+        operation,
+        operation.body,
+      ),
     });
     const repeatable = this.#isRepeatable(operation.target, operation.method);
     return callExchange.runCall(this.#options, {
@@ -401,54 +405,3 @@
     message: `An Idempotency-Key has 1 to ${MAX_IDEMPOTENCY_KEY} characters.`,
   });
 }
-
-/** Digest of what makes two calls the same operation. */
-function computeFingerprint(
-  operation: {
-    readonly customer: string;
-    readonly target: string;
-    readonly method: string;
-    readonly path: string;
-  },
-  body: Buffer,
-): string {
-  return utils.computeDigest(utils.formatCanonical([
-    operation.customer,
-    operation.target,
-    operation.method,
-    operation.path,
-    body.toString("base64"),
-  ]));
-}
-
-function toTicketAnswer(outcome: guard.GuardOutcome): peer.TicketAnswer {
-  switch (outcome.kind) {
-    case "whole":
-      return {
-        ...outcome.answer,
-        body: outcome.answer.body.toString("base64"),
-      };
-    case "repeated":
-      return {
-        status: outcome.answer.status,
-        headers: { "content-type": outcome.answer.contentType },
-        body: Buffer.from(outcome.answer.body).toString("base64"),
-      };
-    case "refused": {
-      const retryAfterMs = outcome.refusal.retryAfterMs ?? 0;
-      return {
-        status: caller.getStatus(outcome.refusal),
-        headers: {
-          "content-type": "application/json",
-          ...(retryAfterMs > 0
-            ? { "retry-after": String(Math.ceil(retryAfterMs / 1_000)) }
-            : {}),
-        },
-        body: Buffer.from(caller.formatRefusal(outcome.refusal))
-          .toString("base64"),
-      };
-    }
-    case "left":
-      return { status: 499, headers: {}, body: "" };
-  }
-}
--- a/packages/banyangrade/generate_exchange.ts
+++ b/packages/banyangrade/generate_exchange.ts
@@ -81,31 +81,20 @@
   }
 
   function end(effect: StartEffect, outcome: engine.EngineOutcome): void {
-    const { attempt } = effect;
     switch (outcome.kind) {
       case "aborted":
         return;
       case "whole":
-        context.dispatch.send({
-          kind: "finished",
-          requestId,
-          attempt,
+        exchange.closeFinished(context, {
+          effect,
           tokens: effect.offset + outcome.tokens,
         });
-        context.dispatch.close(requestId);
         record.finish(effect.offset + outcome.tokens);
         if (options.stream) answer.endStream();
         return;
       case "failed":
-        context.metrics.recordFailure(outcome.failure);
-        context.log.warn(
-          { requestId, attempt, server: effect.server.name, ...outcome },
-          "Attempt failed.",
-        );
-        context.dispatch.send({
-          kind: "failed",
-          requestId,
-          attempt,
+        exchange.reportFailure(context, {
+          effect,
           failure: outcome.failure,
           answerStarted: answer.hasStarted(),
           resumable: options.stream,
