Look only at what an event can have changed

Cause: every event looked at each waiting lane and, for each, at every server of its target. Change: an event at one server dispatches that server's targets only; whether a target has room is found out once.

--- /dev/null
+++ b/bench/decisions.ts
@@ -0,0 +1,131 @@
+/** `npm run decisions`: time of one decision by servers, customers and load. */
+import * as core from "@banyangrade/core";
+import * as utils from "@banyangrade/utils";
+import * as table from "../packages/banyangrade/table.ts";
+
+const ROUNDS = 20_000;
+const CLASSES = 7;
+const MODELS = 15;
+const SLOTS = 8;
+
+function buildConfiguration(): core.Configuration {
+  const classes = Array.from({ length: CLASSES }, (_, index) => ({
+    kind: "class" as const,
+    name: `tier${index + 1}`,
+    tier: index + 1,
+    firstTokenMs: 1_300,
+    betweenTokensMs: 39,
+    queueMs: 60_000,
+    share: index > 2 ? 0.02 : 0,
+  }));
+  const pools = Array.from({ length: MODELS }, (_, index) => ({
+    kind: "pool" as const,
+    name: `pool${index}`,
+    serves: "engine" as const,
+    failureDomain: "a",
+    targets: [`model${index}`],
+    slots: SLOTS,
+    spot: false,
+    costPerHour: 1,
+    checksFencing: false,
+    minServers: 0,
+    maxServers: 0,
+  }));
+  return core.applyChange(core.EMPTY_CONFIGURATION, {
+    revision: 1,
+    previousDigest: "",
+    puts: [...classes, ...pools],
+    removes: [],
+    author: "bench",
+    writerToken: "bench",
+  }).unwrap();
+}
+
+/** Mean time of an arrival with its start and its end, in microseconds. */
+function measureDecisions(options: {
+  readonly servers: number;
+  readonly customers: number;
+  /** Share of the slots in use while it is measured; above 1, the rest waits. */
+  readonly load: number;
+}): number {
+  const random = utils.createRandom(7);
+  const dispatcher = new core.Dispatcher({ failureDomain: "a", random });
+  const configuration = buildConfiguration();
+  dispatcher.handle({ kind: "configured", configuration }, 0);
+  const servers = Array.from({ length: options.servers }, (_, index) => ({
+    name: `s${index}`,
+    pool: `pool${index % MODELS}`,
+    url: "",
+    state: "live" as const,
+  }));
+  dispatcher.handle({ kind: "servers_changed", servers }, 0);
+  const running: { requestId: string; attempt: number }[] = [];
+  let count = 0;
+  const take = (effects: readonly core.DispatchEffect[]) =>
+    effects.forEach((effect) => {
+      if (effect.kind !== "start") return;
+      running.push({ requestId: effect.request.id, attempt: effect.attempt });
+    });
+  const arrive = () => {
+    count += 1;
+    const tier = 1 + random.below(CLASSES);
+    const model = random.below(Math.min(MODELS, options.servers));
+    take(dispatcher.handle({
+      kind: "arrived",
+      request: {
+        id: `r${count}`,
+        customer: `c${random.below(options.customers)}`,
+        keyId: "k",
+        className: `tier${tier}`,
+        tier,
+        target: `model${model}`,
+        kind: "generate",
+        pools: [],
+        promptTokens: 200,
+        maxTokens: 200,
+        prefix: `${random.below(500)}`,
+        fingerprint: `${count}`,
+        repeatable: true,
+        arrivedAt: 0,
+        startBy: 60_000,
+        targetMs: 1_300,
+        targetBetweenMs: 39,
+        weight: 1,
+      },
+    }, 0));
+  };
+  const finish = () => {
+    if (running.length === 0) return;
+    const [one] = running.splice(random.below(running.length), 1);
+    take(dispatcher.handle({ kind: "finished", ...one, tokens: 100 }, 0));
+  };
+  const wanted = Math.floor(options.servers * SLOTS * options.load);
+  while (count < wanted) arrive();
+  for (let round = 0; round < ROUNDS / 10; round += 1) {
+    arrive();
+    finish();
+  }
+  const startedAt = performance.now();
+  for (let round = 0; round < ROUNDS; round += 1) {
+    arrive();
+    finish();
+  }
+  return (performance.now() - startedAt) * 1_000 / ROUNDS;
+}
+
+const rows = [[13, 10], [120, 160], [1_200, 1_600]].map((
+  [servers, customers],
+) => [
+  servers,
+  customers,
+  measureDecisions({ servers, customers, load: 0.7 }).toFixed(1),
+  measureDecisions({ servers, customers, load: 1.2 }).toFixed(1),
+]);
+process.stdout.write(
+  `${
+    table.formatTable(
+      ["servers", "customers", "µs at 70% load", "µs with a queue"],
+      rows,
+    )
+  }\n`,
+);
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -90,7 +90,10 @@
       return ending.failAttempt(state, event);
     case "load_reported":
       state.table.recordReport(event.report);
-      return starting.dispatchQueue(state);
+      return starting.dispatchQueue(
+        state,
+        state.table.get(event.report.server)?.pool.targets ?? [],
+      );
     case "servers_changed":
       state.table.setServers(event.servers);
       return starting.dispatchQueue(state);
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -84,7 +84,7 @@
     const tokenMs = attempts.measureTokenMs(ended, state.now);
     state.table.recordSuccess(server, tokenMs);
   }
-  starting.dispatchQueue(state);
+  dispatchFreed(state, ended);
 }
 
 /**
@@ -105,7 +105,16 @@
   }
   if (event.failure === "connection_lost") markSuspect(state, ended);
   decideRetry(state, { event, ended });
-  starting.dispatchQueue(state);
+  dispatchFreed(state, ended);
+}
+
+/** Starts work for what the server of an ended attempt offers. */
+function dispatchFreed(
+  state: hostState.HostState,
+  ended: attempts.Attempt,
+): void {
+  const pool = state.table.getPool(ended.pool);
+  starting.dispatchQueue(state, pool?.part.targets ?? [ended.request.target]);
 }
 
 function markSuspect(
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -34,7 +34,7 @@
     postponed: 0,
     suspect: state.suspects.isSuspect(wanted.fingerprint),
   });
-  starting.dispatchQueue(state);
+  starting.dispatchQueue(state, [wanted.target]);
 }
 
 /** Reasons for a refusal that do not depend on load. */
@@ -115,7 +115,7 @@
 ): number {
   return admission.estimateWait(
     admission.measureBacklog(wanted, {
-      lanes: state.queue.listWaiting(),
+      lanes: state.queue.listWaitingFor([wanted.target]),
       pools,
       serviceMs: state.lengths.get(hostState.getLengthKey(wanted)).serviceMs,
     }),
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -199,6 +199,7 @@
 /** All lanes of a host. */
 export class RequestQueue {
   readonly #lanes = new Map<string, Lane>();
+  readonly #byTarget = new Map<string, Lane[]>();
   #size = 0;
 
   get size(): number {
@@ -216,6 +217,8 @@
     if (lane === undefined) {
       lane = new Lane(key, queued);
       this.#lanes.set(key, lane);
+      const same = this.#byTarget.get(lane.target) ?? [];
+      this.#byTarget.set(lane.target, [...same, lane]);
     }
     lane.add(queued);
     this.#size += 1;
@@ -257,6 +260,12 @@
     return removed;
   }
 
+  /** Lists the lanes that hold requests for some targets. */
+  listWaitingFor(targets: readonly string[]): Lane[] {
+    return targets.flatMap((target) => this.#byTarget.get(target) ?? [])
+      .filter((lane) => lane.size > 0);
+  }
+
   /** Lists the lanes that hold requests, the highest tier first. */
   listWaiting(): Lane[] {
     return [...this.#lanes.values()]
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -130,6 +130,11 @@
     return this.#byTarget.get(target) ?? [];
   }
 
+  /** Whether any server that offers a target may be given one more request. */
+  hasRoomFor(target: string, now: number): boolean {
+    return this.listFor(target).some((server) => hasRoom(server, now));
+  }
+
   /** Records that an attempt began. */
   recordStart(server: ServerState, className: string): void {
     server.running += 1;
--- a/packages/core/starting.ts
+++ b/packages/core/starting.ts
@@ -7,15 +7,28 @@
 import type * as servers from "./servers.ts";
 
 /**
- * Starts as much queued work as there is room for.
+ * Starts as much queued work as there is room for; with `targets` only work
+ * for these, since an event at one server changes nothing for the others.
  *
  * @example
- * dispatchQueue(state);
+ * dispatchQueue(state, server.pool.targets);
  */
-export function dispatchQueue(state: hostState.HostState): void {
+export function dispatchQueue(
+  state: hostState.HostState,
+  targets?: readonly string[],
+): void {
   if (state.queue.size === 0) return;
-  const lanes = state.credits.order(state.queue.listWaiting());
-  lanes.forEach((lane) => dispatchLane(state, lane));
+  const waiting = targets === undefined
+    ? state.queue.listWaiting()
+    : state.queue.listWaitingFor(targets);
+  const full = new Set<string>();
+  state.credits.order(waiting).forEach((lane) => {
+    // Found out once: each lane would look at every server again.
+    const open = !full.has(lane.target) &&
+      state.table.hasRoomFor(lane.target, state.now);
+    if (open) dispatchLane(state, lane);
+    else full.add(lane.target);
+  });
   // Work that waits is demand that the allocator has not heard of.
   if (state.queue.size > 0) state.effects.push({ kind: "ask_capacity" });
 }
@@ -74,7 +87,7 @@
   const queued = state.queue.take(lane, cost) as queue.QueuedRequest;
   state.credits.recordStart(lane, {
     cost,
-    waiting: state.queue.listWaiting(),
+    waiting: state.queue.listWaitingFor([lane.target]),
     classes: state.classes,
   });
   state.table.recordStart(server, queued.request.className);
