--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -116,6 +116,11 @@
   const hosts = plans.map((plan, index) =>
     spawnHost(plan, { folder, settingsFile: settingsFiles[index] })
   );
+  // Hosts of a start that failed must not outlive it.
+  process.once(
+    "exit",
+    () => hosts.forEach((host) => host.child.kill("SIGKILL")),
+  );
   await Promise.all(hosts.map((host) => waitReady(host)));
 
   const runCommand = (words: readonly string[]) =>
@@ -307,7 +312,7 @@
   const child = childProcess.spawn(
     process.execPath,
     [build.BUNDLE, "serve", "--settings", settingsFile],
-    { stdio: ["ignore", "inherit", log] },
+    { stdio: ["ignore", "ignore", log] },
   );
   fs.closeSync(log);
   return {
