Let an early refusal reach a caller that is still sending

The host answered 413 and closed with bytes of the body unread; the kernel then resets the connection and drops the answer, if the caller is still sending. It was a race of the product, not of the test: real callers would see it too.

Change: what is left of a body is read past (at most four lengths of the longest body, and Node's request timeout), and the connection stays fit for the next request. The key is checked before the body is read, and again after it; bodies of all callers together are bounded (max_buffered_bytes); a request that took too long to arrive gets 408 in place of 400.

--- a/packages/banyangrade/certificates_test.ts
+++ b/packages/banyangrade/certificates_test.ts
@@ -93,6 +93,7 @@
       port: 0,
       limits: caller.DEFAULT_LIMITS,
       tls: files.getCaller(),
+      acceptHead: () => false,
       onRequest: () => undefined,
     });
     t.teardown(server.close);
--- a/packages/banyangrade/front.ts
+++ b/packages/banyangrade/front.ts
@@ -26,15 +26,18 @@
   readonly ticketGuard: guard.TicketGuard;
 }
 
-/** A caller's request whose key was accepted. */
-interface Accepted {
-  readonly incoming: caller.CallerRequest;
-  readonly requestId: string;
+/** What a request's headers grant. */
+interface Checked {
   readonly secret: string;
   readonly grant: core.KeyGrant;
   readonly part: core.ClassPart;
 }
 
+/** A caller's request whose key was accepted. */
+interface Accepted extends Checked {
+  readonly incoming: caller.CallerRequest;
+}
+
 /** Turns callers' requests into work. */
 export class Front {
   readonly #options: FrontOptions;
@@ -43,22 +46,32 @@
     this.#options = options;
   }
 
-  /** Handles one request of a caller. */
+  /** Checks a caller's key before its body is read; answers if it is refused. */
+  acceptHead(head: caller.CallerHead): boolean {
+    const accepted = this.#accept(head);
+    if (accepted.ok) return true;
+    this.#refuse(head, accepted.val);
+    return false;
+  }
+
+  /**
+   * Handles one request of a caller. The key is checked again: it may have been
+   * withdrawn while a slow caller sent the body.
+   */
   handle(incoming: caller.CallerRequest): void {
-    const requestId = utils.createId();
-    incoming.answer.setRequestId(requestId);
-    const accepted = this.#accept(incoming, requestId);
-    if (accepted.err) return this.#refuse(incoming, accepted.val, requestId);
+    const checked = this.#accept(incoming);
+    if (checked.err) return this.#refuse(incoming, checked.val);
+    const accepted = { ...checked.val, incoming };
     const { route } = incoming;
     switch (route.kind) {
       case "models":
-        return this.#listModels(accepted.val);
+        return this.#listModels(accepted);
       case "ticket":
-        return this.#issueTicket(accepted.val);
+        return this.#issueTicket(accepted);
       case "generate":
-        return this.#generate(accepted.val, route.api);
+        return this.#generate(accepted, route.api);
       case "call":
-        return void this.#call(accepted.val, route);
+        return void this.#call(accepted, route);
     }
   }
 
@@ -90,24 +103,14 @@
     return operationModule.toTicketAnswer(outcome);
   }
 
-  #refuse(
-    incoming: caller.CallerRequest,
-    refusal: core.Refusal,
-    requestId: string,
-  ): void {
-    exchange.refuseCaller(this.#options, {
-      answer: incoming.answer,
-      refusal,
-      requestId,
-    });
+  #refuse(head: caller.CallerHead, refusal: core.Refusal): void {
+    const { answer, requestId } = head;
+    exchange.refuseCaller(this.#options, { answer, refusal, requestId });
   }
 
-  #accept(
-    incoming: caller.CallerRequest,
-    requestId: string,
-  ): utils.Result<Accepted, core.Refusal> {
+  #accept(head: caller.CallerHead): utils.Result<Checked, core.Refusal> {
     const configuration = this.#options.getConfiguration();
-    const secret = caller.getPresentedKey(incoming.headers) ?? "";
+    const secret = caller.getPresentedKey(head.headers) ?? "";
     const grant = core.findGrant(configuration, secret);
     if (grant === undefined || this.#options.isWithdrawn(grant.key.name)) {
       return utils.Err(buildKeyRefusal("not_authenticated"));
@@ -122,13 +125,13 @@
         message: "This host has had no word of withdrawn keys for too long.",
       }));
     }
-    const asked = incoming.headers[CLASS_HEADER];
+    const asked = head.headers[CLASS_HEADER];
     const part = core.resolveClass(grant, {
       asked: typeof asked === "string" ? asked : undefined,
       classes: configuration.classes,
     });
     if (part === undefined) return utils.Err(buildKeyRefusal("not_allowed"));
-    return utils.Ok({ incoming, requestId, secret, grant, part });
+    return utils.Ok({ secret, grant, part });
   }
 
   #listModels({ incoming, grant }: Accepted): void {
@@ -147,7 +150,8 @@
   }
 
   #generate(accepted: Accepted, api: "chat" | "completion"): void {
-    const { incoming, requestId, secret, grant, part } = accepted;
+    const { incoming, secret, grant, part } = accepted;
+    const { requestId } = incoming;
     const parsed = caller.parseGenerate(incoming.body, api);
     if (parsed.err) {
       const refusal = core.buildRefusal({
@@ -156,11 +160,11 @@
         step: "caller.parse",
         message: parsed.val,
       });
-      return this.#refuse(incoming, refusal, requestId);
+      return this.#refuse(incoming, refusal);
     }
     const body = parsed.val;
     const denied = this.#checkTarget(accepted, body.model);
-    if (denied !== undefined) return this.#refuse(incoming, denied, requestId);
+    if (denied !== undefined) return this.#refuse(incoming, denied);
     const request = this.#buildRequest({
       requestId,
       customer: grant.customer,
@@ -196,16 +200,16 @@
     accepted: Accepted,
     route: Extract<caller.Route, { kind: "call" }>,
   ): Promise<void> {
-    const { incoming, requestId } = accepted;
+    const { incoming } = accepted;
     const denied = this.#checkTarget(accepted, route.service) ??
       checkIdempotencyKey(incoming);
-    if (denied !== undefined) return this.#refuse(incoming, denied, requestId);
+    if (denied !== undefined) return this.#refuse(incoming, denied);
     const outcome = await this.#runGuarded(accepted, route);
     this.#sendOutcome(accepted, outcome);
   }
 
   #sendOutcome(
-    { incoming, requestId }: Accepted,
+    { incoming }: Accepted,
     outcome: guard.GuardOutcome | peer.TicketAnswer,
   ): void {
     if (!("kind" in outcome)) {
@@ -225,7 +229,7 @@
           body: outcome.answer.body,
         });
       case "refused":
-        return this.#refuse(incoming, outcome.refusal, requestId);
+        return this.#refuse(incoming, outcome.refusal);
       case "left":
         return;
     }
@@ -235,7 +239,8 @@
     accepted: Accepted,
     route: Extract<caller.Route, { kind: "call" }>,
   ): Promise<guard.GuardOutcome | peer.TicketAnswer> {
-    const { incoming, requestId, secret, grant, part } = accepted;
+    const { incoming, secret, grant, part } = accepted;
+    const { requestId } = incoming;
     const operation = {
       customer: grant.customer.name,
       keyId: grant.key.name,
--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -97,8 +97,10 @@
       limits: {
         ...caller.DEFAULT_LIMITS,
         maxBodyBytes: settings.caller.max_body_bytes,
+        maxBufferedBytes: settings.caller.max_buffered_bytes,
         maxConnections: settings.caller.max_connections,
       },
+      acceptHead: (head) => parts.front.acceptHead(head),
       onRequest: (request) => parts.front.handle(request),
     }),
     operations: await operations.startOperationsServer({
--- a/packages/banyangrade/settings.ts
+++ b/packages/banyangrade/settings.ts
@@ -32,6 +32,9 @@
     max_body_bytes: z.number().int().positive().default(
       caller.DEFAULT_LIMITS.maxBodyBytes,
     ).describe("Largest body of a request."),
+    max_buffered_bytes: z.number().int().positive().default(
+      caller.DEFAULT_LIMITS.maxBufferedBytes,
+    ).describe("Most bytes of bodies in memory at once."),
     max_connections: z.number().int().positive().default(
       caller.DEFAULT_LIMITS.maxConnections,
     ).describe("Most connections of callers."),
--- a/packages/caller/answers.ts
+++ b/packages/caller/answers.ts
@@ -104,7 +104,6 @@
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
       ...(seconds > 0 ? { "retry-after": String(seconds) } : {}),
-      ...(refusal.code === "too_large" ? { connection: "close" } : {}),
     }).end(body);
   }
 
--- a/packages/caller/server.ts
+++ b/packages/caller/server.ts
@@ -8,11 +8,19 @@
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import * as answers from "./answers.ts";
+import * as bodies from "./body.ts";
+
+/** Bytes of an unwanted body that are read past, in lengths of the longest body. */
+const DROP_FACTOR = 4;
+/** When to come back after the memory for bodies was full, in ms. */
+const OVERLOADED_WAIT_MS = 2_000;
 
 /** Bounds on what one caller can cost. Sizes in bytes, times in ms. */
 export interface CallerLimits {
   readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
+  /** Most bytes of bodies held at once, over all requests. */
+  readonly maxBufferedBytes: number;
   readonly maxConnections: number;
   readonly headersTimeoutMs: number;
   readonly requestTimeoutMs: number;
@@ -23,6 +31,7 @@
 export const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 4 * 1024 * 1024,
+  maxBufferedBytes: 64 * 1024 * 1024,
   maxConnections: 8_000,
   headersTimeoutMs: 10_000,
   requestTimeoutMs: 30_000,
@@ -41,16 +50,22 @@
     readonly path: string;
   };
 
-/** A request with its body, and the way to answer it. */
-export interface CallerRequest {
+/** A request as far as its headers, and the way to answer it. */
+export interface CallerHead {
+  /** Made here; also in the answer's headers. */
+  readonly requestId: string;
   readonly route: Route;
   readonly method: string;
   readonly url: string;
   readonly headers: http.IncomingHttpHeaders;
-  readonly body: Buffer;
   readonly answer: answers.CallerAnswer;
 }
 
+/** A whole request. */
+export interface CallerRequest extends CallerHead {
+  readonly body: Buffer;
+}
+
 /** Certificate and key towards callers. */
 export interface CallerTls {
   readonly cert: string;
@@ -63,6 +78,11 @@
   readonly port: number;
   readonly limits: CallerLimits;
   readonly tls?: CallerTls;
+  /**
+   * Decides by the headers alone whether the body is worth reading, and answers
+   * if it is not: a caller without a key costs no memory.
+   */
+  readonly acceptHead: (head: CallerHead) => boolean;
   readonly onRequest: (request: CallerRequest) => void;
 }
 
@@ -80,16 +100,19 @@
  * Starts the server.
  *
  * @example
- * const server = await startCallerServer({ hostname, port: 8080, limits, onRequest });
+ * const server = await startCallerServer({ hostname, port: 8080, limits, acceptHead, onRequest });
  */
 export async function startCallerServer(
   options: CallerServerOptions,
 ): Promise<CallerServer> {
   let draining = false;
+  const budget = { used: 0, limit: options.limits.maxBufferedBytes };
   const listener: http.RequestListener = (request, response) => {
     // Told with each answer during a drain, so that callers go elsewhere.
     if (draining) response.setHeader("connection", "close");
-    handle({ request, response }, options).catch(() => response.destroy());
+    handle({ request, response }, { ...options, budget }).catch(() =>
+      response.destroy()
+    );
   };
   const server = createServer(options, listener);
   server.maxConnections = options.limits.maxConnections;
@@ -132,23 +155,31 @@
   return https.createServer({ ...shared, ...options.tls }, listener);
 }
 
+/** What callers are told when Node's parser refuses, by its error code. */
+const MALFORMED: Readonly<Record<string, readonly [string, string]>> = {
+  HPE_HEADER_OVERFLOW: [
+    "431 Request Header Fields Too Large",
+    "The headers are too long.",
+  ],
+  ERR_HTTP_REQUEST_TIMEOUT: [
+    "408 Request Timeout",
+    "The request took too long to arrive.",
+  ],
+};
+
 /** Answers what Node's parser refused, for example over-long headers or two lengths. */
 function refuseMalformed(
   error: Error & { code?: string },
   socket: net.Socket,
 ): void {
   if (!socket.writable) return void socket.destroy();
-  const tooLong = error.code === "HPE_HEADER_OVERFLOW";
-  const status = tooLong
-    ? "431 Request Header Fields Too Large"
-    : "400 Bad Request";
+  const [status, message] = MALFORMED[error.code ?? ""] ??
+    ["400 Bad Request", "The request is not valid HTTP."];
   const refusal = core.buildRefusal({
     code: "bad_request",
     ran: "no",
     step: "caller.parse",
-    message: tooLong
-      ? "The headers are too long."
-      : "The request is not valid HTTP.",
+    message,
   });
   const body = answers.formatRefusal(refusal);
   socket.end(
@@ -164,32 +195,41 @@
 
 async function handle(
   { request, response }: Exchange,
-  options: CallerServerOptions,
+  options: CallerServerOptions & { readonly budget: bodies.BodyBudget },
 ): Promise<void> {
+  const { maxBodyBytes } = options.limits;
   const answer = new answers.CallerAnswer(response);
+  const requestId = utils.createId();
+  answer.setRequestId(requestId);
+  const dropRest = () => bodies.dropBody(request, DROP_FACTOR * maxBodyBytes);
   const route = findRoute(request);
   if (route === undefined) {
-    return answer.refuse(buildParseRefusal("not_found"));
-  }
-  const body = await readBody(request, options.limits.maxBodyBytes);
-  if (body === undefined) {
-    answer.refuse(buildParseRefusal("too_large"));
-    // What is still coming is not read: it would be unbounded work.
-    response.once("finish", () => request.destroy());
-    return;
+    answer.refuse(buildParseRefusal("not_found"));
+    return dropRest();
   }
-  options.onRequest({
+  const head = {
+    requestId,
     route,
     method: request.method ?? "GET",
     url: request.url ?? "/",
     headers: request.headers,
-    body,
     answer,
+  };
+  if (!options.acceptHead(head)) return dropRest();
+  const body = await bodies.readBody({ request, response }, {
+    limit: maxBodyBytes,
+    budget: options.budget,
   });
+  if (typeof body === "string") {
+    answer.refuse(buildParseRefusal(body));
+    return dropRest();
+  }
+  options.onRequest({ ...head, body });
 }
 
 function buildParseRefusal(code: core.RefusalCode): core.Refusal {
-  return core.buildRefusal({ code, ran: "no", step: "caller.parse" });
+  const waitMs = code === "overloaded" ? OVERLOADED_WAIT_MS : undefined;
+  return core.buildRefusal({ code, ran: "no", step: "caller.parse", waitMs });
 }
 
 const GENERATE_PATHS: Readonly<Record<string, "chat" | "completion">> = {
@@ -228,23 +268,6 @@
   };
 }
 
-/** Reads a body; undefined if it is longer than allowed. */
-async function readBody(
-  request: http.IncomingMessage,
-  limit: number,
-): Promise<Buffer | undefined> {
-  if (Number(request.headers["content-length"] ?? 0) > limit) return undefined;
-  const chunks: Buffer[] = [];
-  let size = 0;
-  // Without this the early return would reset the connection before the answer.
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    size += (chunk as Buffer).length;
-    if (size > limit) return undefined;
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
-}
-
 /**
  * Returns the key that a request presents, by any of the usual headers.
  *
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -15,10 +15,25 @@
 const USAGE = "packages/usage/reporter_fuzz_test.ts";
 const CONFIG = "packages/store/config_store_fuzz_test.ts";
 const CLAIMS = "packages/banyangrade/operation_guard_fuzz_test.ts";
+const CALLER = "packages/caller/server_test.ts";
 const DISPATCHER = "packages/core/dispatcher_fuzz_test.ts";
 
 /** All removals. */
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "caller: an early answer closes with bytes unread",
+    file: "packages/caller/body.ts",
+    find: "  request.resume();",
+    replace: "  request.destroy();",
+    test: CALLER,
+  },
+  {
+    name: "caller: bodies of all callers together are unbounded",
+    file: "packages/caller/body.ts",
+    find: "budget.used + length > budget.limit",
+    replace: "false",
+    test: CALLER,
+  },
   {
     name: "retry: what may have run is tried again",
     file: "packages/core/retry.ts",
