Count on the bench why requests missed their target

Change: the bench counts misses by late first token, slow tokens and refusal, and prints them below the table of each scenario.

--- a/bench/measure.ts
+++ b/bench/measure.ts
@@ -13,6 +13,11 @@
 /** Requests of a customer below which its attainment says little. */
 const MIN_CUSTOMER_REQUESTS = 20;
 
+/** Why a request missed its target. */
+export type Miss = "late" | "slow" | "refused";
+
+const NO_MISSES: Record<Miss, number> = { late: 0, slow: 0, refused: 0 };
+
 interface Tracked {
   readonly request: core.Request;
   readonly load: scenarios.ClassLoad;
@@ -28,6 +33,8 @@
   readonly arrived: number;
   /** Share that met its target, refused ones counted as missed. */
   readonly attainment: number;
+  /** Shares that missed it by the first token, between tokens and by refusal. */
+  readonly misses: Readonly<Record<Miss, number>>;
   /** Lowest attainment of a customer that is not greedy, by the median. */
   readonly worstCustomer: number;
 }
@@ -65,6 +72,7 @@
   readonly #countUntilMs: number;
   readonly #open = new Map<string, Tracked>();
   readonly #counts = new Map<string, Map<string, [number, number]>>();
+  readonly #misses = new Map<string, Record<Miss, number>>();
   readonly #curve: number[] = [];
   #generated = 0;
   #lost = 0;
@@ -123,9 +131,9 @@
     if (load.kind === "generate") this.#served += tokens;
     const firstAt = load.kind === "call" ? now : tracked.firstAt;
     const between = tokens > 1 ? (now - firstAt) / (tokens - 1) : 0;
-    const attained = firstAt - request.arrivedAt <= load.part.firstTokenMs &&
-      between <= load.part.betweenTokensMs;
-    if (!attained) return;
+    const late = firstAt - request.arrivedAt > load.part.firstTokenMs;
+    const slow = between > load.part.betweenTokensMs;
+    if (late || slow) return this.#recordMiss(request, late ? "late" : "slow");
     this.#good += load.kind === "call" ? 0 : tokens;
     const point = Math.floor(now / CURVE_MS);
     this.#curve[point] = (this.#curve[point] ?? 0) + 1;
@@ -146,6 +154,7 @@
     if (tracked === undefined) return;
     this.#open.delete(requestId);
     this.#lost += tracked.tokens;
+    this.#recordMiss(tracked.request, "refused");
     const forLoad = refusal.code === "overloaded" ||
       refusal.code === "deadline_exceeded";
     if (forLoad && options.lowerElsewhere(tracked.request)) {
@@ -187,10 +196,27 @@
       tier: load.part.tier,
       arrived,
       attainment: arrived === 0 ? 1 : attained / arrived,
+      misses: this.#divideMisses(load.part.name, Math.max(1, arrived)),
       worstCustomer: median === 0 ? 1 : shares[0] / median,
     };
   }
 
+  #divideMisses(name: string, arrived: number): Record<Miss, number> {
+    const { late, slow, refused } = this.#misses.get(name) ?? NO_MISSES;
+    return {
+      late: late / arrived,
+      slow: slow / arrived,
+      refused: refused / arrived,
+    };
+  }
+
+  #recordMiss(request: core.Request, miss: Miss): void {
+    if (!this.#isCounted(request)) return;
+    const known = this.#misses.get(request.className) ?? NO_MISSES;
+    const counts = { ...known, [miss]: known[miss] + 1 };
+    this.#misses.set(request.className, counts);
+  }
+
   #isCounted(request: core.Request): boolean {
     return request.fingerprint !== "poison" &&
       request.arrivedAt >= WARM_UP_MS && request.arrivedAt < this.#countUntilMs;
--- a/bench/part.ts
+++ b/bench/part.ts
@@ -76,16 +76,19 @@
   chosen: string | undefined,
 ): { readonly text: string; readonly curves: readonly plot.Curve[] } {
   const curves: plot.Curve[] = [];
+  const misses: (readonly [string, measure.RunFigures])[] = [];
   const rows = scenarios.CASES
     .filter((one) => chosen === undefined || one.name.includes(chosen))
     .flatMap((one) =>
       (["banyangrade", "naive"] as const).map((policy) => {
         const figures = runCase(scenario, one, { policy });
         curves.push({ name: one.name, policy, values: figures.curve });
+        if (policy === "banyangrade") misses.push([one.name, figures]);
         const label = policy === "naive" ? "naive" : "ours";
         return formatRow(one.name, label, { figures });
       })
     );
+  const reasons = formatMisses(scenario, misses);
   const headings = [
     "case",
     "",
@@ -99,10 +102,26 @@
   ];
   const text =
     `${scenario.name}, seed ${SEED}: attainment in % by class/tier\n` +
-    `${table.formatTable(headings, rows)}\n`;
+    `${table.formatTable(headings, rows)}\n\n${reasons}`;
   return { text, curves };
 }
 
+/** Why requests missed, in % of those that arrived. */
+function formatMisses(
+  scenario: scenarios.Scenario,
+  runs: readonly (readonly [string, measure.RunFigures])[],
+): string {
+  const rows = runs.map(([name, figures]) => [
+    name,
+    ...figures.classes.map(({ misses }) =>
+      [misses.late, misses.slow, misses.refused].map(formatPercent).join("/")
+    ),
+  ]);
+  const headings = ["case", ...scenario.loads.map((load) => load.part.name)];
+  return `${scenario.name}, ours: missed by the first token / between tokens / ` +
+    `refused, in %\n${table.formatTable(headings, rows)}\n`;
+}
+
 /** Runs the autoscaler under a tide with a reclaimed failure domain. */
 function runElastic(scenario: scenarios.Scenario): string {
   const fleets = ["mixed", "ordinary_only", "spot_only"] as const;
