Divide servers between hosts, and learn an engine's speed while it runs

Cause: clash and label came late though slots were free. Nearly all late ones had started at once at an engine holding 8 to 12 requests for 8 slots: hosts fill the same engine between two reports of its load.

Change: hosts divide a pool's slots by name and prefer their own; demand and grants carry what each runs on which engine; a quarter more slots are granted for calls; speed is learned every 8 tokens; long prompts avoid streams of higher tiers; a server must take at most 0.9 of a class's time between tokens.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -49,7 +49,11 @@
   readonly load: number;
 }): number {
   const random = utils.createRandom(7);
-  const dispatcher = new core.Dispatcher({ failureDomain: "a", random });
+  const dispatcher = new core.Dispatcher({
+    failureDomain: "a",
+    host: "h0",
+    random,
+  });
   const configuration = buildConfiguration();
   dispatcher.handle({ kind: "configured", configuration }, 0);
   const servers = Array.from({ length: options.servers }, (_, index) => ({
@@ -59,6 +63,7 @@
     state: "live" as const,
   }));
   dispatcher.handle({ kind: "servers_changed", servers }, 0);
+  dispatcher.handle({ kind: "hosts_changed", hosts: ["h0"] }, 0);
   const running: { requestId: string; attempt: number }[] = [];
   let count = 0;
   const take = (effects: readonly core.DispatchEffect[]) =>
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -213,6 +213,7 @@
         ? new naive.NaiveDispatcher()
         : new core.Dispatcher({
           failureDomain: domain,
+          host: `${domain}-${index}`,
           random: utils.createRandom(this.#options.seed + this.#hosts.length),
         }),
     };
@@ -222,6 +223,13 @@
       configuration: this.#buildConfiguration(),
     });
     this.#sendServers(host);
+    this.#send(host, {
+      kind: "hosts_changed",
+      hosts: Array.from(
+        { length: this.#options.scenario.hostsPerDomain },
+        (_, other) => `${domain}-${other}`,
+      ),
+    });
     // Hosts tick out of step with each other.
     this.#after(index * 7, () => this.#tick(host));
     this.#after(index * 11 + 1, () => this.#runDemand(host));
@@ -291,10 +299,12 @@
     return scenario.pools.filter((pool) => pool.failureDomain === domain)
       .map((pool) => ({
         pool: pool.name,
-        slots:
+        slots: core.countGrantable(
+          pool,
           this.#servers.filter((server) =>
             server.pool === pool && server.alive && server.info.state === "live"
           ).length * pool.slots,
+        ),
         shares,
       }));
   }
--- a/packages/banyangrade/capacity_task.ts
+++ b/packages/banyangrade/capacity_task.ts
@@ -31,6 +31,7 @@
   #allocatedAt = Number.NEGATIVE_INFINITY;
   #askedAt = Number.NEGATIVE_INFINITY;
   #misses = 0;
+  #hosts = "";
   #saidIdle = false;
   #asking = false;
   #scheduled: NodeJS.Timeout | undefined;
@@ -105,6 +106,7 @@
   }
 
   async #runRound(): Promise<void> {
+    this.#noteHosts();
     if (!this.#isLeader()) this.#leaderSince = Number.POSITIVE_INFINITY;
     const { queued, running } = this.#options.dispatcher.countOpen();
     const idle = queued + running === 0;
@@ -114,6 +116,16 @@
     if (due && !(idle && this.#saidIdle)) await this.#ask();
   }
 
+  /** Tells the dispatcher which hosts share the failure domain's servers. */
+  #noteHosts(): void {
+    const hosts = this.#options.overlay.members.listActive()
+      .map((member) => member.name).toSorted();
+    const joined = hosts.join(" ");
+    if (joined === this.#hosts) return;
+    this.#hosts = joined;
+    this.#options.dispatch.send({ kind: "hosts_changed", hosts });
+  }
+
   async #ask(): Promise<void> {
     if (this.#asking) return;
     this.#asking = true;
@@ -194,7 +206,7 @@
       .filter((pool) => pool.part.failureDomain === this.#options.failureDomain)
       .map((pool) => ({
         pool: pool.part.name,
-        slots: pool.totalSlots,
+        slots: core.countGrantable(pool.part, pool.totalSlots),
         shares,
       }));
   }
--- a/packages/banyangrade/host_parts.ts
+++ b/packages/banyangrade/host_parts.ts
@@ -126,6 +126,7 @@
 function addDispatch(draft: Draft): void {
   draft.dispatcher = new core.Dispatcher({
     failureDomain: draft.failureDomain,
+    host: draft.host,
     random: utils.createRandom(hashSeed(draft.incarnation)),
   });
   draft.dispatch = new dispatchTask.DispatchTask({
--- a/packages/core/allocation.ts
+++ b/packages/core/allocation.ts
@@ -5,6 +5,8 @@
  * tier. It is soft state: if two hosts allocate for a moment, engines are
  * overcommitted and queue, and no promise depends on it.
  */
+import type * as config from "./config.ts";
+import * as constants from "./constants.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as events from "./events.ts";
 
@@ -22,7 +24,7 @@
 
 interface HostDemand {
   readonly at: number;
-  readonly pools: ReadonlyMap<string, readonly dispatcher.ClassDemand[]>;
+  readonly pools: ReadonlyMap<string, dispatcher.PoolDemand>;
 }
 
 /** One class of one host, with the slots it is given. */
@@ -35,6 +37,24 @@
   given: number;
 }
 
+/**
+ * Counts the slots of a pool that are granted to hosts. A call of a plain
+ * service is over before word of it reaches the leader, so a part of the slots
+ * that are granted always stands idle at one host while work waits at another;
+ * granting some more keeps the service busy. Engines' work lasts far longer
+ * than word of it takes.
+ *
+ * @example
+ * countGrantable({ serves: "service" }, 8); // 10
+ */
+export function countGrantable(
+  pool: Pick<config.PoolPart, "serves">,
+  slots: number,
+): number {
+  const factor = pool.serves === "service" ? constants.CALL_GRANT_FACTOR : 1;
+  return Math.round(slots * factor);
+}
+
 /** Gathers demand and grants slots. */
 export class CapacityAllocator {
   readonly #demands = new Map<string, HostDemand>();
@@ -49,7 +69,7 @@
   ): void {
     this.#demands.set(host, {
       at: now,
-      pools: new Map(demands.map((demand) => [demand.pool, demand.classes])),
+      pools: new Map(demands.map((demand) => [demand.pool, demand])),
     });
   }
 
@@ -70,12 +90,43 @@
     const grants = new Map(hosts.map((host) => [host, [] as events.Grant[]]));
     capacities.forEach((capacity) => {
       const claimants = this.#listClaimants(capacity.pool);
-      allocatePool(capacity, { hosts, claimants })
-        .forEach((grant, host) => grants.get(host)?.push(grant));
+      const counts = this.#countRunning(capacity.pool);
+      allocatePool(capacity, { hosts, claimants }).forEach((grant, host) =>
+        grants.get(host)?.push({
+          ...grant,
+          runningElsewhere: this.#listElsewhere(host, { grant, counts }),
+        })
+      );
     });
     return grants;
   }
 
+  /** Sums what all hosts run on each server of a pool. */
+  #countRunning(pool: string): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    this.#demands.forEach((demand) =>
+      demand.pools.get(pool)?.servers.forEach(({ server, running }) =>
+        counts.set(server, (counts.get(server) ?? 0) + running)
+      )
+    );
+    return counts;
+  }
+
+  /** What other hosts run on the servers that a host asked about. */
+  #listElsewhere(
+    host: string,
+    { grant, counts }: {
+      readonly grant: events.PoolGrant;
+      readonly counts: ReadonlyMap<string, number>;
+    },
+  ): events.ServerCount[] {
+    const asked = this.#demands.get(host)?.pools.get(grant.pool)?.servers ?? [];
+    return asked.map(({ server, running }) => ({
+      server,
+      running: (counts.get(server) ?? 0) - running,
+    }));
+  }
+
   /** Sums demand over hosts, of this tier and higher ones. */
   sumDemand(pool: string, lowestTier = Infinity): number {
     return this.#listClaimants(pool).filter((one) => one.tier <= lowestTier)
@@ -84,7 +135,7 @@
 
   #listClaimants(pool: string): Claimant[] {
     return [...this.#demands].flatMap(([host, demand]) =>
-      (demand.pools.get(pool) ?? []).map((classDemand) => ({
+      (demand.pools.get(pool)?.classes ?? []).map((classDemand) => ({
         host,
         className: classDemand.className,
         tier: classDemand.tier,
@@ -111,7 +162,7 @@
     readonly hosts: readonly string[];
     readonly claimants: readonly Claimant[];
   },
-): ReadonlyMap<string, events.Grant> {
+): ReadonlyMap<string, events.PoolGrant> {
   let left = capacity.slots;
   const classes = [...new Set(claimants.map((one) => one.className))];
   classes.forEach((className) => {
@@ -180,7 +231,7 @@
     readonly claimants: readonly Claimant[];
     readonly headroom: ReadonlyMap<number, number>;
   },
-): events.Grant {
+): events.PoolGrant {
   const own = claimants.filter((one) => one.host === host);
   const others = claimants.filter((one) => one.host !== host);
   return {
--- a/packages/core/attempts.ts
+++ b/packages/core/attempts.ts
@@ -13,8 +13,8 @@
   readonly offset: number;
   /** Tokens of this attempt so far. */
   tokens: number;
-  /** When the first of them came, or 0. */
-  firstTokenAt: number;
+  /** Tokens and moment at which the time between tokens was last measured. */
+  measured: { readonly tokens: number; readonly at: number };
   /** The request was in flight before as a server was lost. */
   readonly suspect: boolean;
   /** Whether any attempt before this one may have run. */
@@ -48,20 +48,20 @@
 
   /**
    * Records tokens of the current attempt; those of an earlier one are dropped.
-   * Returns the attempt if they are its first.
+   * Returns the attempt, and whether they are its first.
    */
   recordProgress(
     event: { requestId: string; attempt: number; tokens: number },
     now: number,
-  ): Attempt | undefined {
+  ): { readonly current: Attempt; readonly first: boolean } | undefined {
     const current = this.#attempts.get(event.requestId);
     if (current === undefined || current.attempt !== event.attempt) {
       return undefined;
     }
     const first = current.tokens === 0 && event.tokens > 0;
-    if (first) current.firstTokenAt = now;
+    if (first) current.measured = { tokens: event.tokens, at: now };
     current.tokens = Math.max(current.tokens, event.tokens);
-    return first ? current : undefined;
+    return { current, first };
   }
 
   /** Removes the attempt if it is the current one; a late end changes nothing. */
@@ -76,13 +76,19 @@
 }
 
 /**
- * Measures the time between tokens of a finished attempt, in ms; 0 if it
- * brought fewer than two.
+ * Measures the time between tokens since the last measurement, in ms, and
+ * begins the next one; undefined while there are fewer than `least` of them.
  *
  * @example
- * measureTokenMs(attempt, now);
+ * const tokenMs = measureTokenMs(attempt, { now, least: 8 });
  */
-export function measureTokenMs(attempt: Attempt, now: number): number {
-  if (attempt.tokens < 2) return 0;
-  return (now - attempt.firstTokenAt) / (attempt.tokens - 1);
+export function measureTokenMs(
+  attempt: Attempt,
+  { now, least }: { readonly now: number; readonly least: number },
+): number | undefined {
+  const tokens = attempt.tokens - attempt.measured.tokens;
+  if (tokens < least) return undefined;
+  const tokenMs = (now - attempt.measured.at) / tokens;
+  attempt.measured = { tokens: attempt.tokens, at: now };
+  return tokenMs;
 }
--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -50,11 +50,23 @@
 export const AFFINITY_LOAD_BOUND = 1.25;
 /** One in so many choices ignores that a server seems too slow, to learn whether it still is. */
 export const PROBE_ONE_IN = 50;
+/** Share of a class's time between tokens that a server may take to be chosen for it. */
+export const SPEED_MARGIN = 0.9;
+/** Tokens of a stream over which the time between tokens is measured. */
+export const SPEED_SAMPLE_TOKENS = 8;
 /** Prompt tokens that slow a server as much as one more running request. */
 export const PROMPT_TOKENS_PER_LOAD = 500;
+/** Weight of a stream of a higher tier that a long prompt would hold up. */
+export const DISTURBANCE = 0.3;
 /** Prefixes remembered for affinity. */
 export const MAX_PREFIXES = 20_000;
 
+/** In pools of no more servers than this, hosts share their counts of all of them. */
+export const MAX_SHARED_SERVERS = 32;
+
+/** Slots granted for calls of plain services, as a multiple of those that there are. */
+export const CALL_GRANT_FACTOR = 1.25;
+
 /** Weight of a new sample in moving averages. */
 export const EWMA_WEIGHT = 0.1;
 
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -17,6 +17,8 @@
   readonly pool: string;
   /** Only classes that run or wait. */
   readonly classes: readonly ClassDemand[];
+  /** Servers whose other work this host wants to know, and its own there. */
+  readonly servers: readonly events.ServerCount[];
 }
 
 /** Demand of one class. */
@@ -69,6 +71,7 @@
     return hostState.listOwnPools(this.#state).map((pool) => ({
       pool: pool.part.name,
       classes: listClassDemand(this.#state, { pool, lanes }),
+      servers: this.#state.table.listShared(pool.part.name),
     })).filter((demand) => demand.classes.length > 0);
   }
 }
@@ -97,6 +100,8 @@
     case "servers_changed":
       state.table.setServers(event.servers);
       return starting.dispatchQueue(state);
+    case "hosts_changed":
+      return state.table.setHosts(event.hosts);
     case "configured":
       state.classes = event.configuration.classes;
       state.table.setPools(event.configuration.pools);
--- a/packages/core/dispatcher_fuzz_test.ts
+++ b/packages/core/dispatcher_fuzz_test.ts
@@ -76,6 +76,7 @@
     slots: number;
     lowest: number;
     recall: number;
+    elsewhere: number;
   }
   | { kind: "lost" }
   | { kind: "report"; pick: number; running: number };
@@ -152,6 +153,7 @@
       slots: fc.nat({ max: 3 }),
       lowest: fc.nat({ max: 3 }),
       recall: fc.nat({ max: 3 }),
+      elsewhere: fc.nat({ max: 3 }),
     }),
   },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant("lost" as const) }) },
@@ -313,6 +315,7 @@
   readonly oracle = new Oracle();
   readonly dispatcher = new core.Dispatcher({
     failureDomain: "a",
+    host: "h0",
     random: utils.createRandom(1),
   });
   now = 0;
@@ -321,6 +324,7 @@
   constructor() {
     this.send({ kind: "configured", configuration: buildConfiguration() });
     this.send({ kind: "servers_changed", servers: SERVERS });
+    this.send({ kind: "hosts_changed", hosts: ["h0", "h1"] });
   }
 
   send(event: core.DispatchEvent): void {
@@ -490,6 +494,8 @@
       lowestTierElsewhere: next.lowest,
       queuedElsewhere: [],
       recallForTier: next.recall,
+      runningElsewhere: SERVERS.filter((info) => info.pool === pool.name)
+        .map((info) => ({ server: info.name, running: next.elsewhere })),
     }));
     this.send({ kind: "granted", grants, asOf: this.now });
   }
--- a/packages/core/dispatcher_test.ts
+++ b/packages/core/dispatcher_test.ts
@@ -1,85 +1,7 @@
 /** Failures that the fuzzer found in the dispatcher, one test each. */
 import * as tap from "tap";
-import * as utils from "@banyangrade/utils";
-import * as core from "./mod.ts";
-
-const POOL: core.PoolPart = {
-  kind: "pool",
-  name: "rooms",
-  serves: "service",
-  failureDomain: "a",
-  targets: ["rooms"],
-  slots: 2,
-  spot: false,
-  costPerHour: 1,
-  checksFencing: false,
-  minServers: 0,
-  maxServers: 0,
-};
-
-function buildClass(tier: number): core.ClassPart {
-  return {
-    kind: "class",
-    name: `tier${tier}`,
-    tier,
-    firstTokenMs: 500,
-    betweenTokensMs: 50,
-    queueMs: 1_000,
-    share: 0,
-  };
-}
-
-function startDispatcher(): core.Dispatcher {
-  const dispatcher = new core.Dispatcher({
-    failureDomain: "a",
-    random: utils.createRandom(1),
-  });
-  const configuration = core.applyChange(core.EMPTY_CONFIGURATION, {
-    revision: 1,
-    previousDigest: "",
-    puts: [buildClass(1), buildClass(2), POOL],
-    removes: [],
-    author: "test",
-    writerToken: "1",
-  }).unwrap();
-  dispatcher.handle({ kind: "configured", configuration }, 0);
-  dispatcher.handle({
-    kind: "servers_changed",
-    servers: ["r1", "r2"].map((name) => ({
-      name,
-      pool: "rooms",
-      url: "",
-      state: "live",
-    })),
-  }, 0);
-  return dispatcher;
-}
-
-function buildRequest(
-  id: string,
-  options: { readonly tier: number; readonly repeatable?: boolean },
-): core.Request {
-  return {
-    id,
-    customer: "c",
-    keyId: "k",
-    className: `tier${options.tier}`,
-    tier: options.tier,
-    target: "rooms",
-    kind: "call",
-    pools: [],
-    promptTokens: 0,
-    maxTokens: 0,
-    prefix: "",
-    fingerprint: id.split("#")[0],
-    repeatable: options.repeatable ?? true,
-    arrivedAt: 0,
-    startBy: 1_000,
-    targetMs: 500,
-    targetBetweenMs: 50,
-    weight: 1,
-  };
-}
+import type * as core from "./mod.ts";
+import * as testing from "./testing.ts";
 
 function listKinds(effects: readonly core.DispatchEffect[]): string[] {
   return effects.map((effect) => effect.kind);
@@ -91,16 +13,16 @@
     // Parents get "overloaded" for lookups while redrafts hold every slot. The
     // host was stopped for longer than the lookups may wait; at its next look at
     // the time it refused what was overdue before it let it preempt.
-    const dispatcher = startDispatcher();
+    const dispatcher = testing.startDispatcher();
     [1, 2, 3, 4].forEach((n) =>
       dispatcher.handle({
         kind: "arrived",
-        request: buildRequest(`low${n}`, { tier: 2 }),
+        request: testing.buildRequest(`low${n}`, { tier: 2 }),
       }, 0)
     );
     dispatcher.handle({
       kind: "arrived",
-      request: buildRequest("high", { tier: 1 }),
+      request: testing.buildRequest("high", { tier: 1 }),
     }, 0);
     const effects = dispatcher.handle({ kind: "ticked" }, 60_000);
     t.ok(listKinds(effects).includes("stop"), "lower work is preempted");
@@ -120,11 +42,11 @@
     // A counter check is refused although long dossiers run on the same host.
     // The servers' reports show other hosts' work beside them, so stopping one
     // dossier made no room, and the host gave up after the first.
-    const dispatcher = startDispatcher();
+    const dispatcher = testing.startDispatcher();
     [1, 2, 3, 4].forEach((n) =>
       dispatcher.handle({
         kind: "arrived",
-        request: buildRequest(`low${n}`, { tier: 2 }),
+        request: testing.buildRequest(`low${n}`, { tier: 2 }),
       }, 0)
     );
     ["r1", "r2"].forEach((server) =>
@@ -135,7 +57,7 @@
     );
     dispatcher.handle({
       kind: "arrived",
-      request: buildRequest("high", { tier: 1 }),
+      request: testing.buildRequest("high", { tier: 1 }),
     }, 0);
     const effects = dispatcher.handle({ kind: "ticked" }, 900);
     t.ok(listKinds(effects).filter((kind) => kind === "stop").length >= 2);
@@ -148,10 +70,10 @@
   // Engines go down one after the other. A request that brings down whatever
   // runs it is sent again by its caller to the same host, which had counted
   // two lost servers but looked only at the list that other hosts had sent.
-  const dispatcher = startDispatcher();
+  const dispatcher = testing.startDispatcher();
   dispatcher.handle({
     kind: "arrived",
-    request: buildRequest("poison#1", { tier: 1 }),
+    request: testing.buildRequest("poison#1", { tier: 1 }),
   }, 0);
   [1, 2].forEach((attempt) =>
     dispatcher.handle({
@@ -165,7 +87,7 @@
   );
   const effects = dispatcher.handle({
     kind: "arrived",
-    request: buildRequest("poison#2", { tier: 1 }),
+    request: testing.buildRequest("poison#2", { tier: 1 }),
   }, 0);
   t.match(effects, [{ kind: "refuse", refusal: { code: "poison_request" } }]);
   t.end();
@@ -174,16 +96,16 @@
 tap.t.test("work that may not be repeated is never preempted", (t) => {
   // A room is booked twice. A lookup preempted a running booking, which was
   // put back into the queue and sent to a second server.
-  const dispatcher = startDispatcher();
+  const dispatcher = testing.startDispatcher();
   [1, 2, 3, 4].forEach((n) =>
     dispatcher.handle({
       kind: "arrived",
-      request: buildRequest(`book${n}`, { tier: 2, repeatable: false }),
+      request: testing.buildRequest(`book${n}`, { tier: 2, repeatable: false }),
     }, 0)
   );
   dispatcher.handle({
     kind: "arrived",
-    request: buildRequest("high", { tier: 1 }),
+    request: testing.buildRequest("high", { tier: 1 }),
   }, 0);
   const effects = dispatcher.handle({ kind: "ticked" }, 900);
   t.notOk(listKinds(effects).includes("stop"));
@@ -196,18 +118,18 @@
     // An overload has ended, and still every summary comes too late. The queue
     // holds requests that have missed their target; served first, they keep the
     // fresh ones waiting until these have missed it too.
-    const dispatcher = startDispatcher();
+    const dispatcher = testing.startDispatcher();
     [1, 2, 3, 4, 5, 6, 7, 8].forEach((n) =>
       dispatcher.handle({
         kind: "arrived",
-        request: buildRequest(`old${n}`, { tier: 1 }),
+        request: testing.buildRequest(`old${n}`, { tier: 1 }),
       }, 0)
     );
     dispatcher.handle({ kind: "ticked" }, 600);
     dispatcher.handle({
       kind: "arrived",
       request: {
-        ...buildRequest("fresh", { tier: 1 }),
+        ...testing.buildRequest("fresh", { tier: 1 }),
         arrivedAt: 600,
         startBy: 1_600,
       },
@@ -229,12 +151,12 @@
     // A booking could not be sent and came back to the queue after its time to
     // start. Another customer's booking was the head of the lane and not late,
     // so nothing was preempted, and the first was refused beside a redraft.
-    const dispatcher = startDispatcher();
+    const dispatcher = testing.startDispatcher();
     const send = (id: string, tier: number, customer: string, at: number) =>
       dispatcher.handle({
         kind: "arrived",
         request: {
-          ...buildRequest(id, { tier, repeatable: tier > 1 }),
+          ...testing.buildRequest(id, { tier, repeatable: tier > 1 }),
           customer,
           weight: customer === "a" ? 0.25 : 1,
           arrivedAt: at,
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -1,9 +1,11 @@
 /** Ends of attempts: whole answers, failures and what follows from them. */
 import * as attempts from "./attempts.ts";
+import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
 import * as hostState from "./host_state.ts";
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
+import * as servers from "./servers.ts";
 import * as starting from "./starting.ts";
 
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
@@ -30,7 +32,7 @@
 ): attempts.Attempt | undefined {
   const ended = state.running.remove(id);
   if (ended === undefined) return undefined;
-  state.table.recordEnd(ended.server, ended.pool, ended.request.className);
+  state.table.recordEnd(ended);
   const server = state.table.get(ended.server);
   if (server !== undefined && ended.suspect) server.suspects -= 1;
   if (ended.tokens === 0) endPrompt(state, ended);
@@ -47,8 +49,30 @@
   state: hostState.HostState,
   event: EventOf<"progressed">,
 ): void {
-  const first = state.running.recordProgress(event, state.now);
-  if (first !== undefined) endPrompt(state, first);
+  const progress = state.running.recordProgress(event, state.now);
+  if (progress === undefined) return;
+  if (progress.first) endPrompt(state, progress.current);
+  recordSpeed(state, {
+    attempt: progress.current,
+    least: constants.SPEED_SAMPLE_TOKENS,
+  });
+}
+
+/**
+ * Learns how fast a server is while its streams run: an engine that has become
+ * slow would otherwise be given work until its first answers are whole.
+ */
+function recordSpeed(
+  state: hostState.HostState,
+  { attempt, least }: {
+    readonly attempt: attempts.Attempt;
+    readonly least: number;
+  },
+): void {
+  const server = state.table.get(attempt.server);
+  const tokenMs = attempts.measureTokenMs(attempt, { now: state.now, least });
+  if (server === undefined || tokenMs === undefined) return;
+  state.table.recordSpeed(server, tokenMs);
 }
 
 /** A server has taken an attempt's prompt in, or will not. */
@@ -80,10 +104,8 @@
     serviceMs: state.now - ended.startedAt,
   });
   const server = state.table.get(ended.server);
-  if (server !== undefined) {
-    const tokenMs = attempts.measureTokenMs(ended, state.now);
-    state.table.recordSuccess(server, tokenMs);
-  }
+  if (server !== undefined) servers.recordSuccess(server);
+  recordSpeed(state, { attempt: ended, least: 1 });
   dispatchFreed(state, ended);
 }
 
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -34,6 +34,12 @@
   readonly cacheFree: number;
 }
 
+/** How many requests a server runs, as far as some host or hosts know. */
+export interface ServerCount {
+  readonly server: string;
+  readonly running: number;
+}
+
 /** How many requests of a tier. */
 export interface TierCount {
   readonly tier: number;
@@ -60,8 +66,13 @@
   readonly queuedElsewhere: readonly TierCount[];
   /** Tiers below this number's priority are to be stopped while over the grant; 0 if none. */
   readonly recallForTier: number;
+  /** What other hosts run on the servers that this host asked about. */
+  readonly runningElsewhere: readonly ServerCount[];
 }
 
+/** The part of a grant that follows from the division of a pool's slots. */
+export type PoolGrant = Omit<Grant, "runningElsewhere">;
+
 /** A server that was lost while it ran a request with this fingerprint. */
 export interface SuspectMark {
   readonly fingerprint: string;
@@ -99,6 +110,11 @@
     readonly kind: "servers_changed";
     readonly servers: readonly ServerInfo[];
   }
+  | {
+    /** Live hosts of this failure domain, this one included. */
+    readonly kind: "hosts_changed";
+    readonly hosts: readonly string[];
+  }
   | {
     readonly kind: "configured";
     readonly configuration: config.Configuration;
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -18,6 +18,8 @@
 /** Options of {@link createHostState}. */
 export interface HostStateOptions {
   readonly failureDomain: string;
+  /** Name of this host. */
+  readonly host: string;
   readonly random: utils.Random;
 }
 
@@ -49,7 +51,7 @@
  * const state = createHostState({ failureDomain: "rosenheim", random });
  */
 export function createHostState(options: HostStateOptions): HostState {
-  const table = new servers.ServerTable();
+  const table = new servers.ServerTable(options);
   return {
     now: 0,
     effects: [],
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -38,6 +38,13 @@
   readonly overflow: boolean;
 }
 
+/** Moment and bounds of one look at the servers. */
+interface Choice {
+  readonly wanted: request.Request;
+  readonly now: number;
+  readonly isUsable: (server: servers.ServerState) => boolean;
+}
+
 /** Chooses backend servers for one host. */
 export class Router {
   readonly #table: servers.ServerTable;
@@ -61,19 +68,32 @@
     options: RouteOptions,
   ): servers.ServerState | undefined {
     const candidates = this.#table.listFor(wanted.target);
+    const home = this.#table.listHomeFor(wanted.target);
     const isUsable = (server: servers.ServerState) =>
       this.#isUsable(server, { wanted, options });
     // A server whose tokens come too slowly for the class misses its target for
     // certain; what is left of the patience is better spent waiting.
     const probing = this.#random.below(constants.PROBE_ONE_IN) === 0;
     const isFastEnough = (server: servers.ServerState) =>
-      (probing || server.tokenMs <= wanted.targetBetweenMs) && isUsable(server);
-    const chosen = this.#chooseByPrefix(wanted, isFastEnough) ??
-      this.#chooseByLoad(candidates, isFastEnough) ??
-      (options.overflow
-        ? this.#chooseByLoad(candidates, isUsable)
-        : undefined) ??
-      this.#chooseAvoided(wanted, options);
+      (probing ||
+        server.tokenMs <=
+          constants.SPEED_MARGIN * wanted.targetBetweenMs) &&
+      isUsable(server);
+    const isHome = (server: servers.ServerState) =>
+      server.running < server.homeSlots && isFastEnough(server);
+    const { now } = options;
+    const chosen =
+      this.#chooseByPrefix(wanted, { wanted, now, isUsable: isFastEnough }) ??
+        this.#chooseByLoad(home, { wanted, now, isUsable: isHome }) ??
+        this.#chooseByLoad(candidates, {
+          wanted,
+          now,
+          isUsable: isFastEnough,
+        }) ??
+        (options.overflow
+          ? this.#chooseByLoad(candidates, { wanted, now, isUsable })
+          : undefined) ??
+        this.#chooseAvoided(wanted, options);
     if (chosen !== undefined && wanted.prefix !== "") {
       this.#prefixes.set(this.#getPrefixKey(wanted), chosen.info.name);
     }
@@ -111,7 +131,7 @@
    */
   #chooseByPrefix(
     wanted: request.Request,
-    isUsable: (server: servers.ServerState) => boolean,
+    { now, isUsable }: Choice,
   ): servers.ServerState | undefined {
     if (!this.#affinity || wanted.prefix === "") return undefined;
     const name = this.#prefixes.get(this.#getPrefixKey(wanted));
@@ -120,41 +140,50 @@
     const pool = this.#table.getPool(server.info.pool);
     const usual = (pool?.running ?? 0) / Math.max(1, pool?.totalSlots ?? 1);
     const bound = constants.AFFINITY_LOAD_BOUND * usual * server.pool.slots;
-    return servers.estimateLoad(server) <= Math.max(1, bound)
+    return servers.estimateLoad(server, now) <= Math.max(1, bound)
       ? server
       : undefined;
   }
 
   #chooseByLoad(
     candidates: readonly servers.ServerState[],
-    isUsable: (server: servers.ServerState) => boolean,
+    choice: Choice,
   ): servers.ServerState | undefined {
+    const { isUsable } = choice;
     if (candidates.length === 0) return undefined;
     for (let pair = 0; pair < RANDOM_PAIRS; pair += 1) {
       const drawn = [
         candidates[this.#random.below(candidates.length)],
         candidates[this.#random.below(candidates.length)],
       ];
-      const better = this.#findLeastLoaded(drawn.filter(isUsable));
+      const better = this.#findLeastLoaded(drawn.filter(isUsable), choice);
       if (better !== undefined) return better;
     }
-    return this.#findLeastLoaded(candidates.filter(isUsable));
+    return this.#findLeastLoaded(candidates.filter(isUsable), choice);
   }
 
   #findLeastLoaded(
     usable: readonly servers.ServerState[],
+    choice: Choice,
   ): servers.ServerState | undefined {
     return usable.reduce<servers.ServerState | undefined>(
       (best, server) =>
-        best && this.#score(best) <= this.#score(server) ? best : server,
+        best && this.#score(best, choice) <= this.#score(server, choice)
+          ? best
+          : server,
       undefined,
     );
   }
 
   /** Relative load, weighed by how slow its tokens are against its pool's. */
-  #score(server: servers.ServerState): number {
+  #score(server: servers.ServerState, { wanted, now }: Choice): number {
     const prompting = server.prompting / constants.PROMPT_TOKENS_PER_LOAD;
-    const load = (servers.estimateLoad(server) + prompting + 1) /
+    // A long prompt holds up every stream beside it.
+    const disturbed = constants.DISTURBANCE *
+      countHigher(server, wanted.tier) * wanted.promptTokens /
+      constants.PROMPT_TOKENS_PER_LOAD;
+    const load =
+      (servers.estimateLoad(server, now) + prompting + disturbed + 1) /
       server.pool.slots;
     const typical = this.#table.getPool(server.info.pool)?.tokenMs ?? 0;
     const known = server.tokenMs > 0 && typical > 0;
@@ -174,6 +203,14 @@
   }
 }
 
+/** Counts this host's requests of higher tiers that a server is running. */
+function countHigher(server: servers.ServerState, tier: number): number {
+  return server.runningByTier.reduce(
+    (sum, count, other) => other < tier ? sum + count : sum,
+    0,
+  );
+}
+
 function isWithinTurn(
   pool: servers.PoolState,
   { wanted, options }: { wanted: request.Request; options: RouteOptions },
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -5,6 +5,8 @@
 import * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
+import * as partition from "./partition.ts";
+import type * as request from "./request.ts";
 
 /** One backend server as this host sees it. */
 export interface ServerState {
@@ -12,8 +14,14 @@
   readonly pool: config.PoolPart;
   /** Requests of this host that it is running. */
   running: number;
+  /** Its requests by tier, the tier being the index. */
+  readonly runningByTier: number[];
   /** Prompt tokens of this host that it has not yet taken in. */
   prompting: number;
+  /** Slots of it that this host prefers over those of other servers. */
+  homeSlots: number;
+  /** What other hosts run on it, as the capacity leader told at `at`. */
+  elsewhere?: { readonly running: number; readonly at: number };
   /** Suspect requests among them. */
   suspects: number;
   /** Last load report, the time it arrived and what this host had running then. */
@@ -45,11 +53,24 @@
 
 /** All backend servers and pools that the host knows. */
 export class ServerTable {
+  readonly #host: string;
+  #hosts: readonly string[] = [];
   readonly #servers = new Map<string, ServerState>();
   readonly #pools = new Map<string, PoolState>();
   #byTarget = new Map<string, ServerState[]>();
+  #homeByTarget = new Map<string, ServerState[]>();
   #infos: readonly events.ServerInfo[] = [];
 
+  constructor({ host }: { readonly host: string }) {
+    this.#host = host;
+  }
+
+  /** Takes over the live hosts of the failure domain. */
+  setHosts(hosts: readonly string[]): void {
+    this.#hosts = hosts;
+    this.#divideAll();
+  }
+
   /** Takes over the pools of a configuration. */
   setPools(pools: ReadonlyMap<string, config.PoolPart>): void {
     [...this.#pools.keys()].filter((name) => !pools.has(name))
@@ -68,10 +89,56 @@
     [...this.#servers.keys()].filter((name) => !listed.has(name))
       .forEach((name) => this.#servers.delete(name));
     infos.forEach((info) => this.#setServer(info));
-    this.#indexTargets();
+    this.#byTarget = indexByTarget([...this.#servers.values()]);
     this.#pools.forEach((pool) => {
       pool.totalSlots = countLiveSlots(this.#servers, pool.part.name);
     });
+    this.#divideAll();
+  }
+
+  #divideAll(): void {
+    this.#pools.forEach((_, pool) => this.#divide(pool));
+    const home = [...this.#servers.values()]
+      .filter((server) => server.homeSlots > 0);
+    this.#homeByTarget = indexByTarget(home);
+  }
+
+  #divide(pool: string): void {
+    const live = this.#listOf(pool).filter(({ info }) => info.state === "live");
+    const home = partition.computeHomeSlots(
+      live.map(({ info, pool: { slots } }) => ({ name: info.name, slots })),
+      { hosts: this.#hosts, host: this.#host },
+    );
+    this.#listOf(pool).forEach((server) => {
+      server.homeSlots = home.get(server.info.name) ?? 0;
+    });
+  }
+
+  #listOf(pool: string): ServerState[] {
+    return [...this.#servers.values()].filter(({ info }) => info.pool === pool);
+  }
+
+  /**
+   * Lists the servers of a pool of which this host must know what others run
+   * there: all in a small failure domain, else its own and those it uses.
+   * Calls of plain services are over before word of them arrives, so counts of
+   * those would only keep slots empty.
+   */
+  listShared(pool: string): events.ServerCount[] {
+    if (this.#pools.get(pool)?.part.serves === "service") return [];
+    const own = this.#listOf(pool);
+    const all = own.length <= constants.MAX_SHARED_SERVERS;
+    return own.filter((server) =>
+      all || server.homeSlots > 0 || server.running > 0
+    ).map(({ info, running }) => ({ server: info.name, running }));
+  }
+
+  /** Records what other hosts ran at time `at`. */
+  recordElsewhere(counts: readonly events.ServerCount[], at: number): void {
+    counts.forEach(({ server, running }) => {
+      const known = this.#servers.get(server);
+      if (known !== undefined) known.elsewhere = { running, at };
+    });
   }
 
   #setServer(info: events.ServerInfo): void {
@@ -87,6 +154,8 @@
         info,
         pool,
         running: 0,
+        homeSlots: 0,
+        runningByTier: [],
         prompting: 0,
         suspects: 0,
         consecutiveFailures: 0,
@@ -98,17 +167,6 @@
     );
   }
 
-  #indexTargets(): void {
-    this.#byTarget = new Map();
-    this.#servers.forEach((server) =>
-      server.pool.targets.forEach((target) => {
-        const list = this.#byTarget.get(target);
-        if (list === undefined) this.#byTarget.set(target, [server]);
-        else list.push(server);
-      })
-    );
-  }
-
   get(name: string): ServerState | undefined {
     return this.#servers.get(name);
   }
@@ -130,14 +188,23 @@
     return this.#byTarget.get(target) ?? [];
   }
 
+  /** Lists those of them that this host prefers. */
+  listHomeFor(target: string): readonly ServerState[] {
+    return this.#homeByTarget.get(target) ?? [];
+  }
+
   /** Whether any server that offers a target may be given one more request. */
   hasRoomFor(target: string, now: number): boolean {
     return this.listFor(target).some((server) => hasRoom(server, now));
   }
 
   /** Records that an attempt began. */
-  recordStart(server: ServerState, className: string): void {
+  recordStart(
+    server: ServerState,
+    { className, tier }: Pick<request.Request, "className" | "tier">,
+  ): void {
     server.running += 1;
+    server.runningByTier[tier] = (server.runningByTier[tier] ?? 0) + 1;
     const pool = this.#pools.get(server.info.pool);
     if (pool === undefined) return;
     pool.running += 1;
@@ -148,10 +215,18 @@
   }
 
   /** Records that an attempt ended, however it ended. */
-  recordEnd(serverName: string, poolName: string, className: string): void {
-    const server = this.#servers.get(serverName);
-    if (server !== undefined) server.running -= 1;
-    const pool = this.#pools.get(poolName);
+  recordEnd(ended: {
+    readonly server: string;
+    readonly pool: string;
+    readonly request: Pick<request.Request, "className" | "tier">;
+  }): void {
+    const { className, tier } = ended.request;
+    const server = this.#servers.get(ended.server);
+    if (server !== undefined) {
+      server.running -= 1;
+      server.runningByTier[tier] = (server.runningByTier[tier] ?? 1) - 1;
+    }
+    const pool = this.#pools.get(ended.pool);
     if (pool === undefined) return;
     pool.running -= 1;
     pool.runningByClass.set(
@@ -160,11 +235,8 @@
     );
   }
 
-  /** Records a whole answer and how long it took between tokens. */
-  recordSuccess(server: ServerState, tokenMs: number): void {
-    server.consecutiveFailures = 0;
-    server.ejections = 0;
-    if (tokenMs <= 0) return;
+  /** Records how long a server took between tokens, in ms. */
+  recordSpeed(server: ServerState, tokenMs: number): void {
     server.tokenMs = computeAverage(server.tokenMs, tokenMs);
     const pool = this.#pools.get(server.info.pool);
     if (pool !== undefined) {
@@ -194,6 +266,20 @@
   }
 }
 
+function indexByTarget(
+  servers: readonly ServerState[],
+): Map<string, ServerState[]> {
+  const groups = new Map<string, ServerState[]>();
+  servers.forEach((server) =>
+    server.pool.targets.forEach((target) => {
+      const list = groups.get(target);
+      if (list === undefined) groups.set(target, [server]);
+      else list.push(server);
+    })
+  );
+  return groups;
+}
+
 function createPoolState(part: config.PoolPart): PoolState {
   return {
     part,
@@ -229,20 +315,39 @@
     (pool.runningByClass.get(className) ?? 0) < limit;
 }
 
+/**
+ * Records a whole answer: the server is well.
+ *
+ * @example
+ * recordSuccess(server);
+ */
+export function recordSuccess(server: ServerState): void {
+  server.consecutiveFailures = 0;
+  server.ejections = 0;
+}
+
 function computeAverage(average: number, sample: number): number {
   if (average === 0) return sample;
   return average + constants.EWMA_WEIGHT * (sample - average);
 }
 
 /**
- * Estimates what a server is running. A report lags, so this host's own starts
- * and ends since the report are added; it can never be less than what this
- * host itself has running there.
+ * Estimates what a server is running: this host's own work and what the
+ * capacity leader told of the others'. Without recent word from the leader it
+ * goes by the server's report, which lags, so this host's own starts and ends
+ * since then are added; it can never be less than what this host itself has
+ * running there.
  *
  * @example
- * const load = estimateLoad(server);
+ * const load = estimateLoad(server, now);
  */
-export function estimateLoad(server: ServerState): number {
+export function estimateLoad(server: ServerState, now: number): number {
+  const { elsewhere } = server;
+  if (
+    elsewhere !== undefined && now - elsewhere.at < constants.GRANT_VALID_MS
+  ) {
+    return server.running + elsewhere.running;
+  }
   if (server.report === undefined) return server.running;
   const reported = server.report.running + server.report.waiting;
   const since = server.running - server.report.ownRunning;
@@ -254,7 +359,7 @@
  * during its slow start.
  *
  * @example
- * const free = getCapacity(server, now) - estimateLoad(server);
+ * const free = getCapacity(server, now) - estimateLoad(server, now);
  */
 export function getCapacity(server: ServerState, now: number): number {
   const age = now - server.admittedAt;
@@ -275,5 +380,5 @@
 export function hasRoom(server: ServerState, now: number): boolean {
   return server.info.state === "live" &&
     now >= server.ejectedUntil &&
-    estimateLoad(server) < getCapacity(server, now);
+    estimateLoad(server, now) < getCapacity(server, now);
 }
--- a/packages/core/starting.ts
+++ b/packages/core/starting.ts
@@ -90,7 +90,7 @@
     waiting: state.queue.listWaitingFor([lane.target]),
     classes: state.classes,
   });
-  state.table.recordStart(server, queued.request.className);
+  state.table.recordStart(server, queued.request);
   if (queued.suspect) server.suspects += 1;
   server.prompting += queued.request.promptTokens;
   state.running.add({
@@ -101,7 +101,7 @@
     startedAt: state.now,
     offset: queued.offset,
     tokens: 0,
-    firstTokenAt: 0,
+    measured: { tokens: 0, at: state.now },
     suspect: queued.suspect,
     ranBefore: queued.ran,
   });
--- /dev/null
+++ b/packages/core/testing.ts
@@ -0,0 +1,112 @@
+/** A small dispatcher and its requests, for tests. */
+import * as utils from "@banyangrade/utils";
+import * as core from "./mod.ts";
+
+/** A pool of two slots a server. */
+export const POOL: core.PoolPart = {
+  kind: "pool",
+  name: "rooms",
+  serves: "service",
+  failureDomain: "a",
+  targets: ["rooms"],
+  slots: 2,
+  spot: false,
+  costPerHour: 1,
+  checksFencing: false,
+  minServers: 0,
+  maxServers: 0,
+};
+
+function buildClass(tier: number): core.ClassPart {
+  return {
+    kind: "class",
+    name: `tier${tier}`,
+    tier,
+    firstTokenMs: 500,
+    betweenTokensMs: 50,
+    queueMs: 1_000,
+    share: 0,
+  };
+}
+
+/** Options of {@link startDispatcher}. */
+export interface StartOptions {
+  /** @default "h0" */
+  readonly host?: string;
+  /** @default [POOL] */
+  readonly pools?: readonly core.PoolPart[];
+  /** @default 1 */
+  readonly seed?: number;
+}
+
+/**
+ * Starts host h0 of failure domain "a" with classes tier1 and tier2 and two
+ * servers in each pool.
+ *
+ * @example
+ * const dispatcher = startDispatcher({ pools: [POOL] });
+ */
+export function startDispatcher(
+  { host = "h0", pools = [POOL], seed = 1 }: StartOptions = {},
+): core.Dispatcher {
+  const dispatcher = new core.Dispatcher({
+    failureDomain: "a",
+    host,
+    random: utils.createRandom(seed),
+  });
+  const configuration = core.applyChange(core.EMPTY_CONFIGURATION, {
+    revision: 1,
+    previousDigest: "",
+    puts: [buildClass(1), buildClass(2), ...pools],
+    removes: [],
+    author: "test",
+    writerToken: "1",
+  }).unwrap();
+  dispatcher.handle({ kind: "configured", configuration }, 0);
+  dispatcher.handle({
+    kind: "servers_changed",
+    servers: pools.flatMap((pool) => listServers(pool)),
+  }, 0);
+  return dispatcher;
+}
+
+function listServers(pool: core.PoolPart): core.ServerInfo[] {
+  return [1, 2].map((place) => ({
+    name: `${pool.name[0]}${place}`,
+    pool: pool.name,
+    url: "",
+    state: "live",
+  }));
+}
+
+/**
+ * Builds a call of the rooms service that arrives at 0.
+ *
+ * @example
+ * buildRequest("r1", { tier: 1 });
+ */
+export function buildRequest(
+  id: string,
+  options: { readonly tier: number; readonly repeatable?: boolean },
+): core.Request {
+  return {
+    id,
+    customer: "c",
+    keyId: "k",
+    className: `tier${options.tier}`,
+    tier: options.tier,
+    target: "rooms",
+    kind: "call",
+    pools: [],
+    promptTokens: 0,
+    maxTokens: 0,
+    prefix: "",
+    fingerprint: id.split("#")[0],
+    repeatable: options.repeatable ?? true,
+    arrivedAt: 0,
+    startBy: 1_000,
+    targetMs: 500,
+    targetBetweenMs: 50,
+    weight: 1,
+  };
+}
--- a/packages/core/yielding.ts
+++ b/packages/core/yielding.ts
@@ -42,13 +42,15 @@
   const grants = new Map(event.grants.map((grant) => [grant.pool, grant]));
   state.table.listPools().forEach((pool) => {
     const grant = grants.get(pool.part.name);
-    if (grant !== undefined) setGrant(pool, grant);
+    if (grant === undefined) return;
+    setGrant(pool, grant);
+    state.table.recordElsewhere(grant.runningElsewhere, event.asOf);
   });
   returnSlots(state);
   starting.dispatchQueue(state);
 }
 
-function setGrant(pool: servers.PoolState, grant: events.Grant): void {
+function setGrant(pool: servers.PoolState, grant: events.PoolGrant): void {
   pool.limits = new Map(
     grant.limits.map((limit) => [limit.className, limit.slots]),
   );
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -16,10 +16,39 @@
 const CONFIG = "packages/store/config_store_fuzz_test.ts";
 const CLAIMS = "packages/banyangrade/operation_guard_fuzz_test.ts";
 const CALLER = "packages/caller/server_test.ts";
+const ROUTING = "packages/core/routing_test.ts";
 const DISPATCHER = "packages/core/dispatcher_fuzz_test.ts";
 
 /** All removals. */
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "routing: hosts prefer no servers of their own",
+    file: "packages/core/partition.ts",
+    find: "const place = hosts.toSorted().indexOf(host);",
+    replace: "const place = hosts.length > 1 ? -1 : 0;",
+    test: ROUTING,
+  },
+  {
+    name: "routing: what other hosts run is not counted",
+    file: "packages/core/servers.ts",
+    find: "return server.running + elsewhere.running;",
+    replace: "return server.running;",
+    test: ROUTING,
+  },
+  {
+    name: "routing: speed is learned from whole answers only",
+    file: "packages/core/constants.ts",
+    find: "SPEED_SAMPLE_TOKENS = 8",
+    replace: "SPEED_SAMPLE_TOKENS = 10_000",
+    test: ROUTING,
+  },
+  {
+    name: "routing: long prompts go beside any stream",
+    file: "packages/core/constants.ts",
+    find: "DISTURBANCE = 0.3",
+    replace: "DISTURBANCE = 0",
+    test: ROUTING,
+  },
   {
     name: "caller: an early answer closes with bytes unread",
     file: "packages/caller/body.ts",
