Send the broken engine's test through both hosts

Ruled out: a fault of resuming: no request had reached the broken engine.

Change: the requests alternate between the two hosts, twice as many; what is asserted is the same.

--- a/packages/banyangrade/streams_test.ts
+++ b/packages/banyangrade/streams_test.ts
@@ -23,10 +23,11 @@
   const key = await cluster.createKey("studio-rosenheim", ["assistant"]);
   const [first, second] = cluster.hosts;
   const [broken] = cluster.engines;
+  // Through both hosts, since each prefers engines of its own.
   const sendMany = (count: number) =>
     Promise.all(
       Array.from({ length: count }, (_, index) =>
-        testing.sendChat(first, {
+        testing.sendChat(cluster.hosts[index % 2], {
           key,
           tokens: TOKENS,
           prompt: `${Math.floor(index / 2)} ${"x".repeat(index)}`,
@@ -38,7 +39,7 @@
     // rest must follow without a gap and without a word twice.
     broken.setFault({ kind: "break_after", tokens: 5 });
     const before = broken.seen.length;
-    const answers = await sendMany(8);
+    const answers = await sendMany(16);
     broken.setFault({ kind: "none" });
     t.ok(broken.seen.length > before, "the broken engine was used");
     const resumed = cluster.engines.flatMap((engine) => engine.seen)
@@ -49,7 +50,7 @@
 
   await t.test("an answer to another request is dropped", async (t) => {
     broken.setFault({ kind: "cross" });
-    const answers = await sendMany(6);
+    const answers = await sendMany(12);
     broken.setFault({ kind: "none" });
     answers.forEach((answer) => {
       t.same(listTokens(answer.text), WHOLE);
