--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -17,6 +17,8 @@
 const REPORT_MS = 1_000;
 const REPORT_LAG_MS = 500;
 const MESSAGE_MS = 0.5;
+/** Messages from a host through two relays to a host of another failure domain. */
+const RELAY_HOPS = 3;
 /** Requests that arrive so late in a run may not have ended and are not counted. */
 const TAIL_MS = 30_000;
 /** Between two rounds of the autoscaler. */
@@ -58,6 +60,8 @@
   readonly name: string;
   readonly domain: string;
   readonly policy: naive.Policy;
+  /** Rounds of demand so far. */
+  turn: number;
   /** Where each running request is. */
   readonly places: Map<string, { server: Server; key: string }>;
 }
@@ -209,6 +213,7 @@
       name: `${domain}-${index}`,
       domain,
       places: new Map(),
+      turn: 0,
       policy: this.#options.policy === "naive"
         ? new naive.NaiveDispatcher()
         : new core.Dispatcher({
@@ -263,9 +268,45 @@
 
   #runDemand(host: Host): void {
     this.#sendDemand(host);
+    this.#sendOverflow(host);
     this.#after(DEMAND_MS, () => this.#runDemand(host));
   }
 
+  /**
+   * Demand for other failure domains, each answered by its own allocator; goes
+   * on to the next one while the one before left work waiting, as in the daemon.
+   */
+  #sendOverflow(host: Host, asked: ReadonlySet<string> = new Set()): void {
+    if (!(host.policy instanceof core.Dispatcher)) return;
+    host.turn += 1;
+    const domains = host.policy.listOverflow(host.turn).filter((domain) =>
+      !asked.has(domain.failureDomain) && (asked.size === 0 || domain.waiting)
+    );
+    const names = domains.map((domain) => domain.failureDomain);
+    const all = new Set([...asked, ...names]);
+    domains.forEach((domain) => this.#askDomain(host, domain));
+    if (domains.length === 0) return;
+    this.#after(5 * MESSAGE_MS, () => this.#sendOverflow(host, all));
+  }
+
+  #askDomain(host: Host, { failureDomain, demands }: core.DomainDemand): void {
+    const { name } = host;
+    const asOf = this.#now;
+    this.measure.messages += 1;
+    this.#after(2 * MESSAGE_MS, () => {
+      const allocator = this.#allocators.get(failureDomain);
+      const capacities = this.#listCapacities(failureDomain);
+      allocator?.setDemand(name, { demands, now: this.#now, visiting: true });
+      const grants = allocator?.allocate(capacities, this.#now).get(name) ?? [];
+      const servers = allocator?.listLent(name, capacities) ?? [];
+      const kind = "overflow_granted";
+      this.#after(
+        2 * MESSAGE_MS,
+        () => this.#send(host, { kind, failureDomain, grants, servers, asOf }),
+      );
+    });
+  }
+
   /** Demand goes to the failure domain's allocator and its grants come back. */
   #sendDemand(host: Host): void {
     if (this.#options.policy === "naive") return;
@@ -297,16 +338,17 @@
       scenario.loads.map((load) => [load.part.name, load.part.share]),
     );
     return scenario.pools.filter((pool) => pool.failureDomain === domain)
-      .map((pool) => ({
-        pool: pool.name,
-        slots: core.countGrantable(
-          pool,
-          this.#servers.filter((server) =>
-            server.pool === pool && server.alive && server.info.state === "live"
-          ).length * pool.slots,
-        ),
-        shares,
-      }));
+      .map((pool) => {
+        const live = this.#servers.filter((server) =>
+          server.pool === pool && server.alive && server.info.state === "live"
+        );
+        return {
+          pool: pool.name,
+          slots: core.countGrantable(pool, live.length * pool.slots),
+          shares,
+          servers: live.map((server) => server.info),
+        };
+      });
   }
 
   #send(host: Host, event: core.DispatchEvent): void {
@@ -342,13 +384,13 @@
   }
 
   #spreadMark(from: Host, mark: core.SuspectMark): void {
-    this.#hosts.filter((host) => host !== from && host.domain === from.domain)
-      .forEach((host) =>
-        this.#after(
-          MESSAGE_MS,
-          () => this.#send(host, { kind: "suspected", marks: [mark] }),
-        )
+    this.#hosts.filter((host) => host !== from).forEach((host) => {
+      const hops = host.domain === from.domain ? 1 : RELAY_HOPS;
+      this.#after(
+        hops * MESSAGE_MS,
+        () => this.#send(host, { kind: "suspected", marks: [mark] }),
       );
+    });
   }
 
   /** Whether lower work beyond its share runs where the request could have. */
--- a/packages/banyangrade/capacity_task.ts
+++ b/packages/banyangrade/capacity_task.ts
@@ -26,6 +26,8 @@
 export class CapacityTask {
   readonly #options: CapacityTaskOptions;
   readonly #allocator = new core.CapacityAllocator();
+  /** Peer addresses of hosts of other failure domains that asked. */
+  readonly #visitors = new Map<string, string>();
   #grants: ReadonlyMap<string, readonly core.Grant[]> = new Map();
   #leaderSince = Number.POSITIVE_INFINITY;
   #allocatedAt = Number.NEGATIVE_INFINITY;
@@ -72,20 +74,50 @@
     return Math.max(1, hosts / constants.HOSTS_AT_FULL_RATE);
   }
 
-  /** At the leader: takes a host's demand and answers with its grants. */
-  takeDemand(message: peer.DemandMessage): peer.GrantMessage | undefined {
+  /**
+   * Takes a host's demand and answers with its grants, at the leader; a host of
+   * another failure domain does not know who that is, so its demand is passed on.
+   */
+  async takeDemand(
+    message: peer.DemandMessage,
+  ): Promise<peer.GrantMessage | undefined> {
+    if (message.visitor === undefined || this.#isLeader()) {
+      return this.#answerDemand(message);
+    }
+    const answer = await this.#callLeader(message);
+    return answer.unwrapOr(undefined);
+  }
+
+  #answerDemand(message: peer.DemandMessage): peer.GrantMessage | undefined {
     const now = this.#options.clock.now();
-    this.#allocator.setDemand(message.host, { demands: message.demands, now });
+    const { host, demands, visitor } = message;
+    const visiting = visitor !== undefined;
+    if (visiting) this.#visitors.set(host, visitor);
+    this.#allocator.setDemand(host, { demands, now, visiting });
     if (!this.#isLeader()) return undefined;
     this.#leaderSince = Math.min(this.#leaderSince, now);
     // A new leader does not know what the others are running yet.
     if (now - this.#leaderSince < constants.LEADER_WARMUP_MS) return undefined;
     this.#allocateSoon();
-    const grants = this.#grants.get(message.host);
-    return grants && { leader: this.#options.host, grants };
+    const grants = this.#grants.get(host);
+    return grants && this.#buildMessage(host, grants);
+  }
+
+  #buildMessage(
+    host: string,
+    grants: readonly core.Grant[],
+  ): peer.GrantMessage {
+    return {
+      leader: this.#options.host,
+      failureDomain: this.#options.failureDomain,
+      grants,
+      servers: this.#visitors.has(host)
+        ? this.#allocator.listLent(host, this.#listCapacities())
+        : [],
+    };
   }
 
-  /** Takes grants that the leader pushed. */
+  /** Takes grants that a leader pushed. */
   takeGrants(message: peer.GrantMessage): void {
     this.#apply(message, this.#options.clock.now());
   }
@@ -145,11 +177,15 @@
 
   async #sendDemand(
     message: peer.DemandMessage,
+  ): Promise<utils.Result<peer.GrantMessage | undefined, utils.StepError>> {
+    if (this.#isLeader()) return utils.Ok(this.#answerDemand(message));
+    return await this.#callLeader(message);
+  }
+
+  async #callLeader(
+    message: peer.DemandMessage,
   ): Promise<utils.Result<peer.GrantMessage | undefined, utils.StepError>> {
     const leader = this.getLeader();
-    if (leader.name === this.#options.host) {
-      return utils.Ok(this.takeDemand(message));
-    }
     const answer = await this.#options.clients.call(
       { address: leader.address, step: "peer.demand" },
       (client, signal) => client.demand.mutate(message, { signal }),
@@ -166,11 +202,13 @@
   }
 
   #apply(message: peer.GrantMessage, asOf: number): void {
-    this.#options.dispatch.send({
-      kind: "granted",
-      grants: message.grants,
-      asOf,
-    });
+    const { failureDomain, grants, servers } = message;
+    const own = failureDomain === this.#options.failureDomain;
+    this.#options.dispatch.send(
+      own
+        ? { kind: "granted", grants, asOf }
+        : { kind: "overflow_granted", failureDomain, grants, servers, asOf },
+    );
   }
 
   /** Allocates now, or once 50 ms have passed since the last time. */
@@ -202,22 +240,27 @@
     const shares = new Map(
       [...classes.values()].map((part) => [part.name, part.share]),
     );
-    return this.#options.dispatcher.inspect().pools
+    const inspected = this.#options.dispatcher.inspect();
+    const servers = inspected.servers.map((server) => server.info)
+      .filter((info) => info.state === "live");
+    return inspected.pools
       .filter((pool) => pool.part.failureDomain === this.#options.failureDomain)
       .map((pool) => ({
         pool: pool.part.name,
         slots: core.countGrantable(pool.part, pool.totalSlots),
         shares,
+        servers: servers.filter((info) => info.pool === pool.part.name),
       }));
   }
 
   #push(host: string, grants: readonly core.Grant[]): void {
-    const message = { leader: this.#options.host, grants };
+    const message = this.#buildMessage(host, grants);
     if (host === this.#options.host) return this.takeGrants(message);
-    const member = this.#options.overlay.members.get(host);
-    if (member === undefined) return;
+    const address = this.#options.overlay.members.get(host)?.address ??
+      this.#visitors.get(host);
+    if (address === undefined) return;
     void this.#options.clients.call(
-      { address: member.address, step: "peer.grants" },
+      { address, step: "peer.grants" },
       (client, signal) => client.grants.mutate(message, { signal }),
     );
   }
--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -36,6 +36,7 @@
       .map((seed) => seed.address),
   );
   parts.capacity.start();
+  parts.overflow.start();
   parts.usage.start();
   parts.orders.start();
   const stopPolls = startPolls(parts);
@@ -51,6 +52,7 @@
     stopPolls();
     stopCertificates();
     parts.capacity.stop();
+    parts.overflow.stop();
     parts.orders.stop();
     parts.config.stop();
     parts.dispatch.stop();
@@ -119,6 +121,7 @@
     getDelta: (revision) => parts.config.getDelta(revision),
     takeDemand: (message) => parts.capacity.takeDemand(message),
     takeGrants: (message) => parts.capacity.takeGrants(message),
+    listRemoteContacts: () => parts.overlay.listRemoteContacts(),
     takeUsage: (message) => parts.usage.take(message),
     sumDemand: (pools) => parts.capacity.sumDemand(pools),
     runTicket: (message) => parts.front.runTicket(message),
--- a/packages/banyangrade/host_parts.ts
+++ b/packages/banyangrade/host_parts.ts
@@ -17,6 +17,7 @@
 import * as front from "./front.ts";
 import * as metricsModule from "./metrics.ts";
 import * as guard from "./operation_guard.ts";
+import * as overflowTask from "./overflow_task.ts";
 import * as ordersTask from "./orders_task.ts";
 import * as refusalsModule from "./recent_refusals.ts";
 import * as settingsModule from "./settings.ts";
@@ -49,6 +50,7 @@
   /** Keys withdrawn ahead of the configuration, for as long as this process runs. */
   readonly withdrawn: Set<string>;
   readonly capacity: capacityTask.CapacityTask;
+  readonly overflow: overflowTask.OverflowTask;
   readonly usage: usageTask.UsageTask;
   readonly orders: ordersTask.OrdersTask;
   readonly roles: readonly store.LeaseHolder[];
@@ -199,6 +201,10 @@
     log: getLog(draft, "capacity"),
     getConfiguration: () => draft.config.get(),
   });
+  draft.overflow = new overflowTask.OverflowTask({
+    ...draft,
+    address: draft.settings.peer.address,
+  });
 }
 
 /** The tasks of the control roles, and the tries for them. */
--- a/packages/core/allocation.ts
+++ b/packages/core/allocation.ts
@@ -7,11 +7,12 @@
  */
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
-import type * as dispatcher from "./dispatcher.ts";
 import type * as events from "./events.ts";
 
 /** Demand older than this is forgotten, in ms. */
 const DEMAND_VALID_MS = 15_000;
+/** The same for hosts of other failure domains, whose grants end by themselves. */
+const VISITOR_VALID_MS = constants.GRANT_VALID_MS;
 
 /** What the allocator must know of a pool. */
 export interface PoolCapacity {
@@ -20,16 +21,21 @@
   readonly slots: number;
   /** Guaranteed share of each class. */
   readonly shares: ReadonlyMap<string, number>;
+  /** Its live servers, of which some are lent to hosts of other failure domains. */
+  readonly servers: readonly events.ServerInfo[];
 }
 
 interface HostDemand {
   readonly at: number;
-  readonly pools: ReadonlyMap<string, dispatcher.PoolDemand>;
+  /** Whether the host stands in another failure domain. */
+  readonly visiting: boolean;
+  readonly pools: ReadonlyMap<string, events.PoolDemand>;
 }
 
 /** One class of one host, with the slots it is given. */
 interface Claimant {
   readonly host: string;
+  readonly visiting: boolean;
   readonly className: string;
   readonly tier: number;
   readonly wanted: number;
@@ -62,21 +68,43 @@
   /** Takes a host's demand. */
   setDemand(
     host: string,
-    { demands, now }: {
-      readonly demands: readonly dispatcher.PoolDemand[];
+    { demands, now, visiting = false }: {
+      readonly demands: readonly events.PoolDemand[];
       readonly now: number;
+      /** @default false */
+      readonly visiting?: boolean;
     },
   ): void {
     this.#demands.set(host, {
       at: now,
+      visiting,
       pools: new Map(demands.map((demand) => [demand.pool, demand])),
     });
   }
 
-  /** Forgets all hosts but these. */
+  /** Forgets all hosts of this failure domain but these. */
   keepHosts(hosts: ReadonlySet<string>): void {
-    [...this.#demands.keys()].filter((host) => !hosts.has(host))
-      .forEach((host) => this.#demands.delete(host));
+    [...this.#demands]
+      .filter(([host, demand]) => !demand.visiting && !hosts.has(host))
+      .forEach(([host]) => this.#demands.delete(host));
+  }
+
+  /**
+   * Chooses servers to lend to a host of another failure domain: those that run
+   * least, a few of each pool that it asks for.
+   */
+  listLent(
+    host: string,
+    capacities: readonly PoolCapacity[],
+  ): events.ServerInfo[] {
+    const asked = this.#demands.get(host)?.pools;
+    return capacities.filter((capacity) => asked?.has(capacity.pool))
+      .flatMap((capacity) => {
+        const counts = this.#countRunning(capacity.pool);
+        const running = (info: events.ServerInfo) => counts.get(info.name) ?? 0;
+        return capacity.servers.toSorted((a, b) => running(a) - running(b))
+          .slice(0, constants.LENT_SERVERS);
+      });
   }
 
   /** Computes every host's grants. */
@@ -84,14 +112,20 @@
     capacities: readonly PoolCapacity[],
     now: number,
   ): ReadonlyMap<string, readonly events.Grant[]> {
-    [...this.#demands].filter(([, demand]) => now - demand.at > DEMAND_VALID_MS)
+    [...this.#demands].filter(([, demand]) => isOutdated(demand, now))
       .forEach(([host]) => this.#demands.delete(host));
-    const hosts = [...this.#demands.keys()].toSorted();
-    const grants = new Map(hosts.map((host) => [host, [] as events.Grant[]]));
+    const hosts = this.#listHosts({ visiting: false });
+    const visitors = this.#listHosts({ visiting: true });
+    const grants = new Map(
+      [...hosts, ...visitors].map((host) => [host, [] as events.Grant[]]),
+    );
     capacities.forEach((capacity) => {
       const claimants = this.#listClaimants(capacity.pool);
       const counts = this.#countRunning(capacity.pool);
-      allocatePool(capacity, { hosts, claimants }).forEach((grant, host) =>
+      allocatePool(capacity, { hosts, visitors, claimants }).forEach((
+        grant,
+        host,
+      ) =>
         grants.get(host)?.push({
           ...grant,
           runningElsewhere: this.#listElsewhere(host, { grant, counts }),
@@ -101,6 +135,12 @@
     return grants;
   }
 
+  #listHosts({ visiting }: { readonly visiting: boolean }): string[] {
+    return [...this.#demands]
+      .filter(([, demand]) => demand.visiting === visiting)
+      .map(([host]) => host).toSorted();
+  }
+
   /** Sums what all hosts run on each server of a pool. */
   #countRunning(pool: string): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
@@ -137,6 +177,7 @@
     return [...this.#demands].flatMap(([host, demand]) =>
       (demand.pools.get(pool)?.classes ?? []).map((classDemand) => ({
         host,
+        visiting: demand.visiting,
         className: classDemand.className,
         tier: classDemand.tier,
         wanted: classDemand.running + classDemand.queued,
@@ -148,25 +189,30 @@
 }
 
 /**
- * Divides one pool's slots: guaranteed shares first, then tier by tier. A class
+ * Divides one pool's slots: guaranteed shares first, then tier by tier, in each
+ * the failure domain's own hosts before those of others. A class
  * that has all it wants may run a little more than that, up to its host's part
  * of the slots of lower tiers: a counter check need not wait for the next
  * message, and all hosts together cannot swamp a server.
  *
  * @example
- * const grants = allocatePool(capacity, { hosts: ["a", "b"], claimants });
+ * const grants = allocatePool(capacity, { hosts: ["a"], visitors: [], claimants });
  */
 export function allocatePool(
   capacity: PoolCapacity,
-  { hosts, claimants }: {
+  { hosts, visitors, claimants }: {
     readonly hosts: readonly string[];
+    /** Hosts of other failure domains. */
+    readonly visitors: readonly string[];
     readonly claimants: readonly Claimant[];
   },
 ): ReadonlyMap<string, events.PoolGrant> {
   let left = capacity.slots;
   const classes = [...new Set(claimants.map((one) => one.className))];
   classes.forEach((className) => {
-    const own = claimants.filter((one) => one.className === className);
+    const own = claimants.filter((one) =>
+      one.className === className && !one.visiting
+    );
     const share = capacity.shares.get(className) ?? 0;
     // Rounded down: in a small pool a whole slot is far more than the share.
     // What is lost by that, hosts give in turns.
@@ -179,7 +225,8 @@
   ) => a - b);
   tiers.forEach((tier) => {
     const own = claimants.filter((one) => one.tier === tier);
-    left -= divideEvenly(own, left);
+    left -= divideEvenly(own.filter((one) => !one.visiting), left);
+    left -= divideEvenly(own.filter((one) => one.visiting), left);
   });
   const headroom = new Map(
     tiers.map((tier) => [
@@ -187,12 +234,21 @@
       computeHeadroom(tier, { capacity, claimants, hosts: hosts.length }),
     ]),
   );
-  return new Map(hosts.map((host) => [
+  const none: ReadonlyMap<number, number> = new Map();
+  return new Map([
+    ...hosts.map((host) => [host, headroom] as const),
+    ...visitors.map((host) => [host, none] as const),
+  ].map(([host, own]) => [
     host,
-    buildGrant(host, { capacity, claimants, headroom }),
+    buildGrant(host, { capacity, claimants, headroom: own }),
   ]));
 }
 
+function isOutdated(demand: HostDemand, now: number): boolean {
+  const valid = demand.visiting ? VISITOR_VALID_MS : DEMAND_VALID_MS;
+  return now - demand.at > valid;
+}
+
 /** Slots beyond its demand that each host may use for a tier. */
 function computeHeadroom(
   tier: number,
@@ -242,6 +298,8 @@
       all: claimants,
     }),
     queuedElsewhere: countQueued(others),
+    short: own.filter((one) => one.given < one.wanted)
+      .map((one) => one.className),
     recallForTier: findHungryTier(claimants, own),
   };
 }
@@ -261,7 +319,8 @@
   });
 }
 
-function countQueued(others: readonly Claimant[]): events.TierCount[] {
+function countQueued(all: readonly Claimant[]): events.TierCount[] {
+  const others = all.filter((one) => !one.visiting);
   const tiers = [...new Set(others.map((one) => one.tier))];
   return tiers.map((tier) => ({
     tier,
--- a/packages/core/attempts.ts
+++ b/packages/core/attempts.ts
@@ -6,6 +6,8 @@
   readonly request: request.Request;
   /** 1 for the first one. */
   readonly attempt: number;
+  /** Attempts before this one of which no byte left this host. */
+  readonly unsent: number;
   readonly server: string;
   readonly pool: string;
   readonly startedAt: number;
--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -32,6 +32,11 @@
 /** Age at which a grant no longer proves what runs on other hosts, in ms. */
 export const GRANT_VALID_MS = 3_000;
 
+/** Age up to which another failure domain's answer says whether it has slots, in ms. */
+export const OVERFLOW_KNOWN_MS = 2_000;
+/** Servers that a failure domain lends to one host of another at a time. */
+export const LENT_SERVERS = 4;
+
 /** Share of the time to start that may pass before lower work is preempted. */
 export const PREEMPT_AT_SLACK = 0.5;
 /** Share of the target that may pass before lower work is preempted. */
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -5,30 +5,15 @@
  */
 import * as ending from "./ending.ts";
 import type * as events from "./events.ts";
+import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
 import * as intake from "./intake.ts";
 import type * as queue from "./queue.ts";
 import type * as servers from "./servers.ts";
+import * as overflow from "./overflow.ts";
 import * as starting from "./starting.ts";
 import * as yielding from "./yielding.ts";
 
-/** Demand of one host for one pool, for the failure domain's allocator. */
-export interface PoolDemand {
-  readonly pool: string;
-  /** Only classes that run or wait. */
-  readonly classes: readonly ClassDemand[];
-  /** Servers whose other work this host wants to know, and its own there. */
-  readonly servers: readonly events.ServerCount[];
-}
-
-/** Demand of one class. */
-export interface ClassDemand {
-  readonly className: string;
-  readonly tier: number;
-  readonly running: number;
-  readonly queued: number;
-}
-
 /** A host's admission, queue, routing and retries. */
 export class Dispatcher {
   readonly #state: hostState.HostState;
@@ -65,8 +50,13 @@
     };
   }
 
+  /** Demand for other failure domains; see {@link overflow.listOverflow}. */
+  listOverflow(turn: number): overflow.DomainDemand[] {
+    return overflow.listOverflow(this.#state, turn);
+  }
+
   /** Sums up this host's demand for each pool of its failure domain. */
-  listDemand(): PoolDemand[] {
+  listDemand(): events.PoolDemand[] {
     const lanes = this.#state.queue.listWaiting();
     return hostState.listOwnPools(this.#state).map((pool) => ({
       pool: pool.part.name,
@@ -107,9 +97,11 @@
       state.table.setPools(event.configuration.pools);
       return starting.dispatchQueue(state);
     case "granted":
-      return yielding.setGrants(state, event);
+      return grants.setGrants(state, event);
     case "grants_lost":
-      return yielding.dropGrants(state);
+      return grants.dropGrants(state);
+    case "overflow_granted":
+      return grants.setOverflow(state, event);
     case "suspected":
       event.marks.forEach((mark) => state.suspects.addForeign(mark, state.now));
       return ending.separateSuspects(state, event.marks);
@@ -132,7 +124,7 @@
     readonly pool: servers.PoolState;
     readonly lanes: readonly queue.Lane[];
   },
-): ClassDemand[] {
+): events.ClassDemand[] {
   const matching = lanes.filter((lane) => hostState.isServedBy(lane, pool));
   return [...state.classes.values()].map((part) => ({
     className: part.name,
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -123,7 +123,7 @@
   if (ended === undefined) return;
   const server = state.table.get(ended.server);
   if (server !== undefined && event.failure !== "refused") {
-    state.table.recordFailure(server, state.now);
+    state.table.recordFailure(server, { ...event, now: state.now });
   }
   if (event.failure === "connection_lost") markSuspect(state, ended);
   decideRetry(state, { event, ended });
@@ -162,7 +162,7 @@
   const wanted = ended.request;
   const decision = retry.decideRetry({
     failure: event.failure,
-    attempt: ended.attempt,
+    sent: ended.attempt - ended.unsent,
     repeatable: wanted.repeatable,
     answerStarted: event.answerStarted,
     resumable: event.resumable,
@@ -184,7 +184,8 @@
     const poison = { refused: wanted, code: "poison_request" } as const;
     return hostState.refuse(state, { ...poison, ran: "unknown" });
   }
-  requeueAttempt(state, { ended, avoid: ended.server, ran });
+  const notSent = event.failure === "not_sent";
+  requeueAttempt(state, { ended, avoid: ended.server, ran, notSent });
 }
 
 /**
@@ -195,10 +196,12 @@
  */
 export function requeueAttempt(
   state: hostState.HostState,
-  { ended, avoid, ran }: {
+  { ended, avoid, ran, notSent = false }: {
     readonly ended: attempts.Attempt;
     readonly avoid?: string;
     readonly ran: request.Ran;
+    /** @default false */
+    readonly notSent?: boolean;
   },
 ): void {
   const wanted = ended.request;
@@ -208,6 +211,7 @@
   state.queue.add({
     request: begun ? { ...wanted, startBy } : wanted,
     attempt: ended.attempt + 1,
+    unsent: ended.unsent + (notSent ? 1 : 0),
     offset: ended.offset + ended.tokens,
     avoid,
     ran,
@@ -312,3 +316,18 @@
     });
   starting.dispatchQueue(state);
 }
+
+/**
+ * Stops an attempt in favour of a higher tier and queues the rest of it.
+ *
+ * @example
+ * preemptAttempt(state, victim);
+ */
+export function preemptAttempt(
+  state: hostState.HostState,
+  victim: attempts.Attempt,
+): void {
+  const requestId = victim.request.id;
+  stopAttempt(state, { requestId, reason: "preempted" });
+  requeueAttempt(state, { ended: victim, ran: "unknown" });
+}
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -40,6 +40,23 @@
   readonly running: number;
 }
 
+/** Demand of one host for one pool, for the failure domain's allocator. */
+export interface PoolDemand {
+  readonly pool: string;
+  /** Only classes that run or wait. */
+  readonly classes: readonly ClassDemand[];
+  /** Servers whose other work this host wants to know, and its own there. */
+  readonly servers: readonly ServerCount[];
+}
+
+/** Demand of one class. */
+export interface ClassDemand {
+  readonly className: string;
+  readonly tier: number;
+  readonly running: number;
+  readonly queued: number;
+}
+
 /** How many requests of a tier. */
 export interface TierCount {
   readonly tier: number;
@@ -64,6 +81,8 @@
   readonly lowestTierElsewhere: number;
   /** Requests queued on other hosts, by tier. */
   readonly queuedElsewhere: readonly TierCount[];
+  /** Classes that got fewer slots than this host asked for. */
+  readonly short: readonly string[];
   /** Tiers below this number's priority are to be stopped while over the grant; 0 if none. */
   readonly recallForTier: number;
   /** What other hosts run on the servers that this host asked about. */
@@ -125,6 +144,15 @@
     readonly asOf: number;
   }
   | { readonly kind: "grants_lost" }
+  | {
+    /** Another failure domain's answer to this host's demand; none if it gave none. */
+    readonly kind: "overflow_granted";
+    readonly failureDomain: string;
+    readonly grants: readonly Grant[];
+    /** Servers there that this host may use. */
+    readonly servers: readonly ServerInfo[];
+    readonly asOf: number;
+  }
   | {
     /** Servers were lost with these requests in flight, here or at another host. */
     readonly kind: "suspected";
--- /dev/null
+++ b/packages/core/grants.ts
@@ -0,0 +1,138 @@
+/** Slots granted to this host: taken over, given back, lent by others. */
+import type * as attempts from "./attempts.ts";
+import * as ending from "./ending.ts";
+import type * as events from "./events.ts";
+import * as hostState from "./host_state.ts";
+import * as overflow from "./overflow.ts";
+import type * as servers from "./servers.ts";
+import * as starting from "./starting.ts";
+
+/**
+ * Takes over the allocator's grants, and gives slots back.
+ *
+ * @example
+ * setGrants(state, event);
+ */
+export function setGrants(
+  state: hostState.HostState,
+  event: Extract<events.DispatchEvent, { kind: "granted" }>,
+): void {
+  state.grantAsOf = event.asOf;
+  const grants = new Map(event.grants.map((grant) => [grant.pool, grant]));
+  state.table.listPools().forEach((pool) => {
+    const grant = grants.get(pool.part.name);
+    if (grant === undefined) return;
+    setGrant(pool, grant);
+    pool.grantedAt = event.asOf;
+    state.table.recordElsewhere(grant.runningElsewhere, event.asOf);
+  });
+  returnSlots(state);
+  starting.dispatchQueue(state);
+}
+
+function setGrant(pool: servers.PoolState, grant: events.PoolGrant): void {
+  pool.limits = new Map(
+    grant.limits.map((limit) => [limit.className, limit.slots]),
+  );
+  pool.lowestTierElsewhere = grant.lowestTierElsewhere;
+  pool.recallForTier = grant.recallForTier;
+  pool.queuedElsewhere = grant.queuedElsewhere;
+  pool.short = grant.short;
+}
+
+/**
+ * Takes over what another failure domain grants and lends.
+ *
+ * @example
+ * setOverflow(state, event);
+ */
+export function setOverflow(
+  state: hostState.HostState,
+  event: Extract<events.DispatchEvent, { kind: "overflow_granted" }>,
+): void {
+  state.table.setVisited(event.failureDomain, event.servers);
+  const grants = new Map(event.grants.map((grant) => [grant.pool, grant]));
+  state.table.listPools()
+    .filter((pool) => pool.part.failureDomain === event.failureDomain)
+    .forEach((pool) => {
+      const grant = grants.get(pool.part.name) ??
+        { ...buildNoGrant(pool), short: [...state.classes.keys()] };
+      setGrant(pool, grant);
+      pool.grantedAt = event.asOf;
+      state.table.recordElsewhere(grant.runningElsewhere, event.asOf);
+    });
+  returnSlots(state);
+  starting.dispatchQueue(state);
+  refuseHopeless(state);
+}
+
+/** Refuses what waited only for word of other failure domains, which have nothing. */
+function refuseHopeless(state: hostState.HostState): void {
+  const hopeless = state.queue.listWaiting().filter((lane) => {
+    const head = lane.peek()?.request;
+    return head !== undefined && !overflow.hasNear(state, head) &&
+      !overflow.mayOverflow(state, head);
+  });
+  hopeless.flatMap((lane) => state.queue.removeAll(lane)).forEach((entry) =>
+    hostState.refuse(state, {
+      refused: entry.request,
+      code: "no_capacity",
+      ran: entry.ran,
+      waitMs: Number.POSITIVE_INFINITY,
+    })
+  );
+}
+
+function buildNoGrant(pool: servers.PoolState): events.Grant {
+  return {
+    pool: pool.part.name,
+    limits: [],
+    lowestTierElsewhere: 0,
+    recallForTier: 0,
+    queuedElsewhere: [],
+    short: [],
+    runningElsewhere: [],
+  };
+}
+
+/**
+ * Goes on without grants: the allocator cannot be reached.
+ *
+ * @example
+ * dropGrants(state);
+ */
+export function dropGrants(state: hostState.HostState): void {
+  hostState.listOwnPools(state)
+    .forEach((pool) => setGrant(pool, buildNoGrant(pool)));
+  starting.dispatchQueue(state);
+}
+
+/** Stops lower work beyond its limit where a higher tier waits elsewhere. */
+function returnSlots(state: hostState.HostState): void {
+  state.table.listPools()
+    .filter((pool) => pool.recallForTier > 0)
+    .forEach((pool) =>
+      state.running.list()
+        .filter((attempt) => isRecalled(attempt, pool))
+        .toSorted((a, b) => b.startedAt - a.startedAt)
+        .forEach((attempt) => {
+          // Each one that is stopped may bring its class within its limit.
+          if (exceedsLimit(pool, attempt.request.className)) {
+            ending.preemptAttempt(state, attempt);
+          }
+        })
+    );
+}
+
+function isRecalled(
+  attempt: attempts.Attempt,
+  pool: servers.PoolState,
+): boolean {
+  return attempt.pool === pool.part.name &&
+    attempt.request.tier > pool.recallForTier && attempt.request.repeatable;
+}
+
+function exceedsLimit(pool: servers.PoolState, className: string): boolean {
+  const limit = pool.limits.get(className) ?? Number.POSITIVE_INFINITY;
+  return (pool.runningByClass.get(className) ?? 0) > limit;
+}
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -7,6 +7,7 @@
 import type * as events from "./events.ts";
 import * as fairness from "./fairness.ts";
 import * as lengths from "./lengths.ts";
+import * as preemption from "./preemption.ts";
 import * as quarantine from "./quarantine.ts";
 import * as queue from "./queue.ts";
 import * as refusals from "./refusals.ts";
@@ -138,6 +139,37 @@
   return listOwnPools(state).filter((pool) => isServedBy(wanted, pool));
 }
 
+/**
+ * Finds running work on this host that gives way to a request.
+ *
+ * @example
+ * const victim = findVictim(state, request);
+ */
+export function findVictim(
+  state: HostState,
+  wanted: request.Request,
+): attempts.Attempt | undefined {
+  return preemption.findVictim(state.running.list(), {
+    tier: wanted.tier,
+    pools: listPoolsFor(state, wanted),
+    classes: state.classes,
+  });
+}
+
+/**
+ * Counts the slots of this host's failure domain that may serve a request.
+ *
+ * @example
+ * countOwnSlots(state, request);
+ */
+export function countOwnSlots(
+  state: HostState,
+  wanted: admission.Routed,
+): number {
+  return listPoolsFor(state, wanted)
+    .reduce((sum, pool) => sum + pool.totalSlots, 0);
+}
+
 /**
  * Whether a pool may serve a request or a lane.
  *
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -2,11 +2,11 @@
 import * as admission from "./admission.ts";
 import * as constants from "./constants.ts";
 import * as hostState from "./host_state.ts";
+import * as overflow from "./overflow.ts";
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
 import type * as servers from "./servers.ts";
 import * as starting from "./starting.ts";
-import * as yielding from "./yielding.ts";
 
 /**
  * Refuses a request or queues it, and starts what can start.
@@ -27,6 +27,7 @@
   state.queue.add({
     request: wanted,
     attempt: 1,
+    unsent: 0,
     offset: 0,
     ran: "no",
     late: false,
@@ -48,7 +49,9 @@
   }
   const hold = state.suspects.getHold(wanted.fingerprint, state.now);
   if (hold > 0) return { code: "poison_request", waitMs: hold };
-  if (state.table.listFor(wanted.target).length === 0) {
+  const served = overflow.hasNear(state, wanted) ||
+    overflow.mayOverflow(state, wanted);
+  if (!served) {
     return { code: "no_capacity", waitMs: Number.POSITIVE_INFINITY };
   }
   return undefined;
@@ -71,6 +74,7 @@
     state.effects.push({ kind: "ask_capacity" });
     return false;
   }
+  if (!full && overflow.mayOverflow(state, wanted)) return false;
   const refused = { refused: wanted, ran: "no", waitMs } as const;
   hostState.refuse(state, { ...refused, code: "overloaded" });
   return true;
@@ -106,7 +110,7 @@
 ): boolean {
   const known = state.now - state.grantAsOf <= constants.GRANT_VALID_MS;
   return (known && admission.hasLowerWork(wanted.tier, pools)) ||
-    yielding.findVictim(state, wanted) !== undefined;
+    hostState.findVictim(state, wanted) !== undefined;
 }
 
 function estimateWait(
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -10,6 +10,7 @@
 export * from "./lease.ts";
 export * from "./membership.ts";
 export * from "./operations.ts";
+export * from "./overflow.ts";
 export * from "./partition.ts";
 export * from "./quarantine.ts";
 export * from "./refusals.ts";
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -1,7 +1,7 @@
 /**
  * Poison requests: a request that was in flight as servers were lost is
- * suspect. Marks spread between the hosts of a failure domain as a grow-only
- * set of (fingerprint, server), so every host counts the same servers once.
+ * suspect. Marks spread between all hosts as a grow-only set of (fingerprint,
+ * server), so every host counts the same servers once.
  */
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
@@ -68,7 +68,7 @@
   }
 }
 
-/** Marks of the failure domain until they lapse, as the overlay keeps them. */
+/** Marks of all hosts until they lapse, as the overlay keeps them. */
 export class MarkSet {
   readonly #marks = new Map<string, PoisonMark>();
 
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -10,6 +10,8 @@
 export interface QueuedRequest {
   readonly request: request.Request;
   readonly attempt: number;
+  /** Attempts so far of which no byte left this host. */
+  readonly unsent: number;
   readonly offset: number;
   /** Whether any attempt so far may have run. */
   readonly ran: request.Ran;
@@ -240,6 +242,13 @@
     return removed;
   }
 
+  /** Removes everything of a lane. */
+  removeAll(lane: Lane): QueuedRequest[] {
+    const removed = lane.removeWhere(() => true);
+    this.#size -= removed.length;
+    return removed;
+  }
+
   /** Removes the overdue requests of each lane; see {@link Lane.removeOverdue}. */
   removeOverdue(
     isOverdue: (queued: QueuedRequest) => boolean,
--- a/packages/core/retry.ts
+++ b/packages/core/retry.ts
@@ -35,7 +35,8 @@
 /** What is known of a failed attempt. */
 export interface FailedAttempt {
   readonly failure: events.AttemptFailure;
-  readonly attempt: number;
+  /** Attempts so far of which a byte may have left this host. */
+  readonly sent: number;
   readonly repeatable: boolean;
   readonly answerStarted: boolean;
   readonly resumable: boolean;
@@ -64,7 +65,11 @@
 /**
  * Decides what follows from a failed attempt. A request that may not be
  * repeated is tried again only when nothing ran; an answer that has begun is
- * tried again only if it can be resumed at its offset.
+ * tried again only if it can be resumed at its offset. An attempt that was not
+ * sent cost no backend server anything: it takes nothing from the budget, and
+ * its server is ejected at once, so the request goes elsewhere or waits. Were
+ * it counted, the second until a lost server leaves the list would use up every
+ * attempt of all that waits.
  *
  * @example
  * decideRetry(failed, () => budget.take());
@@ -76,7 +81,8 @@
   const ran = resolveRan(failed.failure);
   const safe = ran === "no" || failed.repeatable;
   const whole = !failed.answerStarted || failed.resumable;
-  const left = failed.attempt < constants.MAX_ATTEMPTS;
+  if (failed.failure === "not_sent" && whole) return { kind: "retry" };
+  const left = failed.sent < constants.MAX_ATTEMPTS;
   if (safe && whole && left && takeBudget()) return { kind: "retry" };
   return { kind: "give_up", ran };
 }
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -71,6 +71,9 @@
     const home = this.#table.listHomeFor(wanted.target);
     const isUsable = (server: servers.ServerState) =>
       this.#isUsable(server, { wanted, options });
+    const isNear = (server: servers.ServerState) =>
+      server.pool.failureDomain === this.#failureDomain &&
+      isFastEnough(server);
     // A server whose tokens come too slowly for the class misses its target for
     // certain; what is left of the patience is better spent waiting.
     const probing = this.#random.below(constants.PROBE_ONE_IN) === 0;
@@ -83,15 +86,11 @@
       server.running < server.homeSlots && isFastEnough(server);
     const { now } = options;
     const chosen =
-      this.#chooseByPrefix(wanted, { wanted, now, isUsable: isFastEnough }) ??
+      this.#chooseByPrefix(wanted, { wanted, now, isUsable: isNear }) ??
         this.#chooseByLoad(home, { wanted, now, isUsable: isHome }) ??
-        this.#chooseByLoad(candidates, {
-          wanted,
-          now,
-          isUsable: isFastEnough,
-        }) ??
+        this.#chooseByLoad(candidates, { wanted, now, isUsable: isNear }) ??
         (options.overflow
-          ? this.#chooseByLoad(candidates, { wanted, now, isUsable })
+          ? this.#chooseFarOrSlow(wanted, { options, isFastEnough, isUsable })
           : undefined) ??
         this.#chooseAvoided(wanted, options);
     if (chosen !== undefined && wanted.prefix !== "") {
@@ -100,6 +99,21 @@
     return chosen;
   }
 
+  /** Another failure domain's fast server goes before a slow one that is near. */
+  #chooseFarOrSlow(
+    wanted: request.Request,
+    { options, isFastEnough, isUsable }: {
+      readonly options: RouteOptions;
+      readonly isFastEnough: Choice["isUsable"];
+      readonly isUsable: Choice["isUsable"];
+    },
+  ): servers.ServerState | undefined {
+    const { now } = options;
+    const all = this.#table.listFor(wanted.target);
+    return this.#chooseByLoad(all, { wanted, now, isUsable: isFastEnough }) ??
+      this.#chooseByLoad(all, { wanted, now, isUsable });
+  }
+
   #isUsable(
     server: servers.ServerState,
     { wanted, options }: { wanted: request.Request; options: RouteOptions },
@@ -114,7 +128,7 @@
     const alone = !options.suspect || server.suspects === 0;
     const pool = this.#table.getPool(server.info.pool);
     const granted = pool !== undefined &&
-      (servers.isWithinGrant(pool, wanted.className) ||
+      (servers.isWithinGrant(pool, { ...wanted, now: options.now }) ||
         isWithinTurn(pool, { wanted, options }));
     return allowed && near && alone && granted &&
       server.info.name !== options.avoid &&
@@ -216,5 +230,6 @@
   { wanted, options }: { wanted: request.Request; options: RouteOptions },
 ): boolean {
   const running = pool.runningByClass.get(wanted.className) ?? 0;
-  return options.turn && running < options.guaranteedSlots(pool);
+  return options.turn && !pool.foreign &&
+    running < options.guaranteedSlots(pool);
 }
--- a/packages/core/routing_test.ts
+++ b/packages/core/routing_test.ts
@@ -60,6 +60,7 @@
       limits: [],
       lowestTierElsewhere: 0,
       queuedElsewhere: [],
+      short: [],
       recallForTier: 0,
       runningElsewhere: [
         { server: "e1", running: 2 },
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -38,6 +38,10 @@
 /** What this host may use of one pool. */
 export interface PoolState {
   readonly part: config.PoolPart;
+  /** Whether it stands in another failure domain. */
+  readonly foreign: boolean;
+  /** When the demand was sent that its grant answers. */
+  grantedAt: number;
   /** Slots granted to this host for the classes that are held back. */
   limits: ReadonlyMap<string, number>;
   /** Slots of all its live servers. */
@@ -47,6 +51,8 @@
   lowestTierElsewhere: number;
   recallForTier: number;
   queuedElsewhere: readonly events.TierCount[];
+  /** Classes that got fewer slots than were asked for. */
+  short: readonly string[];
   /** Moving average of the time between tokens over its servers, in ms. */
   tokenMs: number;
 }
@@ -54,6 +60,8 @@
 /** All backend servers and pools that the host knows. */
 export class ServerTable {
   readonly #host: string;
+  readonly #failureDomain: string;
+  readonly #visited = new Map<string, readonly events.ServerInfo[]>();
   #hosts: readonly string[] = [];
   readonly #servers = new Map<string, ServerState>();
   readonly #pools = new Map<string, PoolState>();
@@ -61,8 +69,14 @@
   #homeByTarget = new Map<string, ServerState[]>();
   #infos: readonly events.ServerInfo[] = [];
 
-  constructor({ host }: { readonly host: string }) {
+  constructor(
+    { host, failureDomain }: {
+      readonly host: string;
+      readonly failureDomain: string;
+    },
+  ) {
     this.#host = host;
+    this.#failureDomain = failureDomain;
   }
 
   /** Takes over the live hosts of the failure domain. */
@@ -77,14 +91,29 @@
       .forEach((name) => this.#pools.delete(name));
     pools.forEach((part, name) => {
       const known = this.#pools.get(name);
-      this.#pools.set(name, known ? { ...known, part } : createPoolState(part));
+      const foreign = part.failureDomain !== this.#failureDomain;
+      this.#pools.set(
+        name,
+        known ? { ...known, part } : createPoolState(part, foreign),
+      );
     });
-    this.setServers(this.#infos);
+    this.#applyInfos();
   }
 
-  /** Takes over the fleet's list of servers. */
+  /** Takes over the fleet's list of this failure domain's servers. */
   setServers(infos: readonly events.ServerInfo[]): void {
     this.#infos = infos;
+    this.#applyInfos();
+  }
+
+  /** Takes over the servers that another failure domain lends. */
+  setVisited(failureDomain: string, infos: readonly events.ServerInfo[]): void {
+    this.#visited.set(failureDomain, infos);
+    this.#applyInfos();
+  }
+
+  #applyInfos(): void {
+    const infos = [...this.#infos, ...[...this.#visited.values()].flat()];
     const listed = new Set(infos.map((info) => info.name));
     [...this.#servers.keys()].filter((name) => !listed.has(name))
       .forEach((name) => this.#servers.delete(name));
@@ -244,9 +273,22 @@
     }
   }
 
-  /** Records a failure; a server that fails again and again is ejected. */
-  recordFailure(server: ServerState, now: number): void {
-    server.consecutiveFailures += 1;
+  /**
+   * Records a failure. A server that fails again and again is ejected; one that
+   * takes no connection, at once.
+   */
+  recordFailure(
+    server: ServerState,
+    { failure, now }: {
+      readonly failure: events.AttemptFailure;
+      readonly now: number;
+    },
+  ): void {
+    // Several attempts may find the same loss; it counts once.
+    if (now < server.ejectedUntil) return;
+    server.consecutiveFailures += failure === "not_sent"
+      ? constants.EJECT_AFTER_FAILURES
+      : 1;
     if (server.consecutiveFailures < constants.EJECT_AFTER_FAILURES) return;
     const ms = Math.min(
       constants.EJECT_MAX_MS,
@@ -280,9 +322,11 @@
   return groups;
 }
 
-function createPoolState(part: config.PoolPart): PoolState {
+function createPoolState(part: config.PoolPart, foreign: boolean): PoolState {
   return {
     part,
+    foreign,
+    grantedAt: Number.NEGATIVE_INFINITY,
     limits: new Map(),
     totalSlots: 0,
     running: 0,
@@ -290,6 +334,7 @@
     lowestTierElsewhere: 0,
     recallForTier: 0,
     queuedElsewhere: [],
+    short: [],
     tokenMs: 0,
   };
 }
@@ -304,15 +349,23 @@
 }
 
 /**
- * Whether the host's grant allows one more request of a class in a pool.
+ * Whether the host's grant allows one more request of a class in a pool. In
+ * its own failure domain a host without a grant uses what it sees; in another
+ * one it uses only what it was granted, and only while the grant is fresh: its
+ * leader may have given the slots to a higher tier since.
  *
  * @example
- * isWithinGrant(pool, "lookup");
+ * isWithinGrant(pool, { className: "lookup", now });
  */
-export function isWithinGrant(pool: PoolState, className: string): boolean {
+export function isWithinGrant(
+  pool: PoolState,
+  { className, now }: { readonly className: string; readonly now: number },
+): boolean {
   const limit = pool.limits.get(className);
-  return limit === undefined ||
-    (pool.runningByClass.get(className) ?? 0) < limit;
+  const running = pool.runningByClass.get(className) ?? 0;
+  if (!pool.foreign) return limit === undefined || running < limit;
+  const fresh = now - pool.grantedAt <= constants.GRANT_VALID_MS;
+  return fresh && limit !== undefined && running < limit;
 }
 
 /**
--- a/packages/core/starting.ts
+++ b/packages/core/starting.ts
@@ -72,7 +72,9 @@
     turn: state.credits.hasTurn(lane),
     guaranteedSlots: (pool) =>
       admission.countGuaranteedSlots(share, pool.totalSlots),
-    overflow: hostState.isLate(state, wanted),
+    // A suspect stays: it must not take servers of every failure domain.
+    overflow: !queued.suspect && (hostState.isLate(state, wanted) ||
+      hostState.countOwnSlots(state, wanted) === 0),
   });
 }
 
@@ -96,6 +98,7 @@
   state.running.add({
     request: queued.request,
     attempt: queued.attempt,
+    unsent: queued.unsent,
     server: server.info.name,
     pool: server.info.pool,
     startedAt: state.now,
--- a/packages/core/yielding.ts
+++ b/packages/core/yielding.ts
@@ -1,122 +1,12 @@
-/** Time and grants: who gives way to whom, and who has waited too long. */
+/** Time: who gives way to whom, and who has waited too long. */
 import * as admission from "./admission.ts";
-import type * as attempts from "./attempts.ts";
 import * as constants from "./constants.ts";
 import * as ending from "./ending.ts";
-import type * as events from "./events.ts";
 import * as hostState from "./host_state.ts";
-import * as preemption from "./preemption.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
-import type * as servers from "./servers.ts";
 import * as starting from "./starting.ts";
 
-/**
- * Finds running work on this host that gives way to a request.
- *
- * @example
- * const victim = findVictim(state, request);
- */
-export function findVictim(
-  state: hostState.HostState,
-  wanted: request.Request,
-): attempts.Attempt | undefined {
-  return preemption.findVictim(state.running.list(), {
-    tier: wanted.tier,
-    pools: hostState.listPoolsFor(state, wanted),
-    classes: state.classes,
-  });
-}
-
-/**
- * Takes over the allocator's grants, and gives slots back.
- *
- * @example
- * setGrants(state, event);
- */
-export function setGrants(
-  state: hostState.HostState,
-  event: Extract<events.DispatchEvent, { kind: "granted" }>,
-): void {
-  state.grantAsOf = event.asOf;
-  const grants = new Map(event.grants.map((grant) => [grant.pool, grant]));
-  state.table.listPools().forEach((pool) => {
-    const grant = grants.get(pool.part.name);
-    if (grant === undefined) return;
-    setGrant(pool, grant);
-    state.table.recordElsewhere(grant.runningElsewhere, event.asOf);
-  });
-  returnSlots(state);
-  starting.dispatchQueue(state);
-}
-
-function setGrant(pool: servers.PoolState, grant: events.PoolGrant): void {
-  pool.limits = new Map(
-    grant.limits.map((limit) => [limit.className, limit.slots]),
-  );
-  pool.lowestTierElsewhere = grant.lowestTierElsewhere;
-  pool.recallForTier = grant.recallForTier;
-  pool.queuedElsewhere = grant.queuedElsewhere;
-}
-
-/**
- * Goes on without grants: the allocator cannot be reached.
- *
- * @example
- * dropGrants(state);
- */
-export function dropGrants(state: hostState.HostState): void {
-  state.table.listPools().forEach((pool) =>
-    setGrant(pool, {
-      pool: pool.part.name,
-      limits: [],
-      lowestTierElsewhere: 0,
-      recallForTier: 0,
-      queuedElsewhere: [],
-    })
-  );
-  starting.dispatchQueue(state);
-}
-
-/** Stops lower work beyond its limit where a higher tier waits elsewhere. */
-function returnSlots(state: hostState.HostState): void {
-  state.table.listPools()
-    .filter((pool) => pool.recallForTier > 0)
-    .forEach((pool) =>
-      state.running.list()
-        .filter((attempt) => isRecalled(attempt, pool))
-        .toSorted((a, b) => b.startedAt - a.startedAt)
-        .forEach((attempt) => {
-          // Each one that is stopped may bring its class within its limit.
-          if (exceedsLimit(pool, attempt.request.className)) {
-            preemptAttempt(state, attempt);
-          }
-        })
-    );
-}
-
-function isRecalled(
-  attempt: attempts.Attempt,
-  pool: servers.PoolState,
-): boolean {
-  return attempt.pool === pool.part.name &&
-    attempt.request.tier > pool.recallForTier && attempt.request.repeatable;
-}
-
-function exceedsLimit(pool: servers.PoolState, className: string): boolean {
-  const limit = pool.limits.get(className) ?? Number.POSITIVE_INFINITY;
-  return (pool.runningByClass.get(className) ?? 0) > limit;
-}
-
-function preemptAttempt(
-  state: hostState.HostState,
-  victim: attempts.Attempt,
-): void {
-  const requestId = victim.request.id;
-  ending.stopAttempt(state, { requestId, reason: "preempted" });
-  ending.requeueAttempt(state, { ended: victim, ran: "unknown" });
-}
-
 /**
  * Looks at the time. Expires last: after a pause many requests are late at
  * once, and a higher tier must not be refused while lower work still holds
@@ -164,9 +54,9 @@
     readonly wanted: request.Request;
   },
 ): boolean {
-  const victim = findVictim(state, wanted);
+  const victim = hostState.findVictim(state, wanted);
   if (victim !== undefined) {
-    preemptAttempt(state, victim);
+    ending.preemptAttempt(state, victim);
     starting.dispatchLane(state, lane);
     return true;
   }
@@ -186,8 +76,8 @@
     entry.request.startBy <= state.now
   );
   overdue.forEach((entry) => {
-    const victim = findVictim(state, entry.request);
-    if (victim !== undefined) preemptAttempt(state, victim);
+    const victim = hostState.findVictim(state, entry.request);
+    if (victim !== undefined) ending.preemptAttempt(state, victim);
     else if (!isRecalling(state, entry)) return refuseOverdue(state, entry);
     postponeOverdue(state, entry);
   });
--- a/packages/peer/overlay.ts
+++ b/packages/peer/overlay.ts
@@ -20,18 +20,11 @@
 /** Most quarantine marks and withdrawn keys in one beat. */
 const MARKS_LIMIT = 32;
 
-/** A host that may be in another failure domain. */
-export interface Contact {
-  readonly name: string;
-  readonly address: string;
-  readonly failureDomain: string;
-}
-
 /** Options of {@link Overlay}. */
 export interface OverlayOptions {
   readonly self: core.Member;
   readonly failureDomain: string;
-  readonly seeds: readonly Contact[];
+  readonly seeds: readonly protocol.Contact[];
   readonly clients: client.PeerClients;
   readonly clock: utils.Clock;
   readonly random: utils.Random;
@@ -50,7 +43,7 @@
 export class Overlay {
   readonly members: core.Membership;
   readonly #options: OverlayOptions;
-  readonly #contacts = new Map<string, Contact>();
+  readonly #contacts = new Map<string, protocol.Contact>();
   readonly #roles = new Map<string, protocol.RoleNews>();
   readonly #marks = new core.MarkSet();
   readonly #withdrawn = new Set<string>();
@@ -86,10 +79,15 @@
   }
 
   /** Takes over hosts known from settings or the platform's list. */
-  setContacts(contacts: readonly Contact[]): void {
+  setContacts(contacts: readonly protocol.Contact[]): void {
     contacts.forEach((contact) => this.#contacts.set(contact.name, contact));
   }
 
+  /** Forgets a host that did not answer, until it is heard of again. */
+  dropContact(name: string): void {
+    this.#contacts.delete(name);
+  }
+
   /** Finds a host's peer address, whatever failure domain it stands in. */
   findAddress(name: string): string | undefined {
     return this.members.get(name)?.address ?? this.#contacts.get(name)?.address;
@@ -141,8 +139,13 @@
     void this.#sendBeatsTo([...this.members.listFingers(), ...remote]);
   }
 
+  /** Lists the hosts that are relays. */
+  listRelays(): core.Member[] {
+    return this.members.listRanked("relay", RELAY_COUNT);
+  }
+
   /** Returns one contact in each other failure domain. */
-  listRemoteContacts(): Contact[] {
+  listRemoteContacts(): protocol.Contact[] {
     const { failureDomain, random } = this.#options;
     const remote = [...this.#contacts.values()].filter((contact) =>
       contact.failureDomain !== failureDomain
@@ -165,7 +168,7 @@
       : { ...answer, roles: this.listRoles() };
   }
 
-  #listHome(): Contact[] {
+  #listHome(): protocol.Contact[] {
     const { self, failureDomain } = this.#options;
     return [...this.#contacts.values()].filter((contact) =>
       contact.failureDomain === failureDomain && contact.name !== self.name
@@ -188,7 +191,7 @@
   }
 
   /** A host that left the view may be back, or on the other side of a cut. */
-  #drawLost(): Contact[] {
+  #drawLost(): protocol.Contact[] {
     const lost = this.#listHome().filter((contact) => {
       const status = this.members.get(contact.name)?.status;
       return status === undefined || status === "dead" || status === "left";
@@ -229,13 +232,17 @@
     await this.#compareViews(target, answer.val);
   }
 
-  /** Views that differ for several beats are exchanged in full. */
+  /**
+   * Views that differ for several beats are exchanged in full; a host that is
+   * alone takes the first it gets. Never another failure domain's: its hosts
+   * would become members here, and lead roles here.
+   */
   async #compareViews(
     target: { readonly name: string; readonly address: string },
     answer: protocol.Beat,
   ): Promise<void> {
-    const same = answer.view === this.members.getDigest() ||
-      answer.failureDomain !== this.#options.failureDomain;
+    if (answer.failureDomain !== this.#options.failureDomain) return;
+    const same = answer.view === this.members.getDigest();
     const count = same ? 0 : (this.#differing.get(target.name) ?? 0) + 1;
     this.#differing.set(target.name, count >= DIFFERENT_VIEWS ? 0 : count);
     if (count < DIFFERENT_VIEWS && this.members.listActive().length > 1) return;
@@ -272,9 +279,10 @@
     this.#contacts.set(contact.name, contact);
     if (beat.failureDomain === this.#options.failureDomain) {
       this.#mergeMembers([beat.from, ...beat.news]);
-      this.#mergeMarks(beat.marks);
       this.#mergeRoles(beat.roles);
     }
+    // Its caller may send a poison request to any failure domain.
+    this.#mergeMarks(beat.marks);
     this.confirm(beat.confirmedAt);
     this.#mergeWithdrawn(beat.withdrawn);
     if (beat.revision > this.#options.getRevision()) {
--- a/packages/peer/protocol.ts
+++ b/packages/peer/protocol.ts
@@ -41,12 +41,25 @@
 export interface DemandMessage {
   readonly host: string;
   readonly demands: readonly core.PoolDemand[];
+  /** Peer address of a host of another failure domain; absent otherwise. */
+  readonly visitor?: string;
 }
 
 /** Grants for one host. */
 export interface GrantMessage {
   readonly leader: string;
+  /** Whose pools they are for. */
+  readonly failureDomain: string;
   readonly grants: readonly core.Grant[];
+  /** Servers lent to a host of another failure domain. */
+  readonly servers: readonly core.ServerInfo[];
+}
+
+/** A host and where it stands. */
+export interface Contact {
+  readonly name: string;
+  readonly address: string;
+  readonly failureDomain: string;
 }
 
 /** Usage on its way to the host that reports. */
@@ -94,7 +107,11 @@
   readonly takeBeat: (beat: Beat) => Beat;
   readonly listMembers: () => readonly core.Member[];
   readonly getDelta: (revision: number) => ConfigDelta;
-  readonly takeDemand: (message: DemandMessage) => GrantMessage | undefined;
+  readonly takeDemand: (
+    message: DemandMessage,
+  ) => Promise<GrantMessage | undefined>;
+  /** One host in each other failure domain. */
+  readonly listRemoteContacts: () => readonly Contact[];
   readonly takeGrants: (message: GrantMessage) => void;
   readonly takeUsage: (message: UsageMessage) => UsageAnswer;
   readonly sumDemand: (
@@ -147,6 +164,7 @@
       .query(({ input }) => handlers.getDelta(input)),
     demand: procedure.input(accept<DemandMessage>())
       .mutation(({ input }) => handlers.takeDemand(input)),
+    remoteContacts: procedure.query(() => handlers.listRemoteContacts()),
     grants: procedure.input(accept<GrantMessage>())
       .mutation(({ input }) => handlers.takeGrants(input)),
     usage: procedure.input(accept<UsageMessage>())
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -16,11 +16,40 @@
 const CONFIG = "packages/store/config_store_fuzz_test.ts";
 const CLAIMS = "packages/banyangrade/operation_guard_fuzz_test.ts";
 const CALLER = "packages/caller/server_test.ts";
+const OVERFLOW = "packages/core/overflow_test.ts";
 const ROUTING = "packages/core/routing_test.ts";
 const DISPATCHER = "packages/core/dispatcher_fuzz_test.ts";
 
 /** All removals. */
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "overflow: an old grant of another failure domain is used",
+    file: "packages/core/servers.ts",
+    find: "now - pool.grantedAt <= constants.GRANT_VALID_MS",
+    replace: "true",
+    test: DISPATCHER,
+  },
+  {
+    name: "overflow: a suspect is sent to other failure domains",
+    file: "packages/core/starting.ts",
+    find: "overflow: !queued.suspect &&",
+    replace: "overflow: true &&",
+    test: DISPATCHER,
+  },
+  {
+    name: "overflow: visitors are served as the failure domain's own",
+    file: "packages/core/allocation.ts",
+    find: "divideEvenly(own.filter((one) => !one.visiting), left)",
+    replace: "divideEvenly(own, left)",
+    test: OVERFLOW,
+  },
+  {
+    name: "overflow: a host waits for failure domains that have nothing",
+    file: "packages/core/overflow.ts",
+    find: "return !known || !pool.short",
+    replace: "return true || !pool.short",
+    test: OVERFLOW,
+  },
   {
     name: "routing: hosts prefer no servers of their own",
     file: "packages/core/partition.ts",
