Keep less in reserve on ordinary servers, since failure domains lend

Change: 0.4 of the upper tiers' demand on ordinary servers; a choice finds the pools with room in the grant first; the bench reclaims all failure domains at once in a further run.

--- a/bench/part.ts
+++ b/bench/part.ts
@@ -13,6 +13,14 @@
 const ELASTIC_MS = 600_000;
 const TIDE_MS = 300_000;
 
+/** Fleets, and in how many failure domains spot servers are reclaimed at once. */
+const ELASTIC_RUNS = [
+  { fleet: "mixed", domains: 1 },
+  { fleet: "mixed", domains: 9 },
+  { fleet: "ordinary_only", domains: 1 },
+  { fleet: "spot_only", domains: 1 },
+] as const;
+
 type PolicyName = "banyangrade" | "naive";
 
 function runCase(
@@ -124,14 +132,25 @@
 
 /** Runs the autoscaler under a tide with a reclaimed failure domain. */
 function runElastic(scenario: scenarios.Scenario): string {
-  const fleets = ["mixed", "ordinary_only", "spot_only"] as const;
-  const rows = fleets.map((fleet) => {
+  const rows = ELASTIC_RUNS.map(({ fleet, domains }) => {
     const run = new simulation.Simulation({
       scenario: scenarios.buildElastic(scenario, fleet),
       troubles: [
         { kind: "tide", periodMs: TIDE_MS, low: 0.3 },
-        { kind: "reclaim", at: 140_000, noticeMs: 5_000, backAt: 220_000 },
-        { kind: "reclaim", at: 400_000, noticeMs: 5_000, backAt: 460_000 },
+        {
+          kind: "reclaim",
+          at: 140_000,
+          noticeMs: 5_000,
+          backAt: 220_000,
+          domains,
+        },
+        {
+          kind: "reclaim",
+          at: 400_000,
+          noticeMs: 5_000,
+          backAt: 460_000,
+          domains,
+        },
       ],
       policy: "banyangrade",
       seed: SEED,
@@ -141,7 +160,7 @@
     run.run();
     const figures = run.measure.sumUp(ELASTIC_MS);
     return [
-      fleet,
+      domains === 1 ? fleet : `${fleet}, all reclaimed`,
       ...figures.classes.map((own) => formatPercent(own.attainment)),
       figures.costPerMillion.toFixed(2),
       formatPercent(figures.spotShare),
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -52,6 +52,8 @@
     readonly at: number;
     readonly noticeMs: number;
     readonly backAt: number;
+    /** Failure domains that lose their spot servers. @default 1 */
+    readonly domains?: number;
   }
   | { readonly kind: "no_reports"; readonly from: number; readonly to: number }
   | { readonly kind: "poison"; readonly at: number }
--- a/bench/simulation.ts
+++ b/bench/simulation.ts
@@ -649,11 +649,12 @@
     }
   }
 
-  /** All spot servers of the first failure domain get notice, then are gone. */
+  /** All spot servers of the first failure domains get notice, then are gone. */
   #takeBack(trouble: Extract<scenarios.Trouble, { kind: "reclaim" }>): void {
-    const [domain] = this.#options.scenario.failureDomains;
+    const domains = this.#options.scenario.failureDomains
+      .slice(0, trouble.domains ?? 1);
     const spot = this.#servers.filter((server) =>
-      server.pool.spot && server.pool.failureDomain === domain
+      server.pool.spot && domains.includes(server.pool.failureDomain)
     );
     const setState = (state: "live" | "leaving") =>
       spot.forEach((server) => {
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -67,72 +67,66 @@
     wanted: request.Request,
     options: RouteOptions,
   ): servers.ServerState | undefined {
-    const candidates = this.#table.listFor(wanted.target);
-    const home = this.#table.listHomeFor(wanted.target);
+    const pools = this.#findUsablePools(wanted, options);
+    // Under load most classes have used up their grants; then no server need
+    // be looked at.
+    if (pools.size === 0) return undefined;
     const isUsable = (server: servers.ServerState) =>
-      this.#isUsable(server, { wanted, options });
-    const isNear = (server: servers.ServerState) =>
-      server.pool.failureDomain === this.#failureDomain &&
-      isFastEnough(server);
-    // A server whose tokens come too slowly for the class misses its target for
-    // certain; what is left of the patience is better spent waiting.
-    const probing = this.#random.below(constants.PROBE_ONE_IN) === 0;
-    const isFastEnough = (server: servers.ServerState) =>
-      (probing ||
-        server.tokenMs <=
-          constants.SPEED_MARGIN * wanted.targetBetweenMs) &&
-      isUsable(server);
-    const isHome = (server: servers.ServerState) =>
-      server.running < server.homeSlots && isFastEnough(server);
-    const { now } = options;
-    const chosen =
-      this.#chooseByPrefix(wanted, { wanted, now, isUsable: isNear }) ??
-        this.#chooseByLoad(home, { wanted, now, isUsable: isHome }) ??
-        this.#chooseByLoad(candidates, { wanted, now, isUsable: isNear }) ??
-        (options.overflow
-          ? this.#chooseFarOrSlow(wanted, { options, isFastEnough, isUsable })
-          : undefined) ??
-        this.#chooseAvoided(wanted, options);
+      pools.has(server.info.pool) && server.info.name !== options.avoid &&
+      isFit(server, options);
+    const chosen = this.#chooseUsable(wanted, { options, isUsable }) ??
+      this.#chooseAvoided(pools, options);
     if (chosen !== undefined && wanted.prefix !== "") {
       this.#prefixes.set(this.#getPrefixKey(wanted), chosen.info.name);
     }
     return chosen;
   }
 
-  /** Another failure domain's fast server goes before a slow one that is near. */
-  #chooseFarOrSlow(
+  #chooseUsable(
     wanted: request.Request,
-    { options, isFastEnough, isUsable }: {
+    { options, isUsable }: {
       readonly options: RouteOptions;
-      readonly isFastEnough: Choice["isUsable"];
       readonly isUsable: Choice["isUsable"];
     },
   ): servers.ServerState | undefined {
     const { now } = options;
     const all = this.#table.listFor(wanted.target);
-    return this.#chooseByLoad(all, { wanted, now, isUsable: isFastEnough }) ??
+    const home = this.#table.listHomeFor(wanted.target);
+    // A server whose tokens come too slowly for the class misses its target for
+    // certain; what is left of the patience is better spent waiting.
+    const probing = this.#random.below(constants.PROBE_ONE_IN) === 0;
+    const longest = constants.SPEED_MARGIN * wanted.targetBetweenMs;
+    const isFast = (server: servers.ServerState) =>
+      (probing || server.tokenMs <= longest) && isUsable(server);
+    const isNear = (server: servers.ServerState) =>
+      server.pool.failureDomain === this.#failureDomain && isFast(server);
+    const isHome = (server: servers.ServerState) =>
+      server.running < server.homeSlots && isFast(server);
+    const near =
+      this.#chooseByPrefix(wanted, { wanted, now, isUsable: isNear }) ??
+        this.#chooseByLoad(home, { wanted, now, isUsable: isHome }) ??
+        this.#chooseByLoad(all, { wanted, now, isUsable: isNear });
+    if (near !== undefined || !options.overflow) return near;
+    // Another failure domain's fast server goes before a slow one that is near.
+    return this.#chooseByLoad(all, { wanted, now, isUsable: isFast }) ??
       this.#chooseByLoad(all, { wanted, now, isUsable });
   }
 
-  #isUsable(
-    server: servers.ServerState,
-    { wanted, options }: { wanted: request.Request; options: RouteOptions },
-  ): boolean {
-    const allowed = wanted.pools.length === 0 ||
-      wanted.pools.includes(server.info.pool);
-    const near = server.pool.failureDomain === this.#failureDomain ||
-      options.overflow;
-    // Two suspects never share a server: if it is lost, exactly one request
-    // collects a second mark, so a poison request's neighbours are not
-    // quarantined with it.
-    const alone = !options.suspect || server.suspects === 0;
-    const pool = this.#table.getPool(server.info.pool);
-    const granted = pool !== undefined &&
-      (servers.isWithinGrant(pool, { ...wanted, now: options.now }) ||
-        isWithinTurn(pool, { wanted, options }));
-    return allowed && near && alone && granted &&
-      server.info.name !== options.avoid &&
-      servers.hasRoom(server, options.now);
+  /** Finds the pools that the request may use and whose grants have room. */
+  #findUsablePools(
+    wanted: request.Request,
+    options: RouteOptions,
+  ): ReadonlySet<string> {
+    const { now } = options;
+    const usable = this.#table.listPoolsFor(wanted.target).filter((pool) => {
+      const allowed = wanted.pools.length === 0 ||
+        wanted.pools.includes(pool.part.name);
+      const near = !pool.foreign || options.overflow;
+      return allowed && near &&
+        (servers.isWithinGrant(pool, { className: wanted.className, now }) ||
+          isWithinTurn(pool, { wanted, options }));
+    });
+    return new Set(usable.map((pool) => pool.part.name));
   }
 
   #getPrefixKey(wanted: request.Request): string {
@@ -206,17 +200,26 @@
 
   /** Falls back to the server that failed before, where no other one is usable. */
   #chooseAvoided(
-    wanted: request.Request,
+    pools: ReadonlySet<string>,
     options: RouteOptions,
   ): servers.ServerState | undefined {
     const server = options.avoid && this.#table.get(options.avoid);
-    if (!server) return undefined;
-    const again = { ...options, avoid: undefined };
-    const usable = this.#isUsable(server, { wanted, options: again });
-    return usable && !options.suspect ? server : undefined;
+    if (!server || options.suspect) return undefined;
+    const usable = pools.has(server.info.pool) && isFit(server, options);
+    return usable ? server : undefined;
   }
 }
 
+/**
+ * Whether a server may take the request now. Two suspects never share a server:
+ * if it is lost, exactly one request collects a second mark, so a poison
+ * request's neighbours are not quarantined with it.
+ */
+function isFit(server: servers.ServerState, options: RouteOptions): boolean {
+  const alone = !options.suspect || server.suspects === 0;
+  return alone && servers.hasRoom(server, options.now);
+}
+
 /** Counts this host's requests of higher tiers that a server is running. */
 function countHigher(server: servers.ServerState, tier: number): number {
   return server.runningByTier.reduce(
--- a/packages/core/scaling.ts
+++ b/packages/core/scaling.ts
@@ -1,12 +1,19 @@
 /**
  * The autoscaler: how many backend servers each pool should have. Spot pools
  * carry what they can; ordinary pools keep enough for the upper tiers to get
- * through the loss of every spot server of the failure domain.
+ * through the loss of every spot server of the failure domain, with the slots
+ * that other failure domains lend.
  */
 import type * as config from "./config.ts";
 
 /** Load that a server is planned for, as a share of its slots. */
 const TARGET_UTILISATION = 0.7;
+/**
+ * Part of the upper tiers' demand that stands on ordinary servers while there
+ * are spot servers. Not all of it: spot servers are reclaimed a failure domain
+ * at a time, and then the others lend slots.
+ */
+const RESERVE_SHARE = 0.4;
 /** The most that was needed within this time is kept, in ms. */
 const SCALE_DOWN_AFTER_MS = 60_000;
 /** Lowest tier (largest number) whose work ordinary servers hold in reserve. */
@@ -87,7 +94,7 @@
   // The reserve stands on ordinary servers; the rest prefers spot servers. It
   // may fill them: when spot servers are reclaimed, lower work gives way there.
   const usable = spot.some((load) => load.part.maxServers > 0);
-  const reserve = usable ? upper * TARGET_UTILISATION : demand;
+  const reserve = usable ? upper * RESERVE_SHARE : demand;
   const ordinaryCounts = spread(ordinary, reserve);
   const carried = sum(
     ordinaryCounts.map(({ load, count }) => count * load.part.slots),
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -65,6 +65,7 @@
   #hosts: readonly string[] = [];
   readonly #servers = new Map<string, ServerState>();
   readonly #pools = new Map<string, PoolState>();
+  #poolsByTarget = new Map<string, PoolState[]>();
   #byTarget = new Map<string, ServerState[]>();
   #homeByTarget = new Map<string, ServerState[]>();
   #infos: readonly events.ServerInfo[] = [];
@@ -97,6 +98,10 @@
         known ? { ...known, part } : createPoolState(part, foreign),
       );
     });
+    this.#poolsByTarget = indexByTarget(
+      this.listPools(),
+      (pool) => pool.part.targets,
+    );
     this.#applyInfos();
   }
 
@@ -118,7 +123,10 @@
     [...this.#servers.keys()].filter((name) => !listed.has(name))
       .forEach((name) => this.#servers.delete(name));
     infos.forEach((info) => this.#setServer(info));
-    this.#byTarget = indexByTarget([...this.#servers.values()]);
+    this.#byTarget = indexByTarget(
+      [...this.#servers.values()],
+      (server) => server.pool.targets,
+    );
     this.#pools.forEach((pool) => {
       pool.totalSlots = countLiveSlots(this.#servers, pool.part.name);
     });
@@ -129,7 +137,7 @@
     this.#pools.forEach((_, pool) => this.#divide(pool));
     const home = [...this.#servers.values()]
       .filter((server) => server.homeSlots > 0);
-    this.#homeByTarget = indexByTarget(home);
+    this.#homeByTarget = indexByTarget(home, (server) => server.pool.targets);
   }
 
   #divide(pool: string): void {
@@ -208,6 +216,11 @@
     return [...this.#pools.values()];
   }
 
+  /** Lists the pools that offer a target. */
+  listPoolsFor(target: string): readonly PoolState[] {
+    return this.#poolsByTarget.get(target) ?? [];
+  }
+
   listServers(): ServerState[] {
     return [...this.#servers.values()];
   }
@@ -308,18 +321,19 @@
   }
 }
 
-function indexByTarget(
-  servers: readonly ServerState[],
-): Map<string, ServerState[]> {
-  const groups = new Map<string, ServerState[]>();
-  servers.forEach((server) =>
-    server.pool.targets.forEach((target) => {
-      const list = groups.get(target);
-      if (list === undefined) groups.set(target, [server]);
-      else list.push(server);
+function indexByTarget<Entry>(
+  entries: readonly Entry[],
+  getTargets: (entry: Entry) => readonly string[],
+): Map<string, Entry[]> {
+  const index = new Map<string, Entry[]>();
+  entries.forEach((entry) =>
+    getTargets(entry).forEach((target) => {
+      const list = index.get(target);
+      if (list === undefined) index.set(target, [entry]);
+      else list.push(entry);
     })
   );
-  return groups;
+  return index;
 }
 
 function createPoolState(part: config.PoolPart, foreign: boolean): PoolState {
