--- a/packages/banyangrade/front.ts
+++ b/packages/banyangrade/front.ts
@@ -50,7 +50,7 @@
   acceptHead(head: caller.CallerHead): boolean {
     const accepted = this.#accept(head);
     if (accepted.ok) return true;
-    this.#refuse(head, accepted.val);
+    this.#refuseUnclaimed(head, accepted.val);
     return false;
   }
 
@@ -60,7 +60,7 @@
    */
   handle(incoming: caller.CallerRequest): void {
     const checked = this.#accept(incoming);
-    if (checked.err) return this.#refuse(incoming, checked.val);
+    if (checked.err) return this.#refuseUnclaimed(incoming, checked.val);
     const accepted = { ...checked.val, incoming };
     const { route } = incoming;
     switch (route.kind) {
@@ -84,7 +84,8 @@
     if (!known) {
       return operationModule.toTicketAnswer({
         kind: "refused",
-        refusal: core.buildRefusal({ code: "key_withdrawn", ran: "no" }),
+        // An earlier sending of the ticket may have run.
+        refusal: core.buildRefusal({ code: "key_withdrawn", ran: "unknown" }),
       });
     }
     const body = Buffer.from(message.body, "base64");
@@ -103,6 +104,12 @@
     return operationModule.toTicketAnswer(outcome);
   }
 
+  /** Refuses what was not looked up among earlier sendings. */
+  #refuseUnclaimed(head: caller.CallerHead, refusal: core.Refusal): void {
+    const keyed = caller.isKeyedCall(head);
+    this.#refuse(head, keyed ? core.clearUnproven(refusal) : refusal);
+  }
+
   #refuse(head: caller.CallerHead, refusal: core.Refusal): void {
     const { answer, requestId } = head;
     exchange.refuseCaller(this.#options, { answer, refusal, requestId });
@@ -203,7 +210,7 @@
     const { incoming } = accepted;
     const denied = this.#checkTarget(accepted, route.service) ??
       checkIdempotencyKey(incoming);
-    if (denied !== undefined) return this.#refuse(incoming, denied);
+    if (denied !== undefined) return this.#refuseUnclaimed(incoming, denied);
     const outcome = await this.#runGuarded(accepted, route);
     this.#sendOutcome(accepted, outcome);
   }
--- a/packages/banyangrade/operation_guard.ts
+++ b/packages/banyangrade/operation_guard.ts
@@ -150,7 +150,7 @@
 /** Options of {@link TicketGuard}. */
 export interface TicketGuardOptions {
   readonly origin: core.TicketOrigin;
-  readonly clients: peer.PeerClients;
+  readonly clients: Pick<peer.PeerClients, "call">;
   readonly findAddress: (host: string) => string | undefined;
 }
 
--- a/packages/banyangrade/operations_test.ts
+++ b/packages/banyangrade/operations_test.ts
@@ -39,6 +39,30 @@
     t.equal(countRuns("other"), 0);
   });
 
+  await t.test("a booking that ran is never called not run", async (t) => {
+    // A booking ran and its answer was lost on the way. The studio's key is
+    // withdrawn before the app sends it again; "not run" would make it book a
+    // second time with its new key.
+    const own = await cluster.createKey("studio-rosenheim", ["booking"]);
+    const options = { key: own, idempotencyKey: "k9", body: "withdrawn" };
+    t.equal((await testing.sendCall(first, options)).status, 200);
+    const name = own.split("_")[1];
+    const withdrawn = await cluster.runCommand(["key", "withdraw", name]);
+    t.equal(withdrawn.code, 0, withdrawn.output);
+    let last = await testing.sendCall(second, options);
+    await testing.waitUntil(async () => {
+      last = await testing.sendCall(second, options);
+      return last.status === 401;
+    });
+    t.match(JSON.parse(last.text), {
+      error: { code: "not_authenticated", ran: "unknown" },
+    });
+    const fresh = { ...options, idempotencyKey: undefined };
+    t.match(JSON.parse((await testing.sendCall(second, fresh)).text), {
+      error: { ran: "no" },
+    });
+  });
+
   await t.test("a lost answer is unknown, and stays so", async (t) => {
     // The room service books and loses the connection before it answers. The
     // host cannot know; whoever sends again must not book a second time.
--- a/packages/caller/server.ts
+++ b/packages/caller/server.ts
@@ -221,12 +221,27 @@
     budget: options.budget,
   });
   if (typeof body === "string") {
-    answer.refuse(buildParseRefusal(body));
+    const refusal = buildParseRefusal(body);
+    answer.refuse(isKeyedCall(head) ? core.clearUnproven(refusal) : refusal);
     return dropRest();
   }
   options.onRequest({ ...head, body });
 }
 
+/**
+ * Whether a request is a call that may have been sent before under the same
+ * idempotency key.
+ *
+ * @example
+ * if (isKeyedCall(head)) refusal = core.clearUnproven(refusal);
+ */
+export function isKeyedCall(
+  head: Pick<CallerHead, "route" | "headers">,
+): boolean {
+  return head.route.kind === "call" &&
+    head.headers["idempotency-key"] !== undefined;
+}
+
 function buildParseRefusal(code: core.RefusalCode): core.Refusal {
   const waitMs = code === "overloaded" ? OVERLOADED_WAIT_MS : undefined;
   return core.buildRefusal({ code, ran: "no", step: "caller.parse", waitMs });
--- a/packages/core/refusals.ts
+++ b/packages/core/refusals.ts
@@ -55,3 +55,23 @@
     retryAfterMs: admission.computeRetryAfter(reason.waitMs),
   };
 }
+
+/** Refusals of a request's form: the same bytes are always refused. */
+const OF_FORM: ReadonlySet<request.RefusalCode> = new Set([
+  "bad_request",
+  "too_large",
+]);
+
+/**
+ * Takes back a "not run" that nobody looked up. A call with an idempotency key
+ * that is refused before its claim or ticket was read has not run by this
+ * sending, but an earlier one of the same key may have: a caller that believed
+ * "not run" would book again under a new key.
+ *
+ * @example
+ * const refusal = clearUnproven(buildKeyRefusal("not_authenticated"));
+ */
+export function clearUnproven(refusal: request.Refusal): request.Refusal {
+  if (refusal.ran !== "no" || OF_FORM.has(refusal.code)) return refusal;
+  return { ...refusal, ran: "unknown" };
+}
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -16,12 +16,41 @@
 const CONFIG = "packages/store/config_store_fuzz_test.ts";
 const CLAIMS = "packages/banyangrade/operation_guard_fuzz_test.ts";
 const CALLER = "packages/caller/server_test.ts";
+const TICKETS = "packages/banyangrade/ticket_fuzz_test.ts";
 const OVERFLOW = "packages/core/overflow_test.ts";
 const ROUTING = "packages/core/routing_test.ts";
 const DISPATCHER = "packages/core/dispatcher_fuzz_test.ts";
 
 /** All removals. */
 export const MUTATIONS: readonly Mutation[] = [
+  {
+    name: "tickets: a use is not recorded",
+    file: "packages/core/operations.ts",
+    find: `this.#states.set(ticket, { kind: "running", ...by });`,
+    replace: "",
+    test: TICKETS,
+  },
+  {
+    name: "tickets: what may have run may be used again",
+    file: "packages/banyangrade/operation_guard.ts",
+    find: `ended.kind === "refused" && ended.refusal.ran === "no"`,
+    replace: `ended.kind === "refused"`,
+    test: TICKETS,
+  },
+  {
+    name: "tickets: of an issuer that is gone, not run",
+    file: "packages/banyangrade/operation_guard.ts",
+    find: `code: "conflict",\n    ran: "unknown",\n    waitMs: 2_000,`,
+    replace: `code: "conflict",\n    ran: "no",\n    waitMs: 2_000,`,
+    test: TICKETS,
+  },
+  {
+    name: "tickets: a forgotten one has not run",
+    file: "packages/banyangrade/operation_guard.ts",
+    find: `ran: "unknown",\n          message: "The ticket is forgotten."`,
+    replace: `ran: "no",\n          message: "The ticket is forgotten."`,
+    test: TICKETS,
+  },
   {
     name: "overflow: an old grant of another failure domain is used",
     file: "packages/core/servers.ts",
