Cut real hosts off from each other

Cause: real processes had been cut off from the store only; what two failure domains do without each other was not shown.

Ruled out: the unused isCut hook of the peer client (it cuts one direction of one process from inside).

Change: peer.advertised_address, the address that other hosts are told; the test cluster puts a way that can be cut before each host. cut_test: both sides go on serving, nothing is borrowed across the cut, a ticket of the other side is neither run nor called not run, a withdrawn key stops on both sides, healed the booking runs once and borrowing resumes.

Before: no test.

--- a/packages/banyangrade/host_parts.ts
+++ b/packages/banyangrade/host_parts.ts
@@ -148,7 +148,7 @@
   draft.overlay = new peer.Overlay({
     self: {
       name: draft.host,
-      address: settings.peer.address,
+      address: settingsModule.getAdvertisedAddress(settings),
       // Higher than whatever an earlier run under this name reached.
       incarnation: Math.floor(draft.clock.wall() / 1_000),
       status: "alive",
@@ -203,7 +203,7 @@
   });
   draft.overflow = new overflowTask.OverflowTask({
     ...draft,
-    address: draft.settings.peer.address,
+    address: settingsModule.getAdvertisedAddress(draft.settings),
   });
 }
 
@@ -258,7 +258,7 @@
       overlay.members.isRanked(options.role, constants.ROLE_CANDIDATES),
     onChange: (lease) => {
       if (lease.kind === "none") return;
-      const { address } = settings.peer;
+      const address = settingsModule.getAdvertisedAddress(settings);
       overlay.setRole({ role, host: draft.host, address, token: lease.token });
     },
   });
--- a/packages/banyangrade/settings.ts
+++ b/packages/banyangrade/settings.ts
@@ -44,6 +44,9 @@
   }).describe("The port for operations."),
   peer: z.strictObject({
     address: ADDRESS.describe("Where other hosts and operators connect."),
+    advertised_address: ADDRESS.optional().describe(
+      "Address that other hosts are told, if it is another one.",
+    ),
     secret_file: z.string().describe(
       "File with the shared secret of all hosts; a second line is accepted too.",
     ),
@@ -98,6 +101,16 @@
   readonly port: number;
 }
 
+/**
+ * Returns the peer address that other hosts are told.
+ *
+ * @example
+ * getAdvertisedAddress(settings); // "10.0.0.7:7000"
+ */
+export function getAdvertisedAddress(settings: Settings): string {
+  return settings.peer.advertised_address ?? settings.peer.address;
+}
+
 /**
  * Splits an address.
  *
--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -17,6 +17,7 @@
 import * as usageFake from "@banyangrade/usage/fake.ts";
 import * as testing from "@banyangrade/utils/testing.ts";
 import * as utils from "@banyangrade/utils";
+import * as forwarder from "./forwarder.ts";
 import * as build from "../scripts/build.ts";
 
 /** Options of {@link startCluster}. */
@@ -33,6 +34,8 @@
   readonly windowSeconds?: number;
   readonly leaseSeconds?: number;
   readonly offlineSeconds?: number;
+  /** Whether hosts reach each other by ways that can be cut. @default false */
+  readonly cuttable?: boolean;
   /** @default "info", into a file for each host */
   readonly logLevel?: string;
 }
@@ -60,6 +63,8 @@
   readonly engines: readonly engineFake.FakeEngine[];
   readonly services: readonly serviceFake.FakeService[];
   readonly hosts: HostProcess[];
+  /** Ways from other hosts to each host, in order; none unless cuttable. */
+  readonly peerWays: readonly forwarder.Forwarder[];
   /** Starts a host again, under its old name and addresses. */
   readonly restartHost: (index: number) => Promise<void>;
   /** Runs an operator's command; the output is what it printed. */
@@ -80,6 +85,8 @@
   readonly caller: number;
   readonly operations: number;
   readonly peer: number;
+  /** Port by which other hosts reach it. */
+  readonly advertised: number;
 }
 
 /** Hosts that stand in the settings of each host. */
@@ -100,7 +107,16 @@
   const secretFile = path.join(folder, "secret");
   fs.writeFileSync(secretFile, `${utils.createId()}\n`, { mode: 0o600 });
   const standIns = await startStandIns(options);
-  const plans = await planHosts(options.hosts);
+  const planned = await planHosts(options.hosts);
+  const peerWays = options.cuttable === true
+    ? await Promise.all(
+      planned.map((plan) => forwarder.startForwarder(plan.peer)),
+    )
+    : [];
+  const plans = planned.map((plan, index) => ({
+    ...plan,
+    advertised: peerWays[index]?.port ?? plan.peer,
+  }));
   const settingsFiles = plans.map((plan) =>
     writeSettings(plan, { plans, folder, secretFile, standIns, options })
   );
@@ -137,6 +153,7 @@
     operatorFile,
     ...standIns,
     hosts,
+    peerWays,
     restartHost: async (index) => {
       hosts[index] = spawnHost(plans[index], {
         folder,
@@ -157,6 +174,7 @@
     },
     close: async () => {
       hosts.forEach((host) => host.child.kill("SIGKILL"));
+      await Promise.all(peerWays.map((way) => way.close()));
       await standIns.close();
       fs.rmSync(folder, { recursive: true, force: true });
     },
@@ -246,7 +264,9 @@
   return { name: `${pool}-${new URL(url).port}`, pool, url, state: "live" };
 }
 
-async function planHosts(domains: readonly string[]): Promise<HostPlan[]> {
+async function planHosts(
+  domains: readonly string[],
+): Promise<Omit<HostPlan, "advertised">[]> {
   const ports = await Promise.all(
     domains.flatMap(() => [1, 2, 3].map(() => testing.findFreePort())),
   );
@@ -276,12 +296,13 @@
     operations: { address: `127.0.0.1:${plan.operations}` },
     peer: {
       address: `127.0.0.1:${plan.peer}`,
+      advertised_address: `127.0.0.1:${plan.advertised}`,
       secret_file: secretFile,
       // A few are enough: the others are learned from them.
       seeds: plans.slice(0, SEEDS).map((other) => ({
         name: other.name,
         failure_domain: other.failureDomain,
-        address: `127.0.0.1:${other.peer}`,
+        address: `127.0.0.1:${other.advertised}`,
       })),
     },
     platform: {
