--- a/bench/measure.ts
+++ b/bench/measure.ts
@@ -146,7 +146,6 @@
     requestId: string,
     refusal: core.Refusal,
     options: {
-      readonly now: number;
       readonly lowerElsewhere: (request: core.Request) => boolean;
     },
   ): void {
--- a/bench/part.ts
+++ b/bench/part.ts
@@ -2,9 +2,11 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as table from "../packages/banyangrade/table.ts";
-import * as measure from "./measure.ts";
+import * as cases from "./cases.ts";
+import * as deployments from "./deployments.ts";
+import type * as measure from "./measure.ts";
 import * as plot from "./plot.ts";
-import * as scenarios from "./scenario.ts";
+import type * as scenarios from "./scenario.ts";
 import * as simulation from "./simulation.ts";
 
 const SEED = Number(process.env.BENCH_SEED ?? 20_261_203);
@@ -33,10 +35,10 @@
     troubles: one.troubles,
     policy: options.policy,
     seed: SEED,
-    runMs: scenarios.RUN_MS,
+    runMs: cases.RUN_MS,
   });
   run.run();
-  return run.measure.sumUp(scenarios.RUN_MS);
+  return run.measure.sumUp(cases.RUN_MS);
 }
 
 function formatPercent(share: number): string {
@@ -69,8 +71,8 @@
   const pointMs = 2_000;
   const mean = (from: number, to: number) =>
     curve.slice(from, to).reduce((sum, value) => sum + value, 0) / (to - from);
-  const begin = scenarios.FROM / pointMs;
-  const end = scenarios.TO / pointMs;
+  const begin = cases.FROM / pointMs;
+  const end = cases.TO / pointMs;
   const level = 0.95 * mean(begin / 2, begin);
   const back = curve.findIndex((_, index) =>
     index >= end && mean(index, index + 3) >= level
@@ -85,7 +87,7 @@
 ): { readonly text: string; readonly curves: readonly plot.Curve[] } {
   const curves: plot.Curve[] = [];
   const misses: (readonly [string, measure.RunFigures])[] = [];
-  const rows = scenarios.CASES
+  const rows = cases.CASES
     .filter((one) => chosen === undefined || one.name.includes(chosen))
     .flatMap((one) =>
       (["banyangrade", "naive"] as const).map((policy) => {
@@ -134,7 +136,7 @@
 function runElastic(scenario: scenarios.Scenario): string {
   const rows = ELASTIC_RUNS.map(({ fleet, domains }) => {
     const run = new simulation.Simulation({
-      scenario: scenarios.buildElastic(scenario, fleet),
+      scenario: deployments.buildElastic(scenario, fleet),
       troubles: [
         { kind: "tide", periodMs: TIDE_MS, low: 0.3 },
         {
@@ -177,7 +179,7 @@
 }
 
 const [part, name, chosen] = process.argv.slice(2);
-const scenario = [scenarios.TANZRAUM, scenarios.JADELEAF]
+const scenario = [deployments.TANZRAUM, deployments.JADELEAF]
   .find((one) => one.name === name);
 if (scenario === undefined) throw new Error(`There is no scenario "${name}".`);
 if (part === "autoscaled") {
--- a/bench/simulation_test.ts
+++ b/bench/simulation_test.ts
@@ -1,7 +1,8 @@
 /** A small part of the bench: what must hold whatever the figures are. */
 import * as tap from "tap";
-import * as measure from "./measure.ts";
-import * as scenarios from "./scenario.ts";
+import * as deployments from "./deployments.ts";
+import type * as measure from "./measure.ts";
+import type * as scenarios from "./scenario.ts";
 import * as simulation from "./simulation.ts";
 
 const RUN_MS = 60_000;
@@ -13,7 +14,7 @@
 
 function runPolicy(policy: "banyangrade" | "naive"): measure.RunFigures {
   const run = new simulation.Simulation({
-    scenario: scenarios.TANZRAUM,
+    scenario: deployments.TANZRAUM,
     troubles: TROUBLES,
     policy,
     seed: 20_261_203,
--- a/packages/core/dispatcher_fuzz_test.ts
+++ b/packages/core/dispatcher_fuzz_test.ts
@@ -3,29 +3,15 @@
 import * as tap from "tap";
 import * as utils from "@banyangrade/utils";
 import * as core from "./mod.ts";
+import * as testing from "./testing.ts";
 
 const RUNS = Number(process.env.FUZZ_RUNS ?? 1_500);
 const SEED = Number(process.env.FUZZ_SEED ?? 20_261_203);
 
-const CLASSES: core.ClassPart[] = [1, 2, 3].map((tier) => ({
-  kind: "class",
-  name: `tier${tier}`,
-  tier,
-  firstTokenMs: 500,
-  betweenTokensMs: 50,
-  queueMs: 1_000,
-  share: tier === 1 ? 0 : 0.1,
-}));
-const POOL: Omit<core.PoolPart, "name" | "targets" | "serves"> = {
-  kind: "pool",
-  failureDomain: "a",
-  slots: 2,
-  spot: false,
-  costPerHour: 1,
-  checksFencing: false,
-  minServers: 0,
-  maxServers: 0,
-};
+const CLASSES: core.ClassPart[] = [1, 2, 3].map((tier) =>
+  testing.buildClass(tier, { share: tier === 1 ? 0 : 0.1 })
+);
+const { POOL } = testing;
 const POOLS: core.PoolPart[] = [
   { ...POOL, name: "engines", serves: "engine", targets: ["model"] },
   { ...POOL, name: "rooms", serves: "service", targets: ["rooms"] },
@@ -361,17 +347,6 @@
   return FAR_SERVERS.some((info) => info.name === server);
 }
 
-function buildConfiguration(): core.Configuration {
-  return core.applyChange(core.EMPTY_CONFIGURATION, {
-    revision: 1,
-    previousDigest: "",
-    puts: [...CLASSES, ...POOLS, FAR_POOL],
-    removes: [],
-    author: "test",
-    writerToken: "1",
-  }).unwrap();
-}
-
 class Harness {
   readonly oracle = new Oracle();
   readonly dispatcher = new core.Dispatcher({
@@ -383,7 +358,14 @@
   count = 0;
 
   constructor() {
-    this.send({ kind: "configured", configuration: buildConfiguration() });
+    this.send({
+      kind: "configured",
+      configuration: testing.buildConfiguration([
+        ...CLASSES,
+        ...POOLS,
+        FAR_POOL,
+      ]),
+    });
     this.send({ kind: "servers_changed", servers: SERVERS });
     this.send({ kind: "hosts_changed", hosts: ["h0", "h1"] });
   }
--- a/packages/core/testing.ts
+++ b/packages/core/testing.ts
@@ -17,7 +17,16 @@
   maxServers: 0,
 };
 
-function buildClass(tier: number): core.ClassPart {
+/**
+ * Builds the class of a tier.
+ *
+ * @example
+ * buildClass(1, { share: 0.1 }).name; // "tier1"
+ */
+export function buildClass(
+  tier: number,
+  { share = 0 }: { readonly share?: number } = {},
+): core.ClassPart {
   return {
     kind: "class",
     name: `tier${tier}`,
@@ -25,10 +34,29 @@
     firstTokenMs: 500,
     betweenTokensMs: 50,
     queueMs: 1_000,
-    share: 0,
+    share,
   };
 }
 
+/**
+ * Builds the configuration of some parts.
+ *
+ * @example
+ * buildConfiguration([buildClass(1), POOL]);
+ */
+export function buildConfiguration(
+  puts: readonly core.Part[],
+): core.Configuration {
+  return core.applyChange(core.EMPTY_CONFIGURATION, {
+    revision: 1,
+    previousDigest: "",
+    puts,
+    removes: [],
+    author: "test",
+    writerToken: "1",
+  }).unwrap();
+}
+
 /** Options of {@link startDispatcher}. */
 export interface StartOptions {
   /** @default "h0" */
@@ -54,14 +82,11 @@
     host,
     random: utils.createRandom(seed),
   });
-  const configuration = core.applyChange(core.EMPTY_CONFIGURATION, {
-    revision: 1,
-    previousDigest: "",
-    puts: [buildClass(1), buildClass(2), ...pools],
-    removes: [],
-    author: "test",
-    writerToken: "1",
-  }).unwrap();
+  const configuration = buildConfiguration([
+    buildClass(1),
+    buildClass(2),
+    ...pools,
+  ]);
   dispatcher.handle({ kind: "configured", configuration }, 0);
   dispatcher.handle({
     kind: "servers_changed",
