--- a/bench/control.ts
+++ b/bench/control.ts
@@ -12,6 +12,12 @@
 import * as clusterModule from "../playground/cluster.ts";
 import * as table from "../packages/banyangrade/table.ts";
 
+/**
+ * Time until hosts that all started at once have passed each other's news on:
+ * about a beat for each host, in ms.
+ */
+const SETTLE_MS = 8_000;
+const SETTLE_PER_HOST_MS = 700;
 const STEADY_MS = 15_000;
 const CHURN_MS = 20_000;
 /** 18,000 changes a day. */
@@ -143,7 +149,7 @@
     serviceFiles: path.join(import.meta.dirname, "services"),
     logLevel: "warn",
   });
-  await utils.waitFor(8_000);
+  await utils.waitFor(SETTLE_MS + count * SETTLE_PER_HOST_MS);
   const steady = await measureHosts(cluster, STEADY_MS, {
     work: () => Promise.resolve(),
   });
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -152,7 +152,8 @@
   {
     name: "router: grants are ignored",
     file: "packages/core/router.ts",
-    find: "(servers.isWithinGrant(pool, wanted.className) ||",
+    find:
+      "(servers.isWithinGrant(pool, { className: wanted.className, now }) ||",
     replace: "(pool.running >= 0 ||",
     test: DISPATCHER,
   },
@@ -167,7 +168,7 @@
     name: "dispatcher: an overdue request is refused before it preempts",
     file: "packages/core/yielding.ts",
     find:
-      "if (victim !== undefined) preemptAttempt(state, victim);\n    else if",
+      "if (victim !== undefined) ending.preemptAttempt(state, victim);\n    else if",
     replace: "if (isRecalling(state, entry)) return;\n    else if",
     test: "packages/core/dispatcher_test.ts",
   },
