--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -67,7 +67,7 @@
 export const MAX_PREFIXES = 20_000;
 
 /** In pools of no more servers than this, hosts share their counts of all of them. */
-export const MAX_SHARED_SERVERS = 32;
+export const MAX_SHARED_SERVERS = 8;
 
 /** Slots granted for calls of plain services, as a multiple of those that there are. */
 export const CALL_GRANT_FACTOR = 1.25;
