Separate what a host knows of a server from its table of them

Ruled out: nothing; no decision is changed.

Change: server_state.ts holds the shapes and the functions of one server or pool, servers.ts the table.

--- a/packages/core/admission.ts
+++ b/packages/core/admission.ts
@@ -1,7 +1,7 @@
 /** Whether a request that arrives can still make its target, and who gives way. */
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
-import type * as servers from "./servers.ts";
+import type * as serverState from "./server_state.ts";
 import * as constants from "./constants.ts";
 
 /** What must be known to find the pools that may serve something. */
@@ -45,7 +45,7 @@
   wanted: request.Request,
   options: {
     readonly lanes: readonly queue.Lane[];
-    readonly pools: readonly servers.PoolState[];
+    readonly pools: readonly serverState.PoolState[];
     readonly serviceMs: number;
   },
 ): Backlog {
@@ -102,7 +102,7 @@
  */
 export function hasLowerWork(
   tier: number,
-  pools: readonly servers.PoolState[],
+  pools: readonly serverState.PoolState[],
 ): boolean {
   return pools.some((pool) => pool.lowestTierElsewhere > tier);
 }
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -9,7 +9,7 @@
 import * as hostState from "./host_state.ts";
 import * as intake from "./intake.ts";
 import type * as queue from "./queue.ts";
-import type * as servers from "./servers.ts";
+import type * as serverState from "./server_state.ts";
 import * as overflow from "./overflow.ts";
 import * as starting from "./starting.ts";
 import * as yielding from "./yielding.ts";
@@ -38,8 +38,8 @@
 
   /** Servers, pools and lanes, for `status` and `explain`. */
   inspect(): {
-    readonly servers: readonly servers.ServerState[];
-    readonly pools: readonly servers.PoolState[];
+    readonly servers: readonly serverState.ServerState[];
+    readonly pools: readonly serverState.PoolState[];
     readonly lanes: readonly queue.Lane[];
   } {
     const { table, queue } = this.#state;
@@ -121,7 +121,7 @@
 function listClassDemand(
   state: hostState.HostState,
   { pool, lanes }: {
-    readonly pool: servers.PoolState;
+    readonly pool: serverState.PoolState;
     readonly lanes: readonly queue.Lane[];
   },
 ): events.ClassDemand[] {
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -5,7 +5,7 @@
 import * as hostState from "./host_state.ts";
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
-import * as servers from "./servers.ts";
+import * as serverState from "./server_state.ts";
 import * as starting from "./starting.ts";
 
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
@@ -104,7 +104,7 @@
     serviceMs: state.now - ended.startedAt,
   });
   const server = state.table.get(ended.server);
-  if (server !== undefined) servers.recordSuccess(server);
+  if (server !== undefined) serverState.recordSuccess(server);
   recordSpeed(state, { attempt: ended, least: 1 });
   dispatchFreed(state, ended);
 }
--- a/packages/core/grants.ts
+++ b/packages/core/grants.ts
@@ -4,7 +4,7 @@
 import type * as events from "./events.ts";
 import * as hostState from "./host_state.ts";
 import * as overflow from "./overflow.ts";
-import type * as servers from "./servers.ts";
+import type * as serverState from "./server_state.ts";
 import * as starting from "./starting.ts";
 
 /**
@@ -30,7 +30,7 @@
   starting.dispatchQueue(state);
 }
 
-function setGrant(pool: servers.PoolState, grant: events.PoolGrant): void {
+function setGrant(pool: serverState.PoolState, grant: events.PoolGrant): void {
   pool.limits = new Map(
     grant.limits.map((limit) => [limit.className, limit.slots]),
   );
@@ -83,7 +83,7 @@
   );
 }
 
-function buildNoGrant(pool: servers.PoolState): events.Grant {
+function buildNoGrant(pool: serverState.PoolState): events.Grant {
   return {
     pool: pool.part.name,
     limits: [],
@@ -126,13 +126,13 @@
 
 function isRecalled(
   attempt: attempts.Attempt,
-  pool: servers.PoolState,
+  pool: serverState.PoolState,
 ): boolean {
   return attempt.pool === pool.part.name &&
     attempt.request.tier > pool.recallForTier && attempt.request.repeatable;
 }
 
-function exceedsLimit(pool: servers.PoolState, className: string): boolean {
+function exceedsLimit(pool: serverState.PoolState, className: string): boolean {
   const limit = pool.limits.get(className) ?? Number.POSITIVE_INFINITY;
   return (pool.runningByClass.get(className) ?? 0) > limit;
 }
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -14,6 +14,7 @@
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
 import * as router from "./router.ts";
+import type * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
 /** Options of {@link createHostState}. */
@@ -120,7 +121,7 @@
  * @example
  * listOwnPools(state);
  */
-export function listOwnPools(state: HostState): servers.PoolState[] {
+export function listOwnPools(state: HostState): serverState.PoolState[] {
   return state.table.listPools().filter((pool) =>
     pool.part.failureDomain === state.failureDomain
   );
@@ -135,7 +136,7 @@
 export function listPoolsFor(
   state: HostState,
   wanted: admission.Routed,
-): servers.PoolState[] {
+): serverState.PoolState[] {
   return listOwnPools(state).filter((pool) => isServedBy(wanted, pool));
 }
 
@@ -178,7 +179,7 @@
  */
 export function isServedBy(
   wanted: admission.Routed,
-  pool: servers.PoolState,
+  pool: serverState.PoolState,
 ): boolean {
   return pool.part.targets.includes(wanted.target) &&
     (wanted.pools.length === 0 || wanted.pools.includes(pool.part.name));
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -5,7 +5,7 @@
 import * as overflow from "./overflow.ts";
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
-import type * as servers from "./servers.ts";
+import type * as serverState from "./server_state.ts";
 import * as starting from "./starting.ts";
 
 /**
@@ -101,7 +101,7 @@
 
 interface Placed {
   readonly wanted: request.Request;
-  readonly pools: readonly servers.PoolState[];
+  readonly pools: readonly serverState.PoolState[];
 }
 
 function hasLowerWork(
--- a/packages/core/overflow.ts
+++ b/packages/core/overflow.ts
@@ -10,7 +10,7 @@
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
-import * as servers from "./servers.ts";
+import * as serverState from "./server_state.ts";
 
 /** Demand for the pools of another failure domain. */
 export interface DomainDemand {
@@ -61,7 +61,7 @@
 function buildDemand(
   state: hostState.HostState,
   { pool, lanes }: {
-    readonly pool: servers.PoolState;
+    readonly pool: serverState.PoolState;
     readonly lanes: readonly queue.Lane[];
   },
 ): events.PoolDemand {
@@ -99,7 +99,7 @@
     if (!pool.foreign || !hostState.isServedBy(wanted, pool)) return false;
     const known = now - pool.grantedAt < constants.OVERFLOW_KNOWN_MS;
     return !known || !pool.short.includes(wanted.className) ||
-      servers.isWithinGrant(pool, { className: wanted.className, now });
+      serverState.isWithinGrant(pool, { className: wanted.className, now });
   });
 }
 
--- a/packages/core/preemption.ts
+++ b/packages/core/preemption.ts
@@ -2,12 +2,12 @@
 import * as admission from "./admission.ts";
 import type * as attempts from "./attempts.ts";
 import type * as config from "./config.ts";
-import type * as servers from "./servers.ts";
+import type * as serverState from "./server_state.ts";
 
 /** For whom, and where, a slot is wanted. */
 export interface VictimOptions {
   readonly tier: number;
-  readonly pools: readonly servers.PoolState[];
+  readonly pools: readonly serverState.PoolState[];
   readonly classes: ReadonlyMap<string, config.ClassPart>;
 }
 
@@ -50,7 +50,7 @@
 
 function exceedsShare(
   attempt: attempts.Attempt,
-  pool: servers.PoolState,
+  pool: serverState.PoolState,
   options: VictimOptions,
 ): boolean {
   const className = attempt.request.className;
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -8,6 +8,7 @@
 import type * as utils from "@banyangrade/utils";
 import * as constants from "./constants.ts";
 import type * as request from "./request.ts";
+import * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
 /** Draws tried before every server is looked at. */
@@ -33,7 +34,7 @@
   /** Its class has earned a turn by its guaranteed share, so limits do not hold it. */
   readonly turn: boolean;
   /** Slots of a pool that its class may take in its turn. */
-  readonly guaranteedSlots: (pool: servers.PoolState) => number;
+  readonly guaranteedSlots: (pool: serverState.PoolState) => number;
   /** Whether other failure domains' servers may be used. */
   readonly overflow: boolean;
 }
@@ -42,7 +43,7 @@
 interface Choice {
   readonly wanted: request.Request;
   readonly now: number;
-  readonly isUsable: (server: servers.ServerState) => boolean;
+  readonly isUsable: (server: serverState.ServerState) => boolean;
 }
 
 /** Chooses backend servers for one host. */
@@ -66,12 +67,12 @@
   choose(
     wanted: request.Request,
     options: RouteOptions,
-  ): servers.ServerState | undefined {
+  ): serverState.ServerState | undefined {
     const pools = this.#findUsablePools(wanted, options);
     // Under load most classes have used up their grants; then no server need
     // be looked at.
     if (pools.size === 0) return undefined;
-    const isUsable = (server: servers.ServerState) =>
+    const isUsable = (server: serverState.ServerState) =>
       pools.has(server.info.pool) && server.info.name !== options.avoid &&
       isFit(server, options);
     const chosen = this.#chooseUsable(wanted, { options, isUsable }) ??
@@ -88,7 +89,7 @@
       readonly options: RouteOptions;
       readonly isUsable: Choice["isUsable"];
     },
-  ): servers.ServerState | undefined {
+  ): serverState.ServerState | undefined {
     const { now } = options;
     const all = this.#table.listFor(wanted.target);
     const home = this.#table.listHomeFor(wanted.target);
@@ -96,11 +97,11 @@
     // certain; what is left of the patience is better spent waiting.
     const probing = this.#random.below(constants.PROBE_ONE_IN) === 0;
     const longest = constants.SPEED_MARGIN * wanted.targetBetweenMs;
-    const isFast = (server: servers.ServerState) =>
+    const isFast = (server: serverState.ServerState) =>
       (probing || server.tokenMs <= longest) && isUsable(server);
-    const isNear = (server: servers.ServerState) =>
+    const isNear = (server: serverState.ServerState) =>
       server.pool.failureDomain === this.#failureDomain && isFast(server);
-    const isHome = (server: servers.ServerState) =>
+    const isHome = (server: serverState.ServerState) =>
       server.running < server.homeSlots && isFast(server);
     const near =
       this.#chooseByPrefix(wanted, { wanted, now, isUsable: isNear }) ??
@@ -123,7 +124,10 @@
         wanted.pools.includes(pool.part.name);
       const near = !pool.foreign || options.overflow;
       return allowed && near &&
-        (servers.isWithinGrant(pool, { className: wanted.className, now }) ||
+        (serverState.isWithinGrant(pool, {
+          className: wanted.className,
+          now,
+        }) ||
           isWithinTurn(pool, { wanted, options }));
     });
     return new Set(usable.map((pool) => pool.part.name));
@@ -140,7 +144,7 @@
   #chooseByPrefix(
     wanted: request.Request,
     { now, isUsable }: Choice,
-  ): servers.ServerState | undefined {
+  ): serverState.ServerState | undefined {
     if (!this.#affinity || wanted.prefix === "") return undefined;
     const name = this.#prefixes.get(this.#getPrefixKey(wanted));
     const server = name === undefined ? undefined : this.#table.get(name);
@@ -148,15 +152,15 @@
     const pool = this.#table.getPool(server.info.pool);
     const usual = (pool?.running ?? 0) / Math.max(1, pool?.totalSlots ?? 1);
     const bound = constants.AFFINITY_LOAD_BOUND * usual * server.pool.slots;
-    return servers.estimateLoad(server, now) <= Math.max(1, bound)
+    return serverState.estimateLoad(server, now) <= Math.max(1, bound)
       ? server
       : undefined;
   }
 
   #chooseByLoad(
-    candidates: readonly servers.ServerState[],
+    candidates: readonly serverState.ServerState[],
     choice: Choice,
-  ): servers.ServerState | undefined {
+  ): serverState.ServerState | undefined {
     const { isUsable } = choice;
     if (candidates.length === 0) return undefined;
     for (let pair = 0; pair < RANDOM_PAIRS; pair += 1) {
@@ -171,10 +175,10 @@
   }
 
   #findLeastLoaded(
-    usable: readonly servers.ServerState[],
+    usable: readonly serverState.ServerState[],
     choice: Choice,
-  ): servers.ServerState | undefined {
-    return usable.reduce<servers.ServerState | undefined>(
+  ): serverState.ServerState | undefined {
+    return usable.reduce<serverState.ServerState | undefined>(
       (best, server) =>
         best && this.#score(best, choice) <= this.#score(server, choice)
           ? best
@@ -184,14 +188,14 @@
   }
 
   /** Relative load, weighed by how slow its tokens are against its pool's. */
-  #score(server: servers.ServerState, { wanted, now }: Choice): number {
+  #score(server: serverState.ServerState, { wanted, now }: Choice): number {
     const prompting = server.prompting / constants.PROMPT_TOKENS_PER_LOAD;
     // A long prompt holds up every stream beside it.
     const disturbed = constants.DISTURBANCE *
       countHigher(server, wanted.tier) * wanted.promptTokens /
       constants.PROMPT_TOKENS_PER_LOAD;
     const load =
-      (servers.estimateLoad(server, now) + prompting + disturbed + 1) /
+      (serverState.estimateLoad(server, now) + prompting + disturbed + 1) /
       server.pool.slots;
     const typical = this.#table.getPool(server.info.pool)?.tokenMs ?? 0;
     const known = server.tokenMs > 0 && typical > 0;
@@ -202,7 +206,7 @@
   #chooseAvoided(
     pools: ReadonlySet<string>,
     options: RouteOptions,
-  ): servers.ServerState | undefined {
+  ): serverState.ServerState | undefined {
     const server = options.avoid && this.#table.get(options.avoid);
     if (!server || options.suspect) return undefined;
     const usable = pools.has(server.info.pool) && isFit(server, options);
@@ -215,13 +219,16 @@
  * if it is lost, exactly one request collects a second mark, so a poison
  * request's neighbours are not quarantined with it.
  */
-function isFit(server: servers.ServerState, options: RouteOptions): boolean {
+function isFit(
+  server: serverState.ServerState,
+  options: RouteOptions,
+): boolean {
   const alone = !options.suspect || server.suspects === 0;
-  return alone && servers.hasRoom(server, options.now);
+  return alone && serverState.hasRoom(server, options.now);
 }
 
 /** Counts this host's requests of higher tiers that a server is running. */
-function countHigher(server: servers.ServerState, tier: number): number {
+function countHigher(server: serverState.ServerState, tier: number): number {
   return server.runningByTier.reduce(
     (sum, count, other) => other < tier ? sum + count : sum,
     0,
@@ -229,7 +236,7 @@
 }
 
 function isWithinTurn(
-  pool: servers.PoolState,
+  pool: serverState.PoolState,
   { wanted, options }: { wanted: request.Request; options: RouteOptions },
 ): boolean {
   const running = pool.runningByClass.get(wanted.className) ?? 0;
--- /dev/null
+++ b/packages/core/server_state.ts
@@ -0,0 +1,136 @@
+/** One server and one pool as a host sees them, and what follows from that. */
+import type * as config from "./config.ts";
+import * as constants from "./constants.ts";
+import type * as events from "./events.ts";
+
+/** One backend server as this host sees it. */
+export interface ServerState {
+  readonly info: events.ServerInfo;
+  readonly pool: config.PoolPart;
+  /** Requests of this host that it is running. */
+  running: number;
+  /** Its requests by tier, the tier being the index. */
+  readonly runningByTier: number[];
+  /** Prompt tokens of this host that it has not yet taken in. */
+  prompting: number;
+  /** Slots of it that this host prefers over those of other servers. */
+  homeSlots: number;
+  /** What other hosts run on it, as the capacity leader told at `at`. */
+  elsewhere?: { readonly running: number; readonly at: number };
+  /** Suspect requests among them. */
+  suspects: number;
+  /** Last load report, the time it arrived and what this host had running then. */
+  report?: events.LoadReport & { readonly ownRunning: number };
+  consecutiveFailures: number;
+  ejections: number;
+  ejectedUntil: number;
+  /** When it last came into use, for the slow start. */
+  admittedAt: number;
+  /** Moving average of the time between tokens, in ms; 0 before the first sample. */
+  tokenMs: number;
+}
+
+/** What this host may use of one pool. */
+export interface PoolState {
+  readonly part: config.PoolPart;
+  /** Whether it stands in another failure domain. */
+  readonly foreign: boolean;
+  /** When the demand was sent that its grant answers. */
+  grantedAt: number;
+  /** Slots granted to this host for the classes that are held back. */
+  limits: ReadonlyMap<string, number>;
+  /** Slots of all its live servers. */
+  totalSlots: number;
+  running: number;
+  readonly runningByClass: Map<string, number>;
+  lowestTierElsewhere: number;
+  recallForTier: number;
+  queuedElsewhere: readonly events.TierCount[];
+  /** Classes that got fewer slots than were asked for. */
+  short: readonly string[];
+  /** Moving average of the time between tokens over its servers, in ms. */
+  tokenMs: number;
+}
+
+/**
+ * Estimates what a server is running: this host's own work and what the
+ * capacity leader told of the others'. Without recent word from the leader it
+ * goes by the server's report, which lags, so this host's own starts and ends
+ * since then are added; it can never be less than what this host itself has
+ * running there.
+ *
+ * @example
+ * const load = estimateLoad(server, now);
+ */
+export function estimateLoad(server: ServerState, now: number): number {
+  const { elsewhere } = server;
+  if (
+    elsewhere !== undefined && now - elsewhere.at < constants.GRANT_VALID_MS
+  ) {
+    return server.running + elsewhere.running;
+  }
+  if (server.report === undefined) return server.running;
+  const reported = server.report.running + server.report.waiting;
+  const since = server.running - server.report.ownRunning;
+  return Math.max(server.running, reported + since);
+}
+
+/**
+ * Returns how many requests the server may hold now: its pool's slots, fewer
+ * during its slow start.
+ *
+ * @example
+ * const free = getCapacity(server, now) - estimateLoad(server, now);
+ */
+export function getCapacity(server: ServerState, now: number): number {
+  const age = now - server.admittedAt;
+  if (age >= constants.SLOW_START_MS) {
+    return server.pool.slots;
+  }
+  const share = Math.max(0, age) / constants.SLOW_START_MS;
+  return Math.max(1, Math.floor(server.pool.slots * share));
+}
+
+/**
+ * Whether the server may be given one more request: it is not leaving, not
+ * ejected, and holds less than what keeps it busy.
+ *
+ * @example
+ * servers.filter((server) => hasRoom(server, now));
+ */
+export function hasRoom(server: ServerState, now: number): boolean {
+  return server.info.state === "live" &&
+    now >= server.ejectedUntil &&
+    estimateLoad(server, now) < getCapacity(server, now);
+}
+
+/**
+ * Whether the host's grant allows one more request of a class in a pool. In
+ * its own failure domain a host without a grant uses what it sees; in another
+ * one it uses only what it was granted, and only while the grant is fresh: its
+ * leader may have given the slots to a higher tier since.
+ *
+ * @example
+ * isWithinGrant(pool, { className: "lookup", now });
+ */
+export function isWithinGrant(
+  pool: PoolState,
+  { className, now }: { readonly className: string; readonly now: number },
+): boolean {
+  const limit = pool.limits.get(className);
+  const running = pool.runningByClass.get(className) ?? 0;
+  if (!pool.foreign) return limit === undefined || running < limit;
+  const fresh = now - pool.grantedAt <= constants.GRANT_VALID_MS;
+  return fresh && limit !== undefined && running < limit;
+}
+
+/**
+ * Records a whole answer: the server is well.
+ *
+ * @example
+ * recordSuccess(server);
+ */
+export function recordSuccess(server: ServerState): void {
+  server.consecutiveFailures = 0;
+  server.ejections = 0;
+}
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -1,61 +1,10 @@
-/**
- * The host's table of backend servers: what each is running as far as this
- * host can know, and whether it may be given more.
- */
+/** The host's table of backend servers and pools. */
 import * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
 import * as partition from "./partition.ts";
 import type * as request from "./request.ts";
-
-/** One backend server as this host sees it. */
-export interface ServerState {
-  readonly info: events.ServerInfo;
-  readonly pool: config.PoolPart;
-  /** Requests of this host that it is running. */
-  running: number;
-  /** Its requests by tier, the tier being the index. */
-  readonly runningByTier: number[];
-  /** Prompt tokens of this host that it has not yet taken in. */
-  prompting: number;
-  /** Slots of it that this host prefers over those of other servers. */
-  homeSlots: number;
-  /** What other hosts run on it, as the capacity leader told at `at`. */
-  elsewhere?: { readonly running: number; readonly at: number };
-  /** Suspect requests among them. */
-  suspects: number;
-  /** Last load report, the time it arrived and what this host had running then. */
-  report?: events.LoadReport & { readonly ownRunning: number };
-  consecutiveFailures: number;
-  ejections: number;
-  ejectedUntil: number;
-  /** When it last came into use, for the slow start. */
-  admittedAt: number;
-  /** Moving average of the time between tokens, in ms; 0 before the first sample. */
-  tokenMs: number;
-}
-
-/** What this host may use of one pool. */
-export interface PoolState {
-  readonly part: config.PoolPart;
-  /** Whether it stands in another failure domain. */
-  readonly foreign: boolean;
-  /** When the demand was sent that its grant answers. */
-  grantedAt: number;
-  /** Slots granted to this host for the classes that are held back. */
-  limits: ReadonlyMap<string, number>;
-  /** Slots of all its live servers. */
-  totalSlots: number;
-  running: number;
-  readonly runningByClass: Map<string, number>;
-  lowestTierElsewhere: number;
-  recallForTier: number;
-  queuedElsewhere: readonly events.TierCount[];
-  /** Classes that got fewer slots than were asked for. */
-  short: readonly string[];
-  /** Moving average of the time between tokens over its servers, in ms. */
-  tokenMs: number;
-}
+import * as serverState from "./server_state.ts";
 
 /** All backend servers and pools that the host knows. */
 export class ServerTable {
@@ -63,11 +12,11 @@
   readonly #failureDomain: string;
   readonly #visited = new Map<string, readonly events.ServerInfo[]>();
   #hosts: readonly string[] = [];
-  readonly #servers = new Map<string, ServerState>();
-  readonly #pools = new Map<string, PoolState>();
-  #poolsByTarget = new Map<string, PoolState[]>();
-  #byTarget = new Map<string, ServerState[]>();
-  #homeByTarget = new Map<string, ServerState[]>();
+  readonly #servers = new Map<string, serverState.ServerState>();
+  readonly #pools = new Map<string, serverState.PoolState>();
+  #poolsByTarget = new Map<string, serverState.PoolState[]>();
+  #byTarget = new Map<string, serverState.ServerState[]>();
+  #homeByTarget = new Map<string, serverState.ServerState[]>();
   #infos: readonly events.ServerInfo[] = [];
 
   constructor(
@@ -151,7 +100,7 @@
     });
   }
 
-  #listOf(pool: string): ServerState[] {
+  #listOf(pool: string): serverState.ServerState[] {
     return [...this.#servers.values()].filter(({ info }) => info.pool === pool);
   }
 
@@ -204,45 +153,47 @@
     );
   }
 
-  get(name: string): ServerState | undefined {
+  get(name: string): serverState.ServerState | undefined {
     return this.#servers.get(name);
   }
 
-  getPool(name: string): PoolState | undefined {
+  getPool(name: string): serverState.PoolState | undefined {
     return this.#pools.get(name);
   }
 
-  listPools(): PoolState[] {
+  listPools(): serverState.PoolState[] {
     return [...this.#pools.values()];
   }
 
   /** Lists the pools that offer a target. */
-  listPoolsFor(target: string): readonly PoolState[] {
+  listPoolsFor(target: string): readonly serverState.PoolState[] {
     return this.#poolsByTarget.get(target) ?? [];
   }
 
-  listServers(): ServerState[] {
+  listServers(): serverState.ServerState[] {
     return [...this.#servers.values()];
   }
 
   /** Lists the servers that offer a target, leaving and ejected ones included. */
-  listFor(target: string): readonly ServerState[] {
+  listFor(target: string): readonly serverState.ServerState[] {
     return this.#byTarget.get(target) ?? [];
   }
 
   /** Lists those of them that this host prefers. */
-  listHomeFor(target: string): readonly ServerState[] {
+  listHomeFor(target: string): readonly serverState.ServerState[] {
     return this.#homeByTarget.get(target) ?? [];
   }
 
   /** Whether any server that offers a target may be given one more request. */
   hasRoomFor(target: string, now: number): boolean {
-    return this.listFor(target).some((server) => hasRoom(server, now));
+    return this.listFor(target).some((server) =>
+      serverState.hasRoom(server, now)
+    );
   }
 
   /** Records that an attempt began. */
   recordStart(
-    server: ServerState,
+    server: serverState.ServerState,
     { className, tier }: Pick<request.Request, "className" | "tier">,
   ): void {
     server.running += 1;
@@ -278,7 +229,7 @@
   }
 
   /** Records how long a server took between tokens, in ms. */
-  recordSpeed(server: ServerState, tokenMs: number): void {
+  recordSpeed(server: serverState.ServerState, tokenMs: number): void {
     server.tokenMs = computeAverage(server.tokenMs, tokenMs);
     const pool = this.#pools.get(server.info.pool);
     if (pool !== undefined) {
@@ -291,7 +242,7 @@
    * takes no connection, at once.
    */
   recordFailure(
-    server: ServerState,
+    server: serverState.ServerState,
     { failure, now }: {
       readonly failure: events.AttemptFailure;
       readonly now: number;
@@ -336,7 +287,10 @@
   return index;
 }
 
-function createPoolState(part: config.PoolPart, foreign: boolean): PoolState {
+function createPoolState(
+  part: config.PoolPart,
+  foreign: boolean,
+): serverState.PoolState {
   return {
     part,
     foreign,
@@ -354,7 +308,7 @@
 }
 
 function countLiveSlots(
-  servers: ReadonlyMap<string, ServerState>,
+  servers: ReadonlyMap<string, serverState.ServerState>,
   pool: string,
 ): number {
   return [...servers.values()]
@@ -362,90 +316,7 @@
     .reduce((sum, server) => sum + server.pool.slots, 0);
 }
 
-/**
- * Whether the host's grant allows one more request of a class in a pool. In
- * its own failure domain a host without a grant uses what it sees; in another
- * one it uses only what it was granted, and only while the grant is fresh: its
- * leader may have given the slots to a higher tier since.
- *
- * @example
- * isWithinGrant(pool, { className: "lookup", now });
- */
-export function isWithinGrant(
-  pool: PoolState,
-  { className, now }: { readonly className: string; readonly now: number },
-): boolean {
-  const limit = pool.limits.get(className);
-  const running = pool.runningByClass.get(className) ?? 0;
-  if (!pool.foreign) return limit === undefined || running < limit;
-  const fresh = now - pool.grantedAt <= constants.GRANT_VALID_MS;
-  return fresh && limit !== undefined && running < limit;
-}
-
-/**
- * Records a whole answer: the server is well.
- *
- * @example
- * recordSuccess(server);
- */
-export function recordSuccess(server: ServerState): void {
-  server.consecutiveFailures = 0;
-  server.ejections = 0;
-}
-
 function computeAverage(average: number, sample: number): number {
   if (average === 0) return sample;
   return average + constants.EWMA_WEIGHT * (sample - average);
 }
-
-/**
- * Estimates what a server is running: this host's own work and what the
- * capacity leader told of the others'. Without recent word from the leader it
- * goes by the server's report, which lags, so this host's own starts and ends
- * since then are added; it can never be less than what this host itself has
- * running there.
- *
- * @example
- * const load = estimateLoad(server, now);
- */
-export function estimateLoad(server: ServerState, now: number): number {
-  const { elsewhere } = server;
-  if (
-    elsewhere !== undefined && now - elsewhere.at < constants.GRANT_VALID_MS
-  ) {
-    return server.running + elsewhere.running;
-  }
-  if (server.report === undefined) return server.running;
-  const reported = server.report.running + server.report.waiting;
-  const since = server.running - server.report.ownRunning;
-  return Math.max(server.running, reported + since);
-}
-
-/**
- * Returns how many requests the server may hold now: its pool's slots, fewer
- * during its slow start.
- *
- * @example
- * const free = getCapacity(server, now) - estimateLoad(server, now);
- */
-export function getCapacity(server: ServerState, now: number): number {
-  const age = now - server.admittedAt;
-  if (age >= constants.SLOW_START_MS) {
-    return server.pool.slots;
-  }
-  const share = Math.max(0, age) / constants.SLOW_START_MS;
-  return Math.max(1, Math.floor(server.pool.slots * share));
-}
-
-/**
- * Whether the server may be given one more request: it is not leaving, not
- * ejected, and holds less than what keeps it busy.
- *
- * @example
- * servers.filter((server) => hasRoom(server, now));
- */
-export function hasRoom(server: ServerState, now: number): boolean {
-  return server.info.state === "live" &&
-    now >= server.ejectedUntil &&
-    estimateLoad(server, now) < getCapacity(server, now);
-}
--- a/packages/core/starting.ts
+++ b/packages/core/starting.ts
@@ -4,7 +4,7 @@
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
-import type * as servers from "./servers.ts";
+import type * as serverState from "./server_state.ts";
 
 /**
  * Starts as much queued work as there is room for; with `targets` only work
@@ -58,7 +58,7 @@
     readonly lane: queue.Lane;
     readonly queued: queue.QueuedRequest;
   },
-): servers.ServerState | undefined {
+): serverState.ServerState | undefined {
   const wanted = queued.request;
   // One copy of a suspect request at a time: two could take two servers.
   if (queued.suspect && state.running.hasFingerprint(wanted.fingerprint)) {
@@ -82,7 +82,7 @@
   state: hostState.HostState,
   { lane, server }: {
     readonly lane: queue.Lane;
-    readonly server: servers.ServerState;
+    readonly server: serverState.ServerState;
   },
 ): void {
   const cost = estimateCost(state, lane.peek()?.request as request.Request);
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -53,7 +53,7 @@
   },
   {
     name: "overflow: an old grant of another failure domain is used",
-    file: "packages/core/servers.ts",
+    file: "packages/core/server_state.ts",
     find: "now - pool.grantedAt <= constants.GRANT_VALID_MS",
     replace: "true",
     test: DISPATCHER,
@@ -88,7 +88,7 @@
   },
   {
     name: "routing: what other hosts run is not counted",
-    file: "packages/core/servers.ts",
+    file: "packages/core/server_state.ts",
     find: "return server.running + elsewhere.running;",
     replace: "return server.running;",
     test: ROUTING,
@@ -144,7 +144,7 @@
   },
   {
     name: "servers: a leaving server gets work",
-    file: "packages/core/servers.ts",
+    file: "packages/core/server_state.ts",
     find: `return server.info.state === "live" &&`,
     replace: "return true &&",
     test: DISPATCHER,
@@ -153,7 +153,7 @@
     name: "router: grants are ignored",
     file: "packages/core/router.ts",
     find:
-      "(servers.isWithinGrant(pool, { className: wanted.className, now }) ||",
+      "(serverState.isWithinGrant(pool, { className: wanted.className, now }) ||",
     replace: "(pool.running >= 0 ||",
     test: DISPATCHER,
   },
