Drop the peer client's test hook that nothing uses

Cause: read once more: isCut was in the product for tests, on the way of every call between hosts, and no test used it.

Change: the option and its branch are gone.

--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -24,8 +24,6 @@
   readonly clock: utils.Clock;
   /** Read for each new connection, so that a replaced certificate is used. */
   readonly getTls?: () => server.PeerTls | undefined;
-  /** Addresses that are cut off, in tests. */
-  readonly isCut?: (address: string) => boolean;
 }
 
 /** Calls other hosts by address. */
@@ -48,11 +46,6 @@
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<utils.Result<Answer, utils.StepError>> {
     const { address: peer, step } = to;
-    if (this.#options.isCut?.(peer) === true) {
-      return utils.Err(
-        utils.createStepError("unreachable", { step, peer, message: "Cut." }),
-      );
-    }
     this.#sent += 1;
     try {
       const connection = this.#connect(peer);
