Serve the users' platform by routes, through one adapter folder

Cause: nothing of banyangrade ran on the users' platform. The product knew models and services by name; the platform routes by host name and path, keeps its configuration and list of servers in its store, and judges keys, leaving servers and 'not run' by what its own workers see.

Ruled out: a second dispatcher for routes. The present one is given what it lacked (slots of each server, attempts of each route, a retry budget that hosts share, a shortest Retry-After, no preemption where engines do that), so admission, fairness, ejection and retries stay one piece of code.

Change: routes, freshness of beliefs, list of servers and the shared retry budget in core; following a prefix by long polls in store; attempts that pass a request on as it came in service; front, exchange and host in banyangrade/routed; platform/ translates names and formats.

--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -85,7 +85,7 @@
 
 async function startServers(parts: hostParts.HostParts): Promise<HostServers> {
   const { settings } = parts;
-  const split = settingsModule.splitAddress;
+  const split = utils.splitAddress;
   return {
     peer: await peer.startPeerServer({
       ...split(settings.peer.address),
--- a/packages/banyangrade/host_parts.ts
+++ b/packages/banyangrade/host_parts.ts
@@ -120,16 +120,11 @@
   return utils.createPartLogger(draft.log, part);
 }
 
-/** A seed that differs between hosts and between the runs of one. */
-function hashSeed(text: string): number {
-  return Number.parseInt(utils.computeDigest(text).slice(0, 8), 16);
-}
-
 function addDispatch(draft: Draft): void {
   draft.dispatcher = new core.Dispatcher({
     failureDomain: draft.failureDomain,
     host: draft.host,
-    random: utils.createRandom(hashSeed(draft.incarnation)),
+    random: utils.createRandom(utils.hashSeed(draft.incarnation)),
   });
   draft.dispatch = new dispatchTask.DispatchTask({
     clock: draft.clock,
@@ -161,7 +156,7 @@
     })).filter((seed) => seed.name !== draft.host),
     clients: draft.clients,
     clock: draft.clock,
-    random: utils.createRandom(hashSeed(draft.host)),
+    random: utils.createRandom(utils.hashSeed(draft.host)),
     log: getLog(draft, "peer"),
     getRevision: () => draft.config.get().revision,
     onAhead: (address) => void draft.config.pull(address),
--- /dev/null
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -0,0 +1,235 @@
+/**
+ * What this host believes: the operators' configuration and the list of
+ * backend servers. Each belief knows until when it is proved to have been
+ * current, so that a host without word from the store stops serving keys that
+ * may have been withdrawn.
+ */
+import * as core from "@banyangrade/core";
+import * as store from "@banyangrade/store";
+import type * as utils from "@banyangrade/utils";
+import type * as ports from "./ports.ts";
+
+/**
+ * Longest wait of one poll, in ms. Word from the store is at most this old
+ * while all is well; well below half of the time within which a withdrawn key
+ * must stop working.
+ */
+const POLL_WAIT_MS = 1_000;
+/**
+ * Part of the withdrawal time for which a proof is good. The rest covers the
+ * wait of the poll that was open when the store fell silent, and the way to
+ * the server.
+ */
+const PROOF_SHARE = 0.7;
+/** Part of it for which the host calls itself ready. */
+const READY_SHARE = 0.6;
+/** Between two looks at servers whose entries are missing, in ms. */
+const EXPIRE_MS = 200;
+
+/** Options of {@link BeliefTask}. */
+export interface BeliefOptions {
+  readonly platform: ports.Platform;
+  readonly clock: utils.Clock;
+  readonly log: utils.Logger;
+  readonly withdrawMs: number;
+  readonly onConfiguration: (table: core.RouteTable) => void;
+  readonly onServers: (servers: readonly core.ListedServer[]) => void;
+}
+
+/** Follows the store and keeps what was read. */
+export class BeliefTask {
+  readonly #options: BeliefOptions;
+  readonly #proof = new core.Proof();
+  readonly #gaps = new core.GapDetector();
+  readonly #list = new core.ServerList();
+  readonly #stops: (() => void)[] = [];
+  #table: core.RouteTable | undefined;
+  #revision = 0;
+  #listed = false;
+  #reachable = true;
+
+  constructor(options: BeliefOptions) {
+    this.#options = options;
+  }
+
+  /** Starts following both prefixes. */
+  start(): void {
+    const { platform, clock } = this.#options;
+    const follow = (
+      prefix: string,
+      onEvent: (event: store.FeedEvent) => void,
+    ) =>
+      store.watchPrefix({
+        feed: platform.store,
+        clock,
+        prefix,
+        waitMs: POLL_WAIT_MS,
+        onEvent,
+      });
+    const expiry = setInterval(() => this.#expire(), EXPIRE_MS);
+    this.#stops.push(
+      follow(platform.configurationKey, (event) => this.#takeConfig(event)),
+      follow(platform.serversPrefix, (event) => this.#takeServers(event)),
+      () => clearInterval(expiry),
+    );
+  }
+
+  stop(): void {
+    this.#stops.splice(0).forEach((stop) => stop());
+  }
+
+  /** The configuration in force; undefined before the first one was read. */
+  getTable(): core.RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** Whether keys may be relied on: no withdrawal can be older than allowed. */
+  isProved(): boolean {
+    return this.#getAge() <= PROOF_SHARE * this.#options.withdrawMs;
+  }
+
+  /** Whether new connections do well to come here. */
+  isReady(): boolean {
+    return this.#table !== undefined && this.#listed &&
+      this.#getAge() <= READY_SHARE * this.#options.withdrawMs;
+  }
+
+  /** Age of the last proof in ms, for logs and metrics. */
+  getAge(): number {
+    return Math.round(this.#getAge());
+  }
+
+  listServers(): readonly core.ListedServer[] {
+    return this.#list.list();
+  }
+
+  #getAge(): number {
+    const { clock } = this.#options;
+    const now = clock.now();
+    if (this.#gaps.hasGap({ now, wall: clock.wall() })) {
+      this.#proof.drop();
+      this.#options.log.warn("Clocks moved apart; proofs are dropped.");
+    }
+    return this.#proof.getAge(now);
+  }
+
+  #takeConfig(event: store.FeedEvent): void {
+    const { configurationKey } = this.#options.platform;
+    switch (event.kind) {
+      case "failed":
+        return this.#recordFailure(event.error);
+      case "replaced":
+        event.entries.filter((entry) => entry.key === configurationKey)
+          .forEach((entry) => this.#applyConfig(entry));
+        return this.#confirm(event.sentAt);
+      case "changed":
+        event.changes.forEach((change) => {
+          if (change.kind === "deleted") return;
+          if (change.entry.key === configurationKey) {
+            this.#applyConfig(change.entry);
+          }
+        });
+        return this.#confirm(event.sentAt);
+    }
+  }
+
+  /** A poll that was open during a suspension proves nothing of its length. */
+  #confirm(sentAt: number): void {
+    this.#getAge();
+    this.#proof.confirm(sentAt);
+    this.#recordReachable();
+  }
+
+  /** Revisions only grow, so an answer that was overtaken changes nothing. */
+  #applyConfig(entry: store.StoreEntry): void {
+    if (entry.modRevision <= this.#revision) return;
+    const { log, platform } = this.#options;
+    const parsed = platform.parseConfiguration(entry.value);
+    const revision = entry.modRevision;
+    if (parsed.err) {
+      log.error({ revision, error: parsed.val }, "Configuration unreadable.");
+      return;
+    }
+    this.#revision = revision;
+    this.#table = core.buildRouteTable(parsed.val);
+    const { version, routes } = parsed.val;
+    log.info(
+      { revision, version, routes: routes.length },
+      "Configuration in force.",
+    );
+    this.#options.onConfiguration(this.#table);
+  }
+
+  #takeServers(event: store.FeedEvent): void {
+    const now = this.#options.clock.now();
+    switch (event.kind) {
+      case "failed":
+        this.#list.recordOutage(now);
+        return this.#recordFailure(event.error);
+      case "replaced": {
+        const servers = event.entries.flatMap((entry) =>
+          this.#parseServer(entry)
+        );
+        this.#list.setAll(servers, now);
+        this.#listed = true;
+        return this.#tellServers("read in full");
+      }
+      case "changed":
+        if (event.changes.length === 0) return;
+        event.changes.forEach((change) => this.#applyChange(change, now));
+        return this.#tellServers("changed");
+    }
+  }
+
+  #applyChange(change: store.Change, now: number): void {
+    if (change.kind === "deleted") {
+      return this.#list.remove(this.#getServerId(change.key), now);
+    }
+    this.#parseServer(change.entry).forEach((server) => this.#list.put(server));
+  }
+
+  #getServerId(key: string): string {
+    return key.slice(this.#options.platform.serversPrefix.length);
+  }
+
+  #parseServer(entry: store.StoreEntry): core.ListedServer[] {
+    const parsed = this.#options.platform.parseServer(entry);
+    if (parsed.ok) return [parsed.val];
+    this.#options.log.warn(
+      { key: entry.key, error: parsed.val },
+      "Server entry unreadable.",
+    );
+    return [];
+  }
+
+  #expire(): void {
+    if (this.#list.expire(this.#options.clock.now())) {
+      this.#tellServers("did not return");
+    }
+  }
+
+  #tellServers(reason: string): void {
+    const servers = this.#list.list();
+    const ready = servers.filter((one) => one.state === "ready").length;
+    this.#options.log.info(
+      { reason, servers: servers.length, ready },
+      "Servers known.",
+    );
+    this.#options.onServers(servers);
+  }
+
+  #recordFailure(error: utils.StepError): void {
+    if (!this.#reachable) return;
+    this.#reachable = false;
+    this.#options.log.warn(
+      { error, proofAgeMs: this.getAge() },
+      "Store lost.",
+    );
+  }
+
+  #recordReachable(): void {
+    if (this.#reachable) return;
+    this.#reachable = true;
+    this.#options.log.info("Store regained.");
+  }
+}
--- /dev/null
+++ b/packages/banyangrade/routed/ingress.ts
@@ -0,0 +1,255 @@
+/**
+ * The HTTP server for callers of routes. It reads whole requests within the
+ * operators' limits and ends connections without losing a request.
+ */
+import * as http from "node:http";
+import type * as net from "node:net";
+import * as core from "@banyangrade/core";
+import * as utils from "@banyangrade/utils";
+import type * as ports from "./ports.ts";
+
+/** Largest head that is read at all; the operators' limit is below it. */
+const MAX_HEAD_BYTES = 64 * 1024;
+/** Time that idle connections are kept beyond the operators' limit, in ms. */
+const IDLE_MARGIN_MS = 2_000;
+
+/** A caller's request. */
+export interface IncomingRequest {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  readonly host: string;
+  readonly headers: ports.Headers;
+  readonly answer: IngressAnswer;
+  /** Reads the body; undefined if the caller left or it is too large. */
+  readonly readBody: (maxBytes: number) => Promise<Buffer | undefined>;
+  /** Told when the caller is gone before its answer is whole. */
+  readonly onGone: (listener: () => void) => void;
+}
+
+/** The way back to one caller. */
+export interface IngressAnswer {
+  readonly isBegun: () => boolean;
+  /** Sends a whole answer. */
+  readonly send: (
+    answer: {
+      readonly status: number;
+      readonly headers: http.OutgoingHttpHeaders;
+      readonly body: Buffer | string;
+    },
+  ) => void;
+  /** Sends a part of a stream; waits while the caller is slow. */
+  readonly write: (
+    head: {
+      readonly status: number;
+      readonly headers: http.OutgoingHttpHeaders;
+    },
+    bytes: Buffer,
+  ) => Promise<void>;
+  readonly end: () => void;
+  /** Breaks the connection off, so that a part cannot pass for a whole answer. */
+  readonly destroy: () => void;
+}
+
+/** Options of {@link startIngress}. */
+export interface IngressOptions {
+  readonly hostname: string;
+  readonly port: number;
+  readonly onRequest: (request: IncomingRequest) => void;
+  /** Whether each answer asks the caller to use another connection. */
+  readonly isLeaving: () => boolean;
+}
+
+/** A running server. */
+export interface Ingress {
+  readonly port: number;
+  /** Takes over the operators' limits. */
+  readonly setLimits: (limits: core.RoutingLimits) => void;
+  /** Takes no new connections, and closes those that are idle. */
+  readonly drain: () => void;
+  readonly close: () => void;
+}
+
+/**
+ * Starts the server.
+ *
+ * @example
+ * const ingress = await startIngress({ hostname, port, onRequest, isLeaving });
+ */
+export async function startIngress(options: IngressOptions): Promise<Ingress> {
+  const server = http.createServer({
+    maxHeaderSize: MAX_HEAD_BYTES,
+    // Bodies may take as long as their deadline allows.
+    requestTimeout: 0,
+    keepAlive: true,
+    noDelay: true,
+  }, (request, response) => {
+    if (options.isLeaving()) response.setHeader("connection", "close");
+    response.sendDate = false;
+    options.onRequest(buildIncoming(request, response));
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.hostname, 1_024, resolve);
+  });
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    setLimits: (limits) => {
+      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      server.headersTimeout = limits.headerTimeoutMs;
+    },
+    drain: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+function buildIncoming(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): IncomingRequest {
+  return {
+    method: request.method ?? "GET",
+    path: request.url ?? "/",
+    host: request.headers.host ?? "",
+    headers: request.headers,
+    answer: buildAnswer(response),
+    readBody: (maxBytes) => readBody(request, maxBytes),
+    onGone: (listener) => {
+      response.on("close", () => {
+        if (!response.writableFinished) listener();
+      });
+    },
+  };
+}
+
+/** Ends an answer to a request that is not yet read whole: what follows would be taken for the next one. */
+function buildAnswer(response: http.ServerResponse): IngressAnswer {
+  const isOpen = () => !response.destroyed && !response.writableEnded;
+  return {
+    isBegun: () => response.headersSent,
+    send: ({ status, headers, body }) => {
+      if (!isOpen()) return;
+      if (!response.req.complete) response.setHeader("connection", "close");
+      response.writeHead(status, headers).end(body);
+    },
+    write: async ({ status, headers }, bytes) => {
+      if (!isOpen()) return;
+      if (!response.headersSent) response.writeHead(status, headers);
+      if (response.write(bytes)) return;
+      await new Promise<void>((resolve) => {
+        response.once("drain", resolve);
+        response.once("close", resolve);
+      });
+    },
+    end: () => void response.end(),
+    destroy: () => void response.destroy(),
+  };
+}
+
+async function readBody(
+  request: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of request) {
+      size += (chunk as Buffer).length;
+      if (size > maxBytes) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    // The caller broke off; its connection says so to whoever listens.
+    return undefined;
+  }
+  return request.complete ? Buffer.concat(chunks) : undefined;
+}
+
+/** Statuses of refusals that ran nothing, by their code. */
+const STATUS_BY_CODE: Readonly<Partial<Record<core.RefusalCode, number>>> = {
+  bad_request: 400,
+  not_authenticated: 401,
+  key_withdrawn: 401,
+  not_allowed: 403,
+  not_found: 404,
+  too_large: 413,
+};
+/** Status that promises that nothing ran or ever will. */
+const NOT_RUN_STATUS = 503;
+const FAILED_STATUS = 502;
+const TIMED_OUT_STATUS = 504;
+
+/**
+ * Answers a request that is given up. Only a refusal after which nothing ran
+ * gets a status that promises so; one with an unknown outcome must not, or its
+ * caller would send it again and it might run twice.
+ *
+ * @example
+ * sendRefusal(answer, { refusal, requestId });
+ */
+export function sendRefusal(
+  answer: IngressAnswer,
+  { refusal, requestId }: {
+    readonly refusal: core.Refusal;
+    readonly requestId: string | undefined;
+  },
+): void {
+  if (answer.isBegun()) return answer.destroy();
+  const retryAfter = refusal.ran === "no" && refusal.retryAfterMs !== undefined
+    ? { "retry-after": (refusal.retryAfterMs / 1_000).toFixed(3) }
+    : {};
+  answer.send({
+    status: chooseStatus(refusal),
+    headers: { "content-type": "application/json", ...retryAfter },
+    body: JSON.stringify({
+      error: {
+        ...refusal,
+        retryAfter: retryAfter["retry-after"],
+        requestId,
+      },
+    }),
+  });
+}
+
+function chooseStatus(refusal: core.Refusal): number {
+  if (refusal.ran === "no") {
+    return STATUS_BY_CODE[refusal.code] ?? NOT_RUN_STATUS;
+  }
+  return refusal.code === "deadline_exceeded"
+    ? TIMED_OUT_STATUS
+    : FAILED_STATUS;
+}
+
+/**
+ * Starts the server that the platform's balancer asks for readiness.
+ *
+ * @example
+ * await startReadiness({ hostname, port, path: "/ready", isReady });
+ */
+export async function startReadiness(
+  options: utils.Address & {
+    readonly path: string;
+    readonly isReady: () => boolean;
+  },
+): Promise<{ readonly close: () => void }> {
+  const server = http.createServer((request, response) => {
+    if (request.url !== options.path) return void response.writeHead(404).end();
+    response.writeHead(options.isReady() ? 200 : 503).end();
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.hostname, resolve);
+  });
+  return {
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -0,0 +1,178 @@
+/** A host that serves by routes: its tasks, put together, started and stopped. */
+import * as core from "@banyangrade/core";
+import * as utils from "@banyangrade/utils";
+import * as dispatchTask from "../dispatch_task.ts";
+import * as metricsModule from "../metrics.ts";
+import * as operationsServer from "../operations_server.ts";
+import * as beliefTask from "./belief_task.ts";
+import * as ingressModule from "./ingress.ts";
+import type * as ports from "./ports.ts";
+import * as routedExchange from "./routed_exchange.ts";
+import * as routedFront from "./routed_front.ts";
+import * as serverPools from "./server_pools.ts";
+
+/** Options of {@link startRoutedHost}. */
+export interface RoutedHostOptions {
+  readonly settings: ports.RoutedSettings;
+  readonly platform: ports.Platform;
+  readonly log: utils.Logger;
+  readonly clock: utils.Clock;
+}
+
+/** A running host. */
+export interface RoutedHost {
+  /** Stops gracefully: calls itself not ready, then finishes what runs. */
+  readonly drain: () => Promise<void>;
+  /** Stops at once. */
+  readonly close: () => Promise<void>;
+}
+
+/** Shortest time to come back that a refusal gives, in ms: some turns of the shortest calls. */
+const LEAST_RETRY_MS = 50;
+/** Servers lost to one request before it is run apart from others. */
+const ISOLATE_AFTER = 2;
+/** Hosts that are taken to share the retry budget before their number is known. */
+const HOSTS_AT_FIRST = 8;
+
+/**
+ * Starts a host.
+ *
+ * @example
+ * const host = await startRoutedHost({ settings, platform, log, clock });
+ */
+export async function startRoutedHost(
+  options: RoutedHostOptions,
+): Promise<RoutedHost> {
+  const { settings, platform, log, clock } = options;
+  const state = { draining: false };
+  const pools = new serverPools.ServerPools();
+  const metrics = new metricsModule.Metrics();
+  const budget = new core.WindowRetryBudget(settings.retries, {
+    hosts: HOSTS_AT_FIRST,
+  });
+  pools.setHosts(HOSTS_AT_FIRST);
+  const random = utils.createRandom(utils.hashSeed(utils.createId()));
+  const dispatch = new dispatchTask.DispatchTask({
+    clock,
+    dispatcher: new core.Dispatcher({
+      failureDomain: settings.failureDomain,
+      host: settings.host,
+      random,
+      budget,
+      preempts: false,
+      leastRetryMs: LEAST_RETRY_MS,
+      isolateAfter: ISOLATE_AFTER,
+    }),
+    onSuspect: () => undefined,
+    onAskCapacity: () => undefined,
+  });
+  const belief = new beliefTask.BeliefTask({
+    platform,
+    clock,
+    log: utils.createPartLogger(log, "belief"),
+    withdrawMs: settings.withdrawMs,
+    onConfiguration: ({ configuration }) => {
+      ingress.setLimits(configuration.limits);
+      dispatch.send({
+        kind: "configured",
+        configuration: core.toDispatchConfiguration(
+          configuration,
+          settings.failureDomain,
+        ),
+      });
+    },
+    onServers: (listed) => {
+      const servers = listed.map(toServerInfo);
+      pools.keep(new Set(servers.map((server) => server.name)));
+      dispatch.send({ kind: "servers_changed", servers });
+    },
+  });
+
+  function checkKey(key: string, customer: string): routedExchange.KeyCheck {
+    if (!belief.isProved()) return "unproved";
+    const grant = belief.getTable()?.byKey.get(key);
+    return grant?.customer === customer ? "valid" : "withdrawn";
+  }
+
+  const front = new routedFront.RoutedFront({
+    belief,
+    random,
+    clock,
+    log: utils.createPartLogger(log, "request"),
+    dispatch,
+    metrics,
+    pools,
+    wire: platform.wire,
+    checkKey,
+    countUsage: () => undefined,
+  });
+  const ingress = await ingressModule.startIngress({
+    ...utils.splitAddress(settings.callerAddress),
+    onRequest: (request) => front.handle(request),
+    isLeaving: () => state.draining || !belief.isReady(),
+  });
+  const readiness = await ingressModule.startReadiness({
+    ...utils.splitAddress(settings.readinessAddress),
+    path: platform.wire.readinessPath,
+    isReady: () => !state.draining && belief.isReady(),
+  });
+  const operations = settings.metricsAddress === undefined
+    ? undefined
+    : await operationsServer.startOperationsServer({
+      ...utils.splitAddress(settings.metricsAddress),
+      metrics,
+      isReady: () => !state.draining && belief.isReady(),
+      getStatus: () => ({ open: dispatch.countOpen() }),
+    });
+  belief.start();
+  log.info({ host: settings.host }, "Host started.");
+
+  async function close(): Promise<void> {
+    belief.stop();
+    dispatch.stop();
+    ingress.close();
+    readiness.close();
+    await Promise.all([
+      operations?.close(),
+      pools.close(),
+      platform.store.close(),
+    ]);
+  }
+
+  return {
+    close,
+    drain: async () => {
+      const until = clock.now() + settings.graceMs - STOP_MARGIN_MS;
+      state.draining = true;
+      log.info({ open: dispatch.countOpen() }, "Draining.");
+      // Requests are still taken until the balancer has seen it.
+      await utils.waitFor(BALANCER_NOTICE_MS);
+      ingress.drain();
+      while (dispatch.countOpen() > 0 && clock.now() < until) {
+        await utils.waitFor(DRAIN_POLL_MS);
+      }
+      log.info({ open: dispatch.countOpen() }, "Host stopped.");
+      await close();
+    },
+  };
+}
+
+/** Time for the balancer to find the host not ready twice, in ms; it asks once a second. */
+const BALANCER_NOTICE_MS = 2_300;
+/** Time before the end of the grace period at which the rest is given up, in ms. */
+const STOP_MARGIN_MS = 400;
+/** Between two looks at what is still running, in ms. */
+const DRAIN_POLL_MS = 50;
+
+/** A server that started again under its name is another one: it knows nothing of the first. */
+function toServerInfo(listed: core.ListedServer): core.ServerInfo {
+  return {
+    name: `${listed.id}@${listed.bornAt}`,
+    instance: listed.id,
+    pool: listed.service,
+    url: `http://${listed.address}`,
+    state: listed.state === "ready" ? "live" : "leaving",
+    slots: listed.slots,
+    failureDomain: listed.failureDomain,
+  };
+}
--- a/packages/banyangrade/settings.ts
+++ b/packages/banyangrade/settings.ts
@@ -95,12 +95,6 @@
 /** Settings, resolved. */
 export type Settings = z.infer<typeof SETTINGS_SCHEMA>;
 
-/** An IP number and a port. */
-export interface Address {
-  readonly hostname: string;
-  readonly port: number;
-}
-
 /**
  * Returns the peer address that other hosts are told.
  *
@@ -111,20 +105,6 @@
   return settings.peer.advertised_address ?? settings.peer.address;
 }
 
-/**
- * Splits an address.
- *
- * @example
- * splitAddress("127.0.0.1:80").port; // 80
- */
-export function splitAddress(address: string): Address {
-  const at = address.lastIndexOf(":");
-  return {
-    hostname: address.slice(0, at).replaceAll(/[[\]]/g, ""),
-    port: Number(address.slice(at + 1)),
-  };
-}
-
 /**
  * Reads the shared secrets: the first line is used, the others are accepted.
  *
--- a/packages/core/admission.ts
+++ b/packages/core/admission.ts
@@ -113,10 +113,13 @@
  * @example
  * computeRetryAfter(350); // 1000
  */
-export function computeRetryAfter(waitMs: number): number {
+export function computeRetryAfter(
+  waitMs: number,
+  leastMs: number = constants.RETRY_AFTER_MIN_MS,
+): number {
   if (!Number.isFinite(waitMs)) return constants.RETRY_AFTER_MAX_MS;
   return Math.min(
     constants.RETRY_AFTER_MAX_MS,
-    Math.max(constants.RETRY_AFTER_MIN_MS, Math.ceil(waitMs)),
+    Math.max(leastMs, Math.ceil(waitMs)),
   );
 }
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -163,10 +163,11 @@
   const decision = retry.decideRetry({
     failure: event.failure,
     sent: ended.attempt - ended.unsent,
+    maxAttempts: wanted.maxAttempts,
     repeatable: wanted.repeatable,
     answerStarted: event.answerStarted,
     resumable: event.resumable,
-  }, () => state.budget.take());
+  }, () => state.budget.take(wanted.target, state.now));
   const ran = retry.mergeRan(
     ended.ranBefore,
     retry.resolveRan(event.failure),
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -23,6 +23,12 @@
   readonly pool: string;
   readonly url: string;
   readonly state: "live" | "leaving";
+  /** Its slots, where servers of one pool differ. @default the pool's */
+  readonly slots?: number;
+  /** Where it stands, in pools that reach over failure domains. */
+  readonly failureDomain?: string;
+  /** The identity that it is asked to confirm, where it can. */
+  readonly instance?: string;
 }
 
 /** What an engine says of its own load; arrives with a lag. */
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -23,6 +23,14 @@
   /** Name of this host. */
   readonly host: string;
   readonly random: utils.Random;
+  /** @default a token bucket of this host alone */
+  readonly budget?: retry.RetryBudget;
+  /** Whether running work gives way here; engines may do that themselves. @default true */
+  readonly preempts?: boolean;
+  /** Shortest time to come back that a refusal gives, in ms. @default constants.RETRY_AFTER_MIN_MS */
+  readonly leastRetryMs?: number;
+  /** Servers lost to a request before it runs apart from others like it. @default 1 */
+  readonly isolateAfter?: number;
 }
 
 /** The state of one host's decisions. */
@@ -35,6 +43,8 @@
   /** When the demand was sent that the grants answer. */
   grantAsOf: number;
   draining: boolean;
+  readonly preempts: boolean;
+  readonly leastRetryMs: number;
   readonly failureDomain: string;
   readonly table: servers.ServerTable;
   readonly queue: queue.RequestQueue;
@@ -60,14 +70,16 @@
     classes: new Map(),
     grantAsOf: Number.NEGATIVE_INFINITY,
     draining: false,
+    preempts: options.preempts ?? true,
+    leastRetryMs: options.leastRetryMs ?? constants.RETRY_AFTER_MIN_MS,
     failureDomain: options.failureDomain,
     table,
     queue: new queue.RequestQueue(),
     running: new attempts.AttemptTable(),
-    budget: new retry.RetryBudget(),
+    budget: options.budget ?? new retry.TokenRetryBudget(),
     lengths: new lengths.LengthEstimator(),
     credits: new fairness.ShareCredits(),
-    suspects: new quarantine.SuspectTable(),
+    suspects: new quarantine.SuspectTable(options.isolateAfter),
     router: new router.Router({ table, ...options }),
   };
 }
@@ -87,7 +99,10 @@
   state.effects.push({
     kind: "refuse",
     requestId: refused.id,
-    refusal: refusals.buildRefusal(reason),
+    refusal: refusals.buildRefusal({
+      leastRetryMs: state.leastRetryMs,
+      ...reason,
+    }),
   });
 }
 
@@ -150,6 +165,7 @@
   state: HostState,
   wanted: request.Request,
 ): attempts.Attempt | undefined {
+  if (!state.preempts) return undefined;
   return preemption.findVictim(state.running.list(), {
     tier: wanted.tier,
     pools: listPoolsFor(state, wanted),
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -23,7 +23,7 @@
     return hostState.refuse(state, { refused: wanted, ran: "no", ...reason });
   }
   if (shedLoad(state, wanted)) return;
-  state.budget.recordFirst();
+  state.budget.recordFirst(wanted.target, state.now);
   state.queue.add({
     request: wanted,
     attempt: 1,
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -21,6 +21,11 @@
 /** Fingerprints and the servers that were lost with them in flight. */
 export class SuspectTable {
   readonly #suspicions = new Map<string, Suspicion>();
+  readonly #isolateAfter: number;
+
+  constructor(isolateAfter = 1) {
+    this.#isolateAfter = isolateAfter;
+  }
 
   /** Adds a mark that this host made. */
   add(mark: events.SuspectMark): void {
@@ -50,9 +55,10 @@
     this.#suspicions.delete(fingerprint);
   }
 
-  /** Whether any server was lost with it in flight. */
+  /** Whether enough servers were lost with it in flight to run it apart. */
   isSuspect(fingerprint: string): boolean {
-    return this.#suspicions.has(fingerprint);
+    const servers = this.#suspicions.get(fingerprint)?.servers;
+    return (servers?.size ?? 0) >= this.#isolateAfter;
   }
 
   /** How long copies of it are refused because another host may be running it, in ms. */
--- a/packages/core/refusals.ts
+++ b/packages/core/refusals.ts
@@ -27,6 +27,8 @@
   readonly ran: request.Ran;
   /** Expected time until coming back makes sense, in ms. */
   readonly waitMs?: number;
+  /** @default constants.RETRY_AFTER_MIN_MS */
+  readonly leastRetryMs?: number;
   /** @default "dispatch" */
   readonly step?: string;
   /** @default "this host" */
@@ -52,7 +54,10 @@
   if (reason.waitMs === undefined) return refusal;
   return {
     ...refusal,
-    retryAfterMs: admission.computeRetryAfter(reason.waitMs),
+    retryAfterMs: admission.computeRetryAfter(
+      reason.waitMs,
+      reason.leastRetryMs,
+    ),
   };
 }
 
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -66,6 +66,8 @@
   readonly targetBetweenMs: number;
   /** Weight of its customer's fair share. */
   readonly weight: number;
+  /** Most servers that it is sent to. @default constants.MAX_ATTEMPTS */
+  readonly maxAttempts?: number;
 }
 
 /**
--- a/packages/core/retry.ts
+++ b/packages/core/retry.ts
@@ -3,12 +3,20 @@
 import type * as events from "./events.ts";
 import type * as request from "./request.ts";
 
+/** Where requests and their retries meet a limit. */
+export interface RetryBudget {
+  /** Records a first attempt towards a model or service. */
+  readonly recordFirst: (target: string, now: number) => void;
+  /** Takes one retry from the budget, if there is one. */
+  readonly take: (target: string, now: number) => boolean;
+}
+
 /**
  * A token bucket filled by first attempts. When everything fails, retries add
  * at most {@link constants.RETRY_SHARE} to the load instead of multiplying it,
  * so an overload does not feed itself.
  */
-export class RetryBudget {
+export class TokenRetryBudget implements RetryBudget {
   #tokens = constants.RETRY_BURST;
 
   /** Records a first attempt. */
@@ -37,6 +45,8 @@
   readonly failure: events.AttemptFailure;
   /** Attempts so far of which a byte may have left this host. */
   readonly sent: number;
+  /** @default constants.MAX_ATTEMPTS */
+  readonly maxAttempts?: number;
   readonly repeatable: boolean;
   readonly answerStarted: boolean;
   readonly resumable: boolean;
@@ -82,7 +92,8 @@
   const safe = ran === "no" || failed.repeatable;
   const whole = !failed.answerStarted || failed.resumable;
   if (failed.failure === "not_sent" && whole) return { kind: "retry" };
-  const left = failed.sent < constants.MAX_ATTEMPTS;
+  const left = failed.sent <
+    (failed.maxAttempts ?? constants.MAX_ATTEMPTS);
   if (safe && whole && left && takeBudget()) return { kind: "retry" };
   return { kind: "give_up", ran };
 }
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -149,7 +149,8 @@
     if (server === undefined || !isUsable(server)) return undefined;
     const pool = this.#table.getPool(server.info.pool);
     const usual = (pool?.running ?? 0) / Math.max(1, pool?.totalSlots ?? 1);
-    const bound = constants.AFFINITY_LOAD_BOUND * usual * server.pool.slots;
+    const bound = constants.AFFINITY_LOAD_BOUND * usual *
+      serverState.getSlots(server);
     return serverState.estimateLoad(server, now) <= Math.max(1, bound)
       ? server
       : undefined;
@@ -194,7 +195,7 @@
       constants.PROMPT_TOKENS_PER_LOAD;
     const load =
       (serverState.estimateLoad(server, now) + prompting + disturbed + 1) /
-      server.pool.slots;
+      serverState.getSlots(server);
     const typical = this.#table.getPool(server.info.pool)?.tokenMs ?? 0;
     const known = server.tokenMs > 0 && typical > 0;
     return load * (known ? server.tokenMs / typical : 1);
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -75,6 +75,16 @@
   return Math.max(server.running, reported + since);
 }
 
+/**
+ * Returns the slots of a server: its own where it names them, else its pool's.
+ *
+ * @example
+ * const share = server.running / getSlots(server);
+ */
+export function getSlots(server: ServerState): number {
+  return server.info.slots ?? server.pool.slots;
+}
+
 /**
  * Returns how many requests the server may hold now: its pool's slots, fewer
  * during its slow start.
@@ -85,10 +95,10 @@
 export function getCapacity(server: ServerState, now: number): number {
   const age = now - server.admittedAt;
   if (age >= constants.SLOW_START_MS) {
-    return server.pool.slots;
+    return getSlots(server);
   }
   const share = Math.max(0, age) / constants.SLOW_START_MS;
-  return Math.max(1, Math.floor(server.pool.slots * share));
+  return Math.max(1, Math.floor(getSlots(server) * share));
 }
 
 /**
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -313,7 +313,7 @@
 ): number {
   return [...servers.values()]
     .filter(({ info }) => info.pool === pool && info.state === "live")
-    .reduce((sum, server) => sum + server.pool.slots, 0);
+    .reduce((sum, server) => sum + serverState.getSlots(server), 0);
 }
 
 function computeAverage(average: number, sample: number): number {
--- a/packages/fleet/orders.ts
+++ b/packages/fleet/orders.ts
@@ -21,7 +21,7 @@
 
 /** Options of {@link sendDesired}. */
 export interface SendDesiredOptions {
-  readonly store: store.StoreClient;
+  readonly store: store.KeyValueClient;
   readonly fleet: client.FleetClient;
   readonly clock: utils.Clock;
   readonly getLease: () => core.LeaseState;
@@ -67,7 +67,7 @@
   desired: core.DesiredCount,
   { lease, store }: {
     readonly lease: Extract<core.LeaseState, { kind: "held" }>;
-    readonly store: store.StoreClient;
+    readonly store: store.KeyValueClient;
   },
 ): Promise<utils.Result<OrderIntent | undefined, utils.StepError>> {
   const key = `banyangrade/orders/${desired.pool}`;
--- a/packages/service/mod.ts
+++ b/packages/service/mod.ts
@@ -1,2 +1,4 @@
-/** Plain services beside the model engines. */
+/** Plain services, and requests that are passed on to a server as they came. */
 export * from "./client.ts";
+export * from "./event_blocks.ts";
+export * from "./forward.ts";
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -44,8 +44,8 @@
   readonly timeoutMs?: number;
 }
 
-/** The calls of the key-value service. */
-export interface StoreClient {
+/** Reads, writes under a condition and leases: all that holding a role takes. */
+export interface KeyValueClient {
   readonly get: (
     key: string,
   ) => Promise<utils.Result<StoreEntry | undefined, utils.StepError>>;
@@ -66,12 +66,16 @@
   readonly revokeLease: (
     id: string,
   ) => Promise<utils.Result<void, utils.StepError>>;
+  readonly close: () => Promise<void>;
+}
+
+/** The calls of the key-value service with a watch that streams changes. */
+export interface StoreClient extends KeyValueClient {
   /** Watches a prefix; returns a function that ends the watch. */
   readonly watch: (
     prefix: string,
     onEvent: (event: WatchEvent) => void,
   ) => () => void;
-  readonly close: () => Promise<void>;
 }
 
 /**
@@ -229,7 +233,7 @@
  * const outcome = await swapAndConfirm(store, { key, expected: 0, value });
  */
 export async function swapAndConfirm(
-  store: StoreClient,
+  store: KeyValueClient,
   swap: Swap,
 ): Promise<utils.Result<SwapOutcome, utils.StepError>> {
   let outcome = await store.swap(swap);
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -13,7 +13,7 @@
 
 /** Options of {@link startLeaseHolder}. */
 export interface LeaseHolderOptions {
-  readonly store: client.StoreClient;
+  readonly store: client.KeyValueClient;
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
   /** For example `orders/rosenheim`. */
--- a/packages/store/mod.ts
+++ b/packages/store/mod.ts
@@ -2,5 +2,6 @@
 export * from "./claims.ts";
 export * from "./client.ts";
 export * from "./config_store.ts";
+export * from "./feed.ts";
 export * from "./lease_holder.ts";
 export * from "./wire.ts";
--- a/packages/usage/reporter.ts
+++ b/packages/usage/reporter.ts
@@ -18,7 +18,7 @@
 
 /** Options of {@link reportWindows}. */
 export interface ReportOptions {
-  readonly store: store.StoreClient;
+  readonly store: store.KeyValueClient;
   readonly usage: client.UsageClient;
   readonly clock: utils.Clock;
   readonly getLease: () => core.LeaseState;
--- a/packages/utils/backend.ts
+++ b/packages/utils/backend.ts
@@ -60,15 +60,10 @@
   });
 }
 
-/** Headers that belong to one connection, or that only this system sets. */
-const DROPPED_HEADERS = new Set([
-  "authorization",
+/** Headers that concern one connection only. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
   "connection",
-  "content-length",
-  "cookie",
   "expect",
-  "host",
-  "idempotency-key",
   "keep-alive",
   "proxy-authorization",
   "proxy-connection",
@@ -76,6 +71,16 @@
   "trailer",
   "transfer-encoding",
   "upgrade",
+]);
+
+/** Headers that belong to one connection, or that only this system sets. */
+const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  ...HOP_HEADERS,
+  "authorization",
+  "content-length",
+  "cookie",
+  "host",
+  "idempotency-key",
   "x-api-key",
   "x-class",
   ATTEMPT_HEADER,
@@ -97,3 +102,26 @@
     ),
   );
 }
+
+/**
+ * Drops the headers that concern one connection only, those that the message
+ * itself names as such included, and the names in `reserved`.
+ *
+ * @example
+ * const headers = dropHopHeaders(request.headers, new Set(["x-tenant"]));
+ */
+export function dropHopHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+  reserved: ReadonlySet<string> = new Set(),
+): Record<string, string | string[]> {
+  const named = new Set(
+    String(headers.connection ?? "").toLowerCase().split(",")
+      .map((name) => name.trim()),
+  );
+  return Object.fromEntries(
+    Object.entries(headers).filter((entry): entry is [string, string] =>
+      entry[1] !== undefined && !HOP_HEADERS.has(entry[0]) &&
+      !named.has(entry[0]) && !reserved.has(entry[0])
+    ),
+  );
+}
--- a/packages/utils/json.ts
+++ b/packages/utils/json.ts
@@ -12,3 +12,17 @@
 export function formatCanonical(value: unknown): string {
   return stringify(value) ?? "null";
 }
+
+/**
+ * Parses JSON; undefined if it is malformed.
+ *
+ * @example
+ * parseJson("{}"); // {}
+ */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/utils/mod.ts
+++ b/packages/utils/mod.ts
@@ -1,4 +1,5 @@
 /** Small helpers that every package shares. */
+export * from "./address.ts";
 export * from "./backend.ts";
 export * from "./clock.ts";
 export * from "./digest.ts";
--- a/packages/utils/random.ts
+++ b/packages/utils/random.ts
@@ -1,4 +1,5 @@
 /** Seeded random numbers, so that decisions, tests and the bench repeat. */
+import * as digest from "./digest.ts";
 import * as generator from "pure-rand/generator/xoroshiro128plus";
 import * as float from "pure-rand/distribution/uniformFloat64";
 
@@ -32,3 +33,13 @@
 export function drawExponential(random: Random, mean: number): number {
   return -mean * Math.log(1 - random.next());
 }
+
+/**
+ * Returns a seed that differs between texts.
+ *
+ * @example
+ * const random = createRandom(hashSeed("host-1"));
+ */
+export function hashSeed(text: string): number {
+  return Number.parseInt(digest.computeDigest(text).slice(0, 8), 16);
+}
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -22,10 +22,27 @@
  * await buildBundle();
  */
 export async function buildBundle(): Promise<void> {
+  await bundle({ entry: "packages/banyangrade/main.ts", outfile: BUNDLE });
+}
+
+/**
+ * Bundles one entry file with all that it imports.
+ *
+ * @example
+ * await bundle({ entry: "platform/main.ts", outfile: "target/banyangrade.cjs" });
+ */
+export async function bundle(
+  { entry, outfile, minify = false }: {
+    readonly entry: string;
+    readonly outfile: string;
+    readonly minify?: boolean;
+  },
+): Promise<void> {
   await esbuild.build({
-    entryPoints: [path.join(ROOT, "packages/banyangrade/main.ts")],
-    outfile: BUNDLE,
+    entryPoints: [path.join(ROOT, entry)],
+    outfile,
     bundle: true,
+    minify,
     platform: "node",
     target: "node20",
     format: "cjs",
--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -163,8 +163,9 @@
   return ts.getJSDocCommentsAndTags(node).length > 0;
 }
 
-["packages", "playground", "scripts", "bench"].flatMap(listFiles).forEach(
-  checkFile,
-);
+["packages", "platform", "playground", "scripts", "bench"].flatMap(listFiles)
+  .forEach(
+    checkFile,
+  );
 problems.forEach((problem) => process.stderr.write(`${problem}\n`));
 if (problems.length > 0) process.exitCode = 1;
