Report usage, order reclaimable servers, and count no reset answer as whole

Ruled out: for usage, the present batches with sequence numbers (acknowledging them takes a message to each host; a host's counts of its last windows are published whole each second instead).

Change: one lease-bound entry for each host in the store, two roles, a planner of orders by failure domain and kind of server; connections count resets.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -85,6 +85,11 @@
     }
   }
 
+  /** Requests running and queued, by model or service. */
+  countByTarget(): Record<string, number> {
+    return this.#options.dispatcher.countByTarget();
+  }
+
   countOpen(): number {
     return this.#open.size;
   }
--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -29,6 +29,7 @@
 /** Options of {@link BeliefTask}. */
 export interface BeliefOptions {
   readonly platform: ports.Platform;
+  /** Counts suspensions, so that a proof does not outlast one. */
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
   readonly withdrawMs: number;
@@ -40,7 +41,6 @@
 export class BeliefTask {
   readonly #options: BeliefOptions;
   readonly #proof = new core.Proof();
-  readonly #gaps = new core.GapDetector();
   readonly #list = new core.ServerList();
   readonly #stops: (() => void)[] = [];
   #table: core.RouteTable | undefined;
@@ -104,13 +104,7 @@
   }
 
   #getAge(): number {
-    const { clock } = this.#options;
-    const now = clock.now();
-    if (this.#gaps.hasGap({ now, wall: clock.wall() })) {
-      this.#proof.drop();
-      this.#options.log.warn("Clocks moved apart; proofs are dropped.");
-    }
-    return this.#proof.getAge(now);
+    return this.#proof.getAge(this.#options.clock.now());
   }
 
   #takeConfig(event: store.FeedEvent): void {
@@ -133,9 +127,7 @@
     }
   }
 
-  /** A poll that was open during a suspension proves nothing of its length. */
   #confirm(sentAt: number): void {
-    this.#getAge();
     this.#proof.confirm(sentAt);
     this.#recordReachable();
   }
--- /dev/null
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -0,0 +1,132 @@
+/**
+ * What hosts tell each other through the store: that they live, what they
+ * serve, and what they counted. Each host keeps one entry under a lease, so
+ * that the counts of one that was killed outlast it for a while.
+ */
+import type * as core from "@banyangrade/core";
+import type * as store from "@banyangrade/store";
+import * as utils from "@banyangrade/utils";
+
+/** Prefix of the entries. */
+const PREFIX = "banyangrade/hosts/";
+/** Between two publications, in ms; also what a host that is killed loses of its counts. */
+const PUBLISH_MS = 1_000;
+/** Between two looks at the others, in ms, for a host without a role. */
+const LOOK_MS = 4_000;
+/** Length of the lease in seconds: three usage windows, in which a window is fixed even by a second holder of the role. */
+const LEASE_SECONDS = 15;
+/** Between two renewals, in ms. */
+const RENEW_MS = 4_000;
+
+/** What a host tells the others. */
+export interface HostEntry {
+  readonly host: string;
+  readonly incarnation: string;
+  /** Its own true time of day when it published this, Unix ms. */
+  readonly at: number;
+  /** Requests running and queued by service. */
+  readonly demand: Readonly<Record<string, number>>;
+  readonly usage: core.WindowTable;
+}
+
+/** Options of {@link PresenceTask}. */
+export interface PresenceOptions {
+  readonly store: store.KeyValueClient;
+  readonly log: utils.Logger;
+  readonly host: string;
+  readonly incarnation: string;
+  readonly describe: () => HostEntry;
+  /** Whether this host holds a role, for which it looks at the others often. */
+  readonly hasRole: () => boolean;
+  readonly onEntries: (entries: readonly HostEntry[]) => void;
+}
+
+/** Publishes this host's entry and reads the others'. */
+export class PresenceTask {
+  readonly #options: PresenceOptions;
+  readonly #stops: (() => void)[] = [];
+  #lease: string | undefined;
+  #revision = 0;
+  #entries: readonly HostEntry[] = [];
+  #sinceLook = LOOK_MS;
+
+  constructor(options: PresenceOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#stops.push(
+      utils.startInterval(PUBLISH_MS, () => this.#runRound()),
+      utils.startInterval(RENEW_MS, () => this.#renew()),
+    );
+  }
+
+  /** Publishes the last counts; they stay until the lease ends. */
+  async stop(): Promise<void> {
+    this.#stops.splice(0).forEach((stop) => stop());
+    await this.#publish();
+  }
+
+  /** The entries of all hosts as last read. */
+  list(): readonly HostEntry[] {
+    return this.#entries;
+  }
+
+  async #runRound(): Promise<void> {
+    await this.#publish();
+    this.#sinceLook += PUBLISH_MS;
+    if (!this.#options.hasRole() && this.#sinceLook < LOOK_MS) return;
+    this.#sinceLook = 0;
+    await this.#readOthers();
+  }
+
+  async #publish(): Promise<void> {
+    const { store: client, host, incarnation } = this.#options;
+    if (this.#lease === undefined) {
+      const granted = await client.grantLease(LEASE_SECONDS);
+      if (granted.err) return this.#recordFailure(granted.val);
+      this.#lease = granted.val;
+    }
+    const swapped = await client.swap({
+      key: `${PREFIX}${host}/${incarnation}`,
+      expected: this.#revision,
+      value: JSON.stringify(this.#options.describe()),
+      lease: this.#lease,
+    });
+    if (swapped.err) return this.#recordFailure(swapped.val);
+    // An earlier write whose answer was lost took effect, or the entry went
+    // with its lease: the next round goes on from what there is.
+    this.#revision = swapped.val.kind === "won"
+      ? swapped.val.modRevision
+      : swapped.val.current?.modRevision ?? 0;
+  }
+
+  async #renew(): Promise<void> {
+    const lease = this.#lease;
+    if (lease === undefined) return;
+    const renewed = await this.#options.store.renewLease(lease);
+    if (renewed.ok && !renewed.val && this.#lease === lease) this.#drop();
+  }
+
+  /** The lease has ended, and the entry with it. */
+  #drop(): void {
+    this.#lease = undefined;
+    this.#revision = 0;
+  }
+
+  async #readOthers(): Promise<void> {
+    const listed = await this.#options.store.list(PREFIX);
+    if (listed.err) return this.#recordFailure(listed.val);
+    this.#entries = listed.val.flatMap((entry) => {
+      const parsed = utils.parseJson(entry.value) as HostEntry | undefined;
+      return parsed === undefined ? [] : [parsed];
+    });
+    this.#options.onEntries(this.#entries);
+  }
+
+  /** A failure that lasts shows as a lost store; one round is made good by the next. */
+  #recordFailure(error: utils.StepError): void {
+    if (error.code === "not_found") this.#drop();
+    this.#options.log.debug({ error }, "Round put off.");
+  }
+}
--- /dev/null
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -0,0 +1,208 @@
+/** The control roles: usage windows and orders, run by the host that holds each. */
+import * as core from "@banyangrade/core";
+import * as store from "@banyangrade/store";
+import * as usage from "@banyangrade/usage";
+import * as utils from "@banyangrade/utils";
+import type * as ports from "./ports.ts";
+import type * as presence from "./presence_task.ts";
+
+/** Margin of a lease for clock drift and scheduling, in ms. */
+const LEASE_MARGIN_MS = 400;
+/** Between two rounds of reports, in ms. */
+const REPORT_MS = 1_000;
+/** Between two rounds of orders, in ms. */
+const ORDERS_MS = 1_000;
+/** Time after a window's end for the hosts' counts to arrive, in ms: two publications. */
+const COUNTS_MS = 2_300;
+/** Time after which an order that shows no effect is sent again, in ms, beyond the time a server takes to start. */
+const REPEAT_MS = 3_000;
+/** All usage windows are one subject. */
+const ALL_DOMAINS = "all";
+
+/** Options of {@link RolesTask}. */
+export interface RolesOptions {
+  readonly settings: ports.RoutedSettings;
+  readonly platform: ports.Platform;
+  /** Counts suspensions, so that a lease does not outlast one. */
+  readonly clock: utils.Clock;
+  readonly log: utils.Logger;
+  readonly incarnation: string;
+  readonly isReady: () => boolean;
+  readonly getTrueTime: () => number;
+  readonly getConfiguration: () => core.RoutingConfiguration | undefined;
+  readonly listServers: () => readonly core.ListedServer[];
+  readonly listEntries: () => readonly presence.HostEntry[];
+}
+
+interface SentOrder {
+  readonly order: ports.DomainOrder;
+  readonly at: number;
+}
+
+/** Tries for the roles and does their work. */
+export class RolesTask {
+  readonly #options: RolesOptions;
+  readonly #collector = new core.WindowCollector();
+  readonly #planners = new Map<string, core.DomainPlanner>();
+  readonly #sent = new Map<string, SentOrder>();
+  readonly #holders = new Map<ports.ControlRole, store.LeaseHolder>();
+  #stops: (() => void)[] = [];
+
+  constructor(options: RolesOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#options.settings.roles.forEach((role) =>
+      this.#holders.set(role, this.#startHolder(role))
+    );
+    this.#stops = [
+      utils.startInterval(REPORT_MS, () => this.#report()),
+      utils.startInterval(ORDERS_MS, () => this.#order()),
+    ];
+  }
+
+  /** Gives the roles back. */
+  async stop(): Promise<void> {
+    this.#stops.splice(0).forEach((stop) => stop());
+    const holders = [...this.#holders.values()];
+    this.#holders.clear();
+    await Promise.all(holders.map((holder) => holder.release()));
+  }
+
+  /** Whether this host holds any role. */
+  hasRole(): boolean {
+    return [...this.#holders.values()].some((holder) =>
+      holder.getLease().kind === "held"
+    );
+  }
+
+  #startHolder(role: ports.ControlRole): store.LeaseHolder {
+    const { settings, platform, clock, log, incarnation } = this.#options;
+    return store.startLeaseHolder({
+      store: platform.store,
+      clock,
+      log,
+      role,
+      host: settings.host,
+      incarnation,
+      terms: { ttlMs: settings.leaseMs, marginMs: LEASE_MARGIN_MS },
+      // Every call bears the fencing token, and the platform refuses old ones.
+      flightMs: 0,
+      isCandidate: this.#options.isReady,
+      onChange: () => this.#sent.clear(),
+    });
+  }
+
+  #getLease(role: ports.ControlRole): core.LeaseState {
+    return this.#holders.get(role)?.getLease() ?? { kind: "none" };
+  }
+
+  async #report(): Promise<void> {
+    if (this.#getLease("usage").kind === "none") return;
+    const { settings, platform, clock, log } = this.#options;
+    this.#collector.setTables(
+      this.#options.listEntries().map((entry) => entry.usage),
+    );
+    const round = await usage.reportWindows({
+      store: platform.store,
+      usage: platform.usage,
+      clock,
+      getLease: () => this.#getLease("usage"),
+      collector: this.#collector,
+      failureDomain: ALL_DOMAINS,
+      lastClosed: Math.floor(
+        (this.#options.getTrueTime() - COUNTS_MS) / settings.usageWindowMs,
+      ) - 1,
+    });
+    if (round.fixed + round.reported > 0) {
+      const { fixed, reported } = round;
+      log.info({ fixed, reported }, "Windows reported.");
+    }
+    if (round.error !== undefined) {
+      log.warn({ error: round.error }, "Window report put off.");
+    }
+  }
+
+  async #order(): Promise<void> {
+    const configuration = this.#options.getConfiguration();
+    if (this.#getLease("orders").kind === "none" || !configuration) return;
+    const orders = configuration.services.flatMap((service) =>
+      this.#planService(service)
+    );
+    for (const order of orders) await this.#sendOrder(order);
+  }
+
+  #planService(service: core.RoutedService): PlannedOrder[] {
+    const { scaling, engine, name } = service;
+    if (scaling === undefined) return [];
+    const planner = this.#planners.get(name) ?? new core.DomainPlanner();
+    this.#planners.set(name, planner);
+    const demand = this.#options.listEntries()
+      .reduce((sum, entry) => sum + (entry.demand[name] ?? 0), 0);
+    const planned = planner.plan({
+      bounds: scaling,
+      slots: engine?.slots ?? 1,
+      demand,
+      servers: this.#countServers(name),
+    }, this.#options.clock.now());
+    return planned.flatMap(({ failureDomain, ordinary, spot }) => [
+      ...(scaling.spotPrice > 0
+        ? [{ service: name, failureDomain, spot: true, count: spot }]
+        : []),
+      { service: name, failureDomain, spot: false, count: ordinary },
+    ]).map((order) => ({ order, bootMs: scaling.bootMs }));
+  }
+
+  #countServers(service: string): core.DomainServers[] {
+    const ready = this.#options.listServers().filter((server) =>
+      server.service === service && server.state === "ready"
+    );
+    return this.#options.settings.failureDomains.map((failureDomain) => {
+      const own = ready.filter((one) => one.failureDomain === failureDomain);
+      const spot = own.filter((one) => one.spot).length;
+      return { failureDomain, spot, ordinary: own.length - spot };
+    });
+  }
+
+  async #sendOrder(planned: PlannedOrder): Promise<void> {
+    const { platform, clock, log } = this.#options;
+    const { order: wanted } = planned;
+    const key = `${wanted.service}/${wanted.failureDomain}/${wanted.spot}`;
+    const now = clock.now();
+    if (!this.#isDue(planned, { sent: this.#sent.get(key), now })) return;
+    const lease = this.#getLease("orders");
+    // No await between this check and the send: a process that was paused
+    // finds out here that its lease is over.
+    if (lease.kind === "none" || !core.mayAct(lease, now)) return;
+    const order = { ...wanted, fencingToken: lease.token };
+    this.#sent.set(key, { order, at: now });
+    const sent = await platform.sendOrder(order);
+    log.info({ ...order, error: sent.err ? sent.val : undefined }, "Ordered.");
+    if (sent.ok) return;
+    // Another holder was seen, or there are no such servers: the same answer.
+    if (sent.val.code === "conflict" && wanted.spot) {
+      this.#planners.get(wanted.service)
+        ?.recordUnavailable(wanted.failureDomain, now);
+    }
+  }
+
+  /** Whether an order is new, or was sent and has shown no effect. */
+  #isDue(
+    { order: wanted, bootMs }: PlannedOrder,
+    { sent, now }: { readonly sent: SentOrder | undefined; now: number },
+  ): boolean {
+    if (sent === undefined || sent.order.count !== wanted.count) return true;
+    const there = this.#countServers(wanted.service)
+      .find((one) => one.failureDomain === wanted.failureDomain);
+    const count = wanted.spot ? there?.spot : there?.ordinary;
+    return count !== wanted.count && now - sent.at > bootMs + REPEAT_MS;
+  }
+}
+
+/** An order before its fencing token is known. */
+interface PlannedOrder {
+  readonly order: Omit<ports.DomainOrder, "fencingToken">;
+  /** Time that a server takes to start, in ms. */
+  readonly bootMs: number;
+}
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -7,6 +7,8 @@
 import * as beliefTask from "./belief_task.ts";
 import * as ingressModule from "./ingress.ts";
 import type * as ports from "./ports.ts";
+import * as presenceTask from "./presence_task.ts";
+import * as rolesTask from "./roles_task.ts";
 import * as routedExchange from "./routed_exchange.ts";
 import * as routedFront from "./routed_front.ts";
 import * as serverPools from "./server_pools.ts";
@@ -66,9 +68,20 @@
     onSuspect: () => undefined,
     onAskCapacity: () => undefined,
   });
+  const suspensions = new core.SuspensionClock();
+  const trueClock = new core.TrueClock();
+  const incarnation = utils.createId();
+  const counter = new core.WindowCounter();
+  const readClocks = () => ({ now: clock.now(), wall: clock.wall() });
+  const getTrueTime = () => trueClock.read(readClocks());
+  /** For leases and proofs, which go on while the process is suspended. */
+  const leaseClock: utils.Clock = {
+    now: () => suspensions.read(readClocks()),
+    wall: clock.wall,
+  };
   const belief = new beliefTask.BeliefTask({
     platform,
-    clock,
+    clock: leaseClock,
     log: utils.createPartLogger(log, "belief"),
     withdrawMs: settings.withdrawMs,
     onConfiguration: ({ configuration }) => {
@@ -104,7 +117,49 @@
     pools,
     wire: platform.wire,
     checkKey,
-    countUsage: () => undefined,
+    countUsage: (customer, at) => {
+      const sinceMs = clock.now() - at;
+      const window = Math.floor(
+        (getTrueTime() - sinceMs) / settings.usageWindowMs,
+      );
+      counter.record(window, customer);
+    },
+  });
+  const presence: presenceTask.PresenceTask = new presenceTask.PresenceTask({
+    store: platform.store,
+    log: utils.createPartLogger(log, "presence"),
+    host: settings.host,
+    incarnation,
+    describe: () => ({
+      host: settings.host,
+      incarnation,
+      at: getTrueTime(),
+      demand: dispatch.countByTarget(),
+      usage: counter.list(),
+    }),
+    hasRole: () => roles.hasRole(),
+    onEntries: (entries) => {
+      const hosts = new Set(entries.map((entry) => entry.host));
+      budget.setHosts(hosts.size);
+      pools.setHosts(hosts.size);
+      trueClock.update(
+        readClocks(),
+        entries.filter((entry) => entry.host !== settings.host)
+          .map((entry) => entry.at),
+      );
+    },
+  });
+  const roles: rolesTask.RolesTask = new rolesTask.RolesTask({
+    settings,
+    platform,
+    clock: leaseClock,
+    log: utils.createPartLogger(log, "roles"),
+    incarnation,
+    isReady: () => !state.draining && belief.isReady(),
+    getTrueTime,
+    getConfiguration: () => belief.getTable()?.configuration,
+    listServers: () => belief.listServers(),
+    listEntries: () => presence.list(),
   });
   const ingress = await ingressModule.startIngress({
     ...utils.splitAddress(settings.callerAddress),
@@ -125,10 +180,13 @@
       getStatus: () => ({ open: dispatch.countOpen() }),
     });
   belief.start();
+  presence.start();
+  roles.start();
   log.info({ host: settings.host }, "Host started.");
 
   async function close(): Promise<void> {
     belief.stop();
+    await Promise.all([roles.stop(), presence.stop()]);
     dispatch.stop();
     ingress.close();
     readiness.close();
@@ -146,7 +204,7 @@
       state.draining = true;
       log.info({ open: dispatch.countOpen() }, "Draining.");
       // Requests are still taken until the balancer has seen it.
-      await utils.waitFor(BALANCER_NOTICE_MS);
+      await Promise.all([roles.stop(), utils.waitFor(BALANCER_NOTICE_MS)]);
       ingress.drain();
       while (dispatch.countOpen() > 0 && clock.now() < until) {
         await utils.waitFor(DRAIN_POLL_MS);
--- a/packages/banyangrade/routed/server_pools.ts
+++ b/packages/banyangrade/routed/server_pools.ts
@@ -1,15 +1,7 @@
 /** Connections to backend servers, one pool for each server's incarnation. */
-import * as undici from "undici";
 import type * as core from "@banyangrade/core";
+import * as service from "@banyangrade/service";
 
-/** Longest wait for a new connection, in ms: some hundred times the way between failure domains. */
-const CONNECT_MS = 400;
-/**
- * Idle time after which a connection is closed, in ms, where the server names
- * none. A request that is sent into a connection just closing has an unknown
- * outcome, so it must be shorter than what servers commonly allow.
- */
-const IDLE_MS = 4_000;
 /** Part of a server's connections that all hosts together open. */
 const USED_SHARE = 0.8;
 /** Connections that each host may open in any case. */
@@ -17,7 +9,7 @@
 
 /** Opens and closes the pools. */
 export class ServerPools {
-  readonly #pools = new Map<string, undici.Pool>();
+  readonly #pools = new Map<string, service.ServerConnections>();
   #hosts = 1;
 
   /** Takes over how many hosts share each server's connections. */
@@ -29,15 +21,12 @@
   get(
     server: core.ServerInfo,
     options: { readonly connectionLimit: number },
-  ): undici.Pool {
+  ): service.ServerConnections {
     const known = this.#pools.get(server.name);
     if (known !== undefined) return known;
     const part = USED_SHARE * options.connectionLimit / this.#hosts;
-    const pool = new undici.Pool(server.url, {
+    const pool = service.createServerConnections(server.url, {
       connections: Math.max(LEAST_CONNECTIONS, Math.floor(part)),
-      pipelining: 1,
-      keepAliveTimeout: IDLE_MS,
-      connect: { timeout: CONNECT_MS },
     });
     this.#pools.set(server.name, pool);
     return pool;
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -36,6 +36,21 @@
     return { queued: queue.size, running: running.size };
   }
 
+  /** Requests running and queued, by model or service. */
+  countByTarget(): Record<string, number> {
+    const { queue, running } = this.#state;
+    const targets = [
+      ...running.list().map((attempt) => attempt.request.target),
+      ...queue.listWaiting().flatMap((lane) =>
+        Array.from({ length: lane.size }, () => lane.target)
+      ),
+    ];
+    return targets.reduce<Record<string, number>>(
+      (counts, target) => ({ ...counts, [target]: (counts[target] ?? 0) + 1 }),
+      {},
+    );
+  }
+
   /** Servers, pools and lanes, for `status` and `explain`. */
   inspect(): {
     readonly servers: readonly serverState.ServerState[];
--- /dev/null
+++ b/packages/core/domain_orders.ts
@@ -0,0 +1,146 @@
+/**
+ * How many backend servers of a service each failure domain should have, and
+ * of which kind. Reclaimable servers carry the load where they can be had: they
+ * cost a fraction, and a reclaim takes those of one failure domain only, whose
+ * work the others take over until more have started.
+ */
+import type * as routes from "./routes.ts";
+
+/** Load that a server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
+const TARGET_UTILISATION = 0.2;
+/** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
+const KEEP_MS = 20_000;
+/** Time for which no reclaimable servers are asked for where there were none, in ms. */
+const UNAVAILABLE_MS = 3_000;
+
+/** Servers of a service in one failure domain. */
+export interface DomainServers {
+  readonly failureDomain: string;
+  readonly ordinary: number;
+  readonly spot: number;
+}
+
+/** What is ordered in one failure domain. */
+export interface DomainCounts {
+  readonly failureDomain: string;
+  readonly ordinary: number;
+  readonly spot: number;
+}
+
+/** What is known of a service. */
+export interface ServiceDemand {
+  readonly bounds: routes.ScalingBounds;
+  readonly slots: number;
+  /** Requests running and queued, over all hosts. */
+  readonly demand: number;
+  /** Servers that are ready, by failure domain. */
+  readonly servers: readonly DomainServers[];
+}
+
+interface Needed {
+  readonly at: number;
+  readonly count: number;
+}
+
+/** Plans the servers of one service, round by round. */
+export class DomainPlanner {
+  #needed: readonly Needed[] = [];
+  #firstAt: number | undefined;
+  /** Servers that there were at the first round. */
+  #atFirst = 0;
+  readonly #unavailable = new Map<string, number>();
+
+  /** Records that a failure domain has no reclaimable servers now. */
+  recordUnavailable(failureDomain: string, now: number): void {
+    this.#unavailable.set(failureDomain, now);
+  }
+
+  /** Plans the next orders. */
+  plan(service: ServiceDemand, now: number): DomainCounts[] {
+    const { bounds, servers } = service;
+    const total = this.#computeTotal(service, now);
+    const hasSpot = ({ failureDomain }: DomainServers) =>
+      bounds.spotPrice > 0 &&
+      now - (this.#unavailable.get(failureDomain) ?? -Infinity) >
+        UNAVAILABLE_MS;
+    const ranked = servers.toSorted((a, b) =>
+      getPrice(bounds, a, hasSpot(a)) - getPrice(bounds, b, hasSpot(b))
+    );
+    const shares = spreadEvenly(total, {
+      ranked: ranked.map((one) => one.failureDomain),
+      bounds,
+    });
+    return servers.map((domain) => {
+      const wanted = shares.get(domain.failureDomain) ?? 0;
+      if (!hasSpot(domain)) {
+        const spot = Math.min(domain.spot, wanted);
+        const { failureDomain } = domain;
+        return { failureDomain, spot, ordinary: wanted - spot };
+      }
+      // Ordinary servers stay until the others are there.
+      const missing = Math.max(0, wanted - domain.spot);
+      const ordinary = Math.min(
+        missing,
+        Math.max(0, bounds.maxServers - wanted),
+      );
+      return { failureDomain: domain.failureDomain, spot: wanted, ordinary };
+    });
+  }
+
+  /** The most that was needed of late. */
+  #computeTotal(
+    { slots, demand, servers }: ServiceDemand,
+    now: number,
+  ): number {
+    // A planner that has just begun does not know what was needed of late: it
+    // keeps what is there.
+    if (demand > 0) this.#firstAt ??= now;
+    const begun = now - (this.#firstAt ?? now) < KEEP_MS;
+    const ready = servers.reduce(
+      (sum, one) => sum + one.ordinary + one.spot,
+      0,
+    );
+    if (this.#atFirst === 0) this.#atFirst = ready;
+    const count = Math.max(
+      begun ? this.#atFirst : 0,
+      Math.ceil(demand / (slots * TARGET_UTILISATION)),
+    );
+    this.#needed = [
+      ...this.#needed.filter((needed) => now - needed.at < KEEP_MS),
+      { at: now, count },
+    ];
+    return Math.max(...this.#needed.map((needed) => needed.count));
+  }
+}
+
+function getPrice(
+  bounds: routes.ScalingBounds,
+  { failureDomain }: DomainServers,
+  spot: boolean,
+): number {
+  const price = bounds.domainPrices.get(failureDomain) ?? 1;
+  return price * (spot ? bounds.spotPrice : 1);
+}
+
+/** Gives each failure domain its least, then one at a time to each in its rank. */
+function spreadEvenly(
+  total: number,
+  { ranked, bounds }: {
+    readonly ranked: readonly string[];
+    readonly bounds: routes.ScalingBounds;
+  },
+): ReadonlyMap<string, number> {
+  const counts = new Map(ranked.map((domain) => [domain, bounds.minServers]));
+  let left = total - ranked.length * bounds.minServers;
+  while (left > 0) {
+    const open = ranked.filter((domain) =>
+      (counts.get(domain) ?? 0) < bounds.maxServers
+    );
+    if (open.length === 0) break;
+    open.slice(0, left).forEach((domain) =>
+      counts.set(domain, (counts.get(domain) ?? 0) + 1)
+    );
+    left -= open.length;
+  }
+  return counts;
+}
--- a/packages/core/freshness.ts
+++ b/packages/core/freshness.ts
@@ -1,9 +1,6 @@
 /**
- * How long a host may rely on what it has read. A belief is proved current at
- * the moment at which the read was sent that confirmed it. A process that was
- * suspended does not see its monotonic clock move, so a proof would seem young
- * although it is old; then the time of day, or the time since boot, has moved
- * further than the monotonic clock, and every proof is dropped.
+ * How long a host may rely on what it has read, and what time it is. A belief
+ * is proved current at the moment at which the read was sent that confirmed it.
  */
 
 /** One reading of the clocks, in ms. */
@@ -17,19 +14,24 @@
 /** Difference of the two clocks' progress that is taken for a suspension, in ms. */
 const GAP_MS = 250;
 
-/** Finds out that time went by which the monotonic clock did not count. */
-export class GapDetector {
+/**
+ * A clock for leases and proofs. The monotonic clock may stand still while a
+ * process is suspended; a lease that ran out meanwhile would seem to hold, and
+ * a key withdrawn meanwhile to be good. The time of day has then moved further,
+ * and what it moved more is added here. A step of the time of day looks the
+ * same and ends leases and proofs early, which costs one more read.
+ */
+export class SuspensionClock {
   #offset: number | undefined;
+  #skipped = 0;
 
-  /**
-   * Compares how far both clocks have moved since the last reading; true after
-   * a gap. A step of the time of day looks the same, which costs one more read.
-   */
-  hasGap({ now, wall }: ClockReading): boolean {
+  /** Returns a time that counts suspensions. */
+  read({ now, wall }: ClockReading): number {
     const offset = wall - now;
-    const before = this.#offset;
+    const moved = offset - (this.#offset ?? offset);
     this.#offset = offset;
-    return before !== undefined && Math.abs(offset - before) > GAP_MS;
+    if (moved > GAP_MS) this.#skipped += moved;
+    return now + this.#skipped;
   }
 }
 
@@ -42,13 +44,39 @@
     this.#provedAt = Math.max(this.#provedAt, sentAt);
   }
 
-  /** Drops the proof: an unknown span of time has passed. */
-  drop(): void {
-    this.#provedAt = Number.NEGATIVE_INFINITY;
-  }
-
   /** Age of the proof in ms; infinite without one. */
   getAge(now: number): number {
     return now - this.#provedAt;
   }
 }
+
+/** Distance from the other hosts' time at which the own one is doubted, in ms; their word is up to a second old. */
+const TRUST_MS = 1_200;
+/** Mean age of the other hosts' word, in ms: half of the time between two publications. */
+const WORD_AGE_MS = 500;
+
+/**
+ * The true time of day of a host whose own clock may jump. It goes on at the
+ * pace of the monotonic clock. Where the time of day moved against that, it was
+ * a step, to be ignored, or a suspension, to be followed; the other hosts tell.
+ */
+export class TrueClock {
+  #offset: number | undefined;
+
+  /** Returns the true time of day. */
+  read({ now, wall }: ClockReading): number {
+    this.#offset ??= wall - now;
+    return now + this.#offset;
+  }
+
+  /** Takes over what the other hosts last published as their time. */
+  update(reading: ClockReading, others: readonly number[]): void {
+    if (others.length === 0) return;
+    const sorted = others.toSorted((a, b) => a - b);
+    const theirs = sorted[Math.floor(sorted.length / 2)] + WORD_AGE_MS;
+    const own = this.read(reading);
+    if (Math.abs(own - theirs) <= TRUST_MS) return;
+    const wallFits = Math.abs(reading.wall - theirs) <= TRUST_MS;
+    this.#offset = (wallFits ? reading.wall : theirs) - reading.now;
+  }
+}
--- /dev/null
+++ b/packages/core/window_counts.ts
@@ -0,0 +1,73 @@
+/**
+ * Requests by usage window and customer, as each host counts them and all
+ * hosts together have them. A host publishes its counts of the last windows
+ * again and again; each time they replace what it published before, so nothing
+ * counts twice and a lost publication is made good by the next one.
+ */
+import type * as billing from "./billing.ts";
+
+/** Requests by customer. */
+export type CustomerCounts = Readonly<Record<string, number>>;
+
+/** Requests by window and customer. */
+export type WindowTable = Readonly<Record<string, CustomerCounts>>;
+
+/** Windows that a host keeps: as many as can be open at once while a report is late. */
+const KEPT_WINDOWS = 5;
+
+/** What one host counted. */
+export class WindowCounter {
+  readonly #windows = new Map<number, Map<string, number>>();
+
+  /** Counts one request that began to run. */
+  record(window: number, customer: string): void {
+    const counts = this.#windows.get(window) ?? new Map<string, number>();
+    counts.set(customer, (counts.get(customer) ?? 0) + 1);
+    this.#windows.set(window, counts);
+    [...this.#windows.keys()].filter((old) => old <= window - KEPT_WINDOWS)
+      .forEach((old) => this.#windows.delete(old));
+  }
+
+  list(): WindowTable {
+    return Object.fromEntries(
+      [...this.#windows].map(([window, counts]) => [
+        String(window),
+        Object.fromEntries(counts),
+      ]),
+    );
+  }
+}
+
+/** Counts of all hosts, from which windows are fixed. */
+export class WindowCollector {
+  #tables: readonly WindowTable[] = [];
+
+  /** Takes over what all hosts have published. */
+  setTables(tables: readonly WindowTable[]): void {
+    this.#tables = tables;
+  }
+
+  /** Nothing is carried over from one window to the next. */
+  setCounted(): void {}
+
+  /** Builds a window's figures from what is published. */
+  buildWindow(window: number, failureDomain: string): billing.FixedWindow {
+    const requests = new Map<string, number>();
+    this.#tables.flatMap((table) => Object.entries(table[String(window)] ?? {}))
+      .forEach(([customer, count]) =>
+        requests.set(customer, (requests.get(customer) ?? 0) + count)
+      );
+    const figures = Object.fromEntries(
+      [...requests].map(([customer, count]) => [
+        customer,
+        {
+          requests: count,
+          promptTokens: 0,
+          outputTokens: 0,
+          wastedTokens: 0,
+        },
+      ]),
+    );
+    return { failureDomain, window, figures, adjustments: [], counted: {} };
+  }
+}
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -3,9 +3,10 @@
  * A plain answer is held until it is whole, so that a cut one never passes for
  * a whole one; a stream is passed on in whole events.
  */
-import * as undici from "undici";
+import type * as undici from "undici";
 import type * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
+import type * as connections from "./connections.ts";
 import * as eventBlocks from "./event_blocks.ts";
 
 /** What an answer's head says beyond HTTP. */
@@ -23,7 +24,7 @@
 
 /** What an attempt sends. */
 export interface ForwardCall {
-  readonly connections: undici.Dispatcher;
+  readonly connections: connections.ServerConnections;
   readonly requestId: string;
   readonly method: string;
   readonly path: string;
@@ -31,7 +32,7 @@
   readonly body: Buffer;
   /** Whether a success is a stream of events. */
   readonly stream: boolean;
-  /** Identifier of the last event that the caller has; 0 before the first. */
+  /** Identifier of the last event that the caller has; -1 before the first. */
   readonly lastEventId: number;
   /** Longest wait for the answer's head, in ms. */
   readonly headMs: number;
@@ -94,8 +95,9 @@
   call: ForwardCall,
   sink: ForwardSink,
 ): Promise<ForwardOutcome> {
+  const resets = call.connections.countResets();
   try {
-    const answer = await call.connections.request({
+    const answer = await call.connections.dispatcher.request({
       method: call.method as undici.Dispatcher.HttpMethod,
       path: call.path,
       headers: call.headers as Record<string, string | string[]>,
@@ -104,7 +106,10 @@
       bodyTimeout: call.betweenMs,
       signal: call.signal,
     });
-    return await readAnswer(answer, { call, sink });
+    const outcome = await readAnswer(answer, { call, sink });
+    const cut = !isFramed(answer.headers) &&
+      call.connections.countResets() > resets;
+    return cut ? buildCut(outcome) : outcome;
   } catch (thrown) {
     if (call.signal.aborted) return { kind: "aborted" };
     const reason = utils.readMessage(thrown);
@@ -112,6 +117,33 @@
   }
 }
 
+/** Whether an answer says where it ends; else it ends with its connection. */
+function isFramed(headers: undici.Dispatcher.ResponseData["headers"]): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Takes back a success whose end was a reset connection. The HTTP client calls
+ * such an answer whole, so a caller would get the first part of a booking's
+ * answer as all of it. A reset of another connection of the server at the same
+ * time counts too: it costs an answer, and cannot be told apart.
+ */
+function buildCut(outcome: ForwardOutcome): ForwardOutcome {
+  switch (outcome.kind) {
+    case "whole":
+    case "streamed":
+      return {
+        kind: "failed",
+        failure: "connection_lost",
+        reason: "The connection was reset within an answer without a length.",
+      };
+    case "failed":
+    case "aborted":
+      return outcome;
+  }
+}
+
 interface Exchange {
   readonly call: ForwardCall;
   readonly sink: ForwardSink;
--- a/packages/usage/reporter.ts
+++ b/packages/usage/reporter.ts
@@ -22,7 +22,10 @@
   readonly usage: client.UsageClient;
   readonly clock: utils.Clock;
   readonly getLease: () => core.LeaseState;
-  readonly collector: core.UsageCollector;
+  readonly collector: Pick<
+    core.UsageCollector,
+    "setCounted" | "buildWindow"
+  >;
   readonly failureDomain: string;
   /** The newest window that is over, grace included. */
   readonly lastClosed: number;
