--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -44,8 +44,8 @@
       connect(target, (...[error, socket]) => {
         if (error !== null) return callback(error, null);
         // Before the client's own listener, which ends the answer.
-        socket.prependListener("error", () => {
-          resets += 1;
+        socket.prependListener("error", (thrown) => {
+          if (isReset(thrown)) resets += 1;
         });
         callback(null, socket);
       }),
@@ -57,3 +57,8 @@
     destroy: () => pool.destroy(),
   };
 }
+
+/** The client reports an orderly end as an error too, with a code of its own. */
+function isReset(thrown: { readonly code?: string }): boolean {
+  return thrown.code !== undefined && !thrown.code.startsWith("UND_ERR");
+}
