--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -85,11 +85,16 @@
     }
   }
 
-  /** Requests running and queued, by model or service. */
-  countByTarget(): Record<string, number> {
+  /** Requests running and queued, by model or service and length of prompt. */
+  countByTarget(): Record<string, core.PromptDemand> {
     return this.#options.dispatcher.countByTarget();
   }
 
+  /** Takes over the demand of all hosts for a model or service. */
+  setDemand(target: string, demand: core.PromptDemand): void {
+    this.#options.dispatcher.setDemand(target, demand);
+  }
+
   countOpen(): number {
     return this.#open.size;
   }
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -24,11 +24,27 @@
   readonly incarnation: string;
   /** Its own true time of day when it published this, Unix ms. */
   readonly at: number;
-  /** Requests running and queued by service. */
-  readonly demand: Readonly<Record<string, number>>;
+  /** Requests running and queued by service and length of prompt. */
+  readonly demand: Readonly<Record<string, core.PromptDemand>>;
   readonly usage: core.WindowTable;
 }
 
+/**
+ * Sums the demand of all hosts for a service.
+ *
+ * @example
+ * sumDemand(entries, "planner").short; // 41
+ */
+export function sumDemand(
+  entries: readonly HostEntry[],
+  service: string,
+): core.PromptDemand {
+  return entries.reduce((sum, { demand }) => ({
+    short: sum.short + (demand[service]?.short ?? 0),
+    long: sum.long + (demand[service]?.long ?? 0),
+  }), { short: 0, long: 0 });
+}
+
 /** Options of {@link PresenceTask}. */
 export interface PresenceOptions {
   readonly store: store.KeyValueClient;
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -4,7 +4,7 @@
 import * as usage from "@banyangrade/usage";
 import * as utils from "@banyangrade/utils";
 import type * as ports from "./ports.ts";
-import type * as presence from "./presence_task.ts";
+import * as presence from "./presence_task.ts";
 
 /** Margin of a lease for clock drift and scheduling, in ms. */
 const LEASE_MARGIN_MS = 400;
@@ -138,12 +138,14 @@
     if (scaling === undefined) return [];
     const planner = this.#planners.get(name) ?? new core.DomainPlanner();
     this.#planners.set(name, planner);
-    const demand = this.#options.listEntries()
-      .reduce((sum, entry) => sum + (entry.demand[name] ?? 0), 0);
+    const { short, long } = presence.sumDemand(
+      this.#options.listEntries(),
+      name,
+    );
     const planned = planner.plan({
       bounds: scaling,
       slots: engine?.slots ?? 1,
-      demand,
+      demand: short + long,
       servers: this.#countServers(name),
     }, this.#options.clock.now());
     return planned.flatMap(({ failureDomain, ordinary, spot }) => [
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -64,6 +64,7 @@
       preempts: false,
       leastRetryMs: LEAST_RETRY_MS,
       isolateAfter: ISOLATE_AFTER,
+      dividesEngines: true,
     }),
     onSuspect: () => undefined,
     onAskCapacity: () => undefined,
@@ -142,6 +143,9 @@
       const hosts = new Set(entries.map((entry) => entry.host));
       budget.setHosts(hosts.size);
       pools.setHosts(hosts.size);
+      belief.getTable()?.configuration.services.forEach(({ name }) =>
+        dispatch.setDemand(name, presenceTask.sumDemand(entries, name))
+      );
       trueClock.update(
         readClocks(),
         entries.filter((entry) => entry.host !== settings.host)
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -4,6 +4,7 @@
  * the daemon, the fuzzer and the bench run the same code.
  */
 import * as ending from "./ending.ts";
+import type * as engineChoice from "./engine_choice.ts";
 import type * as events from "./events.ts";
 import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
@@ -36,19 +37,28 @@
     return { queued: queue.size, running: running.size };
   }
 
-  /** Requests running and queued, by model or service. */
-  countByTarget(): Record<string, number> {
-    const { queue, running } = this.#state;
-    const targets = [
-      ...running.list().map((attempt) => attempt.request.target),
-      ...queue.listWaiting().flatMap((lane) =>
-        Array.from({ length: lane.size }, () => lane.target)
-      ),
-    ];
-    return targets.reduce<Record<string, number>>(
-      (counts, target) => ({ ...counts, [target]: (counts[target] ?? 0) + 1 }),
-      {},
+  /** Takes over the demand of all hosts for a model or service. */
+  setDemand(target: string, demand: engineChoice.PromptDemand): void {
+    this.#state.router.setDemand(target, demand);
+  }
+
+  /** Requests running and queued, by model or service and length of prompt. */
+  countByTarget(): Record<string, engineChoice.PromptDemand> {
+    const { queue, running, prompts } = this.#state;
+    const counts: Record<string, engineChoice.PromptDemand> = {};
+    const add = (target: string, className: string, count: number) => {
+      const { short, long } = counts[target] ?? { short: 0, long: 0 };
+      counts[target] = prompts.isShort(className)
+        ? { short: short + count, long }
+        : { short, long: long + count };
+    };
+    running.list().forEach(({ request: { target, className } }) =>
+      add(target, className, 1)
+    );
+    queue.listWaiting().forEach((lane) =>
+      add(lane.target, lane.className, lane.size)
     );
+    return counts;
   }
 
   /** Servers, pools and lanes, for `status` and `explain`. */
--- /dev/null
+++ b/packages/core/engine_choice.ts
@@ -0,0 +1,190 @@
+/**
+ * Which engine takes a request where many hosts choose without word of each
+ * other. An engine takes prompts in between the tokens of what it runs, so a
+ * long prompt holds up every stream beside it, and under a run of long prompts
+ * the streams of a short one come many times too slowly. So engines are divided
+ * between short and long prompts, by a rank that every host computes alike;
+ * work goes over the border only where its own part is full.
+ *
+ * Long prompts about one subject meet at one engine, which keeps the part that
+ * they share: each of the others would have to take it in again.
+ */
+import * as utils from "@banyangrade/utils";
+import * as constants from "./constants.ts";
+
+/** Mean prompt tokens of a class up to which it counts as short: a step that takes them in is about as long as the tightest pause allows ten times over. */
+const SHORT_PROMPT_TOKENS = 1_500;
+/** Part of an engine's slots that short prompts are planned to fill. */
+const SHORT_FILL = 0.4;
+/** Part of an engine's slots that long prompts are planned to fill: their time goes into prompts, not into tokens. */
+const LONG_FILL = 0.15;
+/** Part of an engine's slots at which its part of the engines counts as full. */
+const FULL_SHARE = 0.7;
+/** Prompt tokens not yet taken in that weigh like one running request. */
+const TOKENS_PER_LOAD = 4_000;
+/** Load above the mean at which a subject's own engine is left, as a multiple and in requests. */
+const SUBJECT_BOUND = { factor: 1.25, slack: 2 };
+/** Weight of the way to another failure domain, in running requests. */
+const FOREIGN_LOAD = 0.5;
+
+/** An engine as this host sees it. */
+export interface EngineView {
+  readonly name: string;
+  readonly failureDomain: string | undefined;
+  readonly slots: number;
+  /** Requests that it is taken to run. */
+  readonly load: number;
+  /** Prompt tokens of this host that it has not yet taken in. */
+  readonly prompting: number;
+}
+
+/** Requests running and queued over all hosts, by the length of their prompts. */
+export interface PromptDemand {
+  readonly short: number;
+  readonly long: number;
+}
+
+/** What is placed. */
+export interface EngineRequest {
+  readonly isShort: boolean;
+  /** Subject or session of the prompt; empty if there is none. */
+  readonly prefix: string;
+}
+
+/** Learns which classes have short prompts. */
+export class PromptLengths {
+  readonly #means = new Map<string, number>();
+
+  record(className: string, promptTokens: number): void {
+    const mean = this.#means.get(className) ?? promptTokens;
+    const change = constants.EWMA_WEIGHT * (promptTokens - mean);
+    this.#means.set(className, mean + change);
+  }
+
+  /** Whether a class's prompts are short; by the class, so that its large requests fare like its small ones. */
+  isShort(className: string): boolean {
+    return (this.#means.get(className) ?? 0) <= SHORT_PROMPT_TOKENS;
+  }
+}
+
+/**
+ * Returns the names of the engines that are for short prompts: the first ones
+ * in the common rank, as many as the demand of both kinds asks for.
+ *
+ * @example
+ * const names = divideEngines(engines, { short: 40, long: 25 });
+ */
+export function divideEngines(
+  engines: readonly EngineView[],
+  demand: PromptDemand,
+): ReadonlySet<string> {
+  const short = demand.short / SHORT_FILL;
+  const long = demand.long / LONG_FILL;
+  const part = short + long === 0 ? 0.5 : short / (short + long);
+  const least = short > 0 ? 1 : 0;
+  const most = engines.length - (long > 0 ? 1 : 0);
+  const count = Math.max(
+    least,
+    Math.min(most, Math.round(part * engines.length)),
+  );
+  return new Set(
+    rankEngines(engines).slice(0, count).map((engine) => engine.name),
+  );
+}
+
+/**
+ * Ranks engines alike on every host, the failure domains by turns, so that the
+ * loss of one takes its part of each kind.
+ */
+function rankEngines(engines: readonly EngineView[]): EngineView[] {
+  const turns = new Map<string, number>();
+  return engines.toSorted((a, b) => hashText(a.name) - hashText(b.name))
+    .map((engine) => {
+      const domain = engine.failureDomain ?? "";
+      const turn = turns.get(domain) ?? 0;
+      turns.set(domain, turn + 1);
+      return { engine, turn, domain };
+    })
+    .toSorted((a, b) =>
+      a.turn - b.turn || hashText(a.domain) - hashText(b.domain)
+    )
+    .map(({ engine }) => engine);
+}
+
+/** Options of {@link chooseEngine}. */
+export interface EngineChoiceOptions {
+  /** Engines that may be given one more request. */
+  readonly usable: readonly EngineView[];
+  /** Names of the engines for short prompts. */
+  readonly shortNames: ReadonlySet<string>;
+  /** This host's failure domain. */
+  readonly failureDomain: string;
+}
+
+/**
+ * Chooses an engine; undefined if none is usable.
+ *
+ * @example
+ * const name = chooseEngine({ isShort: true, prefix: "" }, options);
+ */
+export function chooseEngine(
+  wanted: EngineRequest,
+  options: EngineChoiceOptions,
+): string | undefined {
+  const { usable, shortNames } = options;
+  const isOwn = ({ name }: EngineView) =>
+    shortNames.has(name) === wanted.isShort;
+  const own = usable.filter((engine) =>
+    isOwn(engine) && engine.load < FULL_SHARE * engine.slots
+  );
+  const among = own.length > 0 ? own : usable;
+  const subject = wanted.isShort || wanted.prefix === ""
+    ? undefined
+    : findSubjectEngine(among, wanted.prefix);
+  return (subject ?? findLightest(among, options.failureDomain))?.name;
+}
+
+/** Finds the first engine of a subject's own rank that is not loaded well above the mean. */
+function findSubjectEngine(
+  engines: readonly EngineView[],
+  prefix: string,
+): EngineView | undefined {
+  const mean = engines.reduce((sum, one) => sum + weigh(one), 0) /
+    Math.max(1, engines.length);
+  const bound = SUBJECT_BOUND.factor * mean + SUBJECT_BOUND.slack;
+  return engines.filter((engine) => weigh(engine) < bound)
+    .map((engine) => ({ engine, rank: hashText(`${prefix}|${engine.name}`) }))
+    .reduce<{ engine: EngineView; rank: number } | undefined>(
+      (best, one) => best && best.rank <= one.rank ? best : one,
+      undefined,
+    )?.engine;
+}
+
+function findLightest(
+  engines: readonly EngineView[],
+  failureDomain: string,
+): EngineView | undefined {
+  const score = (engine: EngineView) =>
+    weigh(engine) + (engine.failureDomain === failureDomain ? 0 : FOREIGN_LOAD);
+  return engines.reduce<EngineView | undefined>(
+    (best, one) => best && score(best) <= score(one) ? best : one,
+    undefined,
+  );
+}
+
+function weigh({ load, prompting }: EngineView): number {
+  return load + prompting / TOKENS_PER_LOAD;
+}
+
+const hashes = new Map<string, number>();
+/** Texts whose hashes are remembered; engines and subjects come and go. */
+const MAX_HASHES = 20_000;
+
+function hashText(text: string): number {
+  const known = hashes.get(text);
+  if (known !== undefined) return known;
+  if (hashes.size >= MAX_HASHES) hashes.clear();
+  const hash = utils.hashSeed(text);
+  hashes.set(text, hash);
+  return hash;
+}
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -4,6 +4,7 @@
 import * as attempts from "./attempts.ts";
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
+import * as engineChoice from "./engine_choice.ts";
 import type * as events from "./events.ts";
 import * as fairness from "./fairness.ts";
 import * as lengths from "./lengths.ts";
@@ -29,6 +30,8 @@
   readonly preempts?: boolean;
   /** Shortest time to come back that a refusal gives, in ms. @default constants.RETRY_AFTER_MIN_MS */
   readonly leastRetryMs?: number;
+  /** Whether hosts divide engines between short and long prompts. @default false */
+  readonly dividesEngines?: boolean;
   /** Servers lost to a request before it runs apart from others like it. @default 1 */
   readonly isolateAfter?: number;
 }
@@ -53,6 +56,7 @@
   readonly lengths: lengths.LengthEstimator;
   readonly credits: fairness.ShareCredits;
   readonly suspects: quarantine.SuspectTable;
+  readonly prompts: engineChoice.PromptLengths;
   readonly router: router.Router;
 }
 
@@ -64,6 +68,7 @@
  */
 export function createHostState(options: HostStateOptions): HostState {
   const table = new servers.ServerTable(options);
+  const prompts = new engineChoice.PromptLengths();
   return {
     now: 0,
     effects: [],
@@ -80,7 +85,8 @@
     lengths: new lengths.LengthEstimator(),
     credits: new fairness.ShareCredits(),
     suspects: new quarantine.SuspectTable(options.isolateAfter),
-    router: new router.Router({ table, ...options }),
+    prompts,
+    router: new router.Router({ table, prompts, ...options }),
   };
 }
 
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -23,6 +23,9 @@
     return hostState.refuse(state, { refused: wanted, ran: "no", ...reason });
   }
   if (shedLoad(state, wanted)) return;
+  if (wanted.kind === "generate") {
+    state.prompts.record(wanted.className, wanted.promptTokens);
+  }
   state.budget.recordFirst(wanted.target, state.now);
   state.queue.add({
     request: wanted,
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -7,6 +7,7 @@
 import * as lru from "lru-cache";
 import type * as utils from "@banyangrade/utils";
 import * as constants from "./constants.ts";
+import * as engineChoice from "./engine_choice.ts";
 import type * as request from "./request.ts";
 import * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
@@ -22,6 +23,9 @@
   readonly failureDomain: string;
   /** Whether prefix affinity is used. @default true */
   readonly affinity?: boolean;
+  readonly prompts: engineChoice.PromptLengths;
+  /** Whether hosts divide engines between short and long prompts. @default false */
+  readonly dividesEngines?: boolean;
 }
 
 /** What the choice depends on besides the request. */
@@ -52,6 +56,9 @@
   readonly #random: utils.Random;
   readonly #failureDomain: string;
   readonly #affinity: boolean;
+  readonly #prompts: engineChoice.PromptLengths;
+  readonly #dividesEngines: boolean;
+  readonly #demand = new Map<string, engineChoice.PromptDemand>();
   readonly #prefixes = new lru.LRUCache<string, string>({
     max: constants.MAX_PREFIXES,
   });
@@ -61,6 +68,13 @@
     this.#random = options.random;
     this.#failureDomain = options.failureDomain;
     this.#affinity = options.affinity ?? true;
+    this.#prompts = options.prompts;
+    this.#dividesEngines = options.dividesEngines ?? false;
+  }
+
+  /** Takes over the demand of all hosts for a target. */
+  setDemand(target: string, demand: engineChoice.PromptDemand): void {
+    this.#demand.set(target, demand);
   }
 
   /** Chooses a server with room, or none. */
@@ -91,6 +105,9 @@
     },
   ): serverState.ServerState | undefined {
     const { now } = options;
+    if (this.#dividesEngines && wanted.kind === "generate") {
+      return this.#chooseDivided(wanted, { options, isUsable });
+    }
     const all = this.#table.listFor(wanted.target);
     const home = this.#table.listHomeFor(wanted.target);
     // A server whose tokens come too slowly for the class misses its target for
@@ -113,6 +130,39 @@
       this.#chooseByLoad(all, { wanted, now, isUsable });
   }
 
+  /** Chooses among engines that hosts divide; see {@link engineChoice}. */
+  #chooseDivided(
+    wanted: request.Request,
+    { options, isUsable }: {
+      readonly options: RouteOptions;
+      readonly isUsable: Choice["isUsable"];
+    },
+  ): serverState.ServerState | undefined {
+    const { now } = options;
+    const live = this.#table.listFor(wanted.target)
+      .filter(({ info }) => info.state === "live");
+    const views = live.map((server) => ({
+      name: server.info.name,
+      failureDomain: server.info.failureDomain,
+      slots: serverState.getSlots(server),
+      load: serverState.estimateLoad(server, now),
+      prompting: server.prompting,
+    }));
+    const demand = this.#demand.get(wanted.target) ?? { short: 1, long: 1 };
+    const usable = new Set(
+      live.filter(isUsable).map((server) => server.info.name),
+    );
+    const name = engineChoice.chooseEngine({
+      isShort: this.#prompts.isShort(wanted.className),
+      prefix: wanted.prefix,
+    }, {
+      usable: views.filter((view) => usable.has(view.name)),
+      shortNames: engineChoice.divideEngines(views, demand),
+      failureDomain: this.#failureDomain,
+    });
+    return name === undefined ? undefined : this.#table.get(name);
+  }
+
   /** Finds the pools that the request may use and whose grants have room. */
   #findUsablePools(
     wanted: request.Request,
