--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -15,6 +15,8 @@
  * must stop working.
  */
 const POLL_WAIT_MS = 1_000;
+/** The same for the list of servers, whose polls fail with those of the configuration. */
+const SERVERS_WAIT_MS = 3_000;
 /**
  * Part of the withdrawal time for which a proof is good. The rest covers the
  * wait of the poll that was open when the store fell silent, and the way to
@@ -33,6 +35,8 @@
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
   readonly withdrawMs: number;
+  /** Time within which a leaving server must get no more work, in ms. */
+  readonly leaveMs: number;
   readonly onConfiguration: (table: core.RouteTable) => void;
   readonly onServers: (servers: readonly core.ListedServer[]) => void;
 }
@@ -41,7 +45,7 @@
 export class BeliefTask {
   readonly #options: BeliefOptions;
   readonly #proof = new core.Proof();
-  readonly #list = new core.ServerList();
+  readonly #list: core.ServerList;
   readonly #stops: (() => void)[] = [];
   #table: core.RouteTable | undefined;
   #revision = 0;
@@ -50,26 +54,29 @@
 
   constructor(options: BeliefOptions) {
     this.#options = options;
+    this.#list = new core.ServerList(options);
   }
 
   /** Starts following both prefixes. */
   start(): void {
     const { platform, clock } = this.#options;
-    const follow = (
-      prefix: string,
-      onEvent: (event: store.FeedEvent) => void,
-    ) =>
+    const { store: feed } = platform;
+    const expiry = setInterval(() => this.#expire(), EXPIRE_MS);
+    this.#stops.push(
       store.watchPrefix({
-        feed: platform.store,
+        feed,
         clock,
-        prefix,
+        prefix: platform.configurationKey,
         waitMs: POLL_WAIT_MS,
-        onEvent,
-      });
-    const expiry = setInterval(() => this.#expire(), EXPIRE_MS);
-    this.#stops.push(
-      follow(platform.configurationKey, (event) => this.#takeConfig(event)),
-      follow(platform.serversPrefix, (event) => this.#takeServers(event)),
+        onEvent: (event) => this.#takeConfig(event),
+      }),
+      store.watchPrefix({
+        feed,
+        clock,
+        prefix: platform.serversPrefix,
+        waitMs: SERVERS_WAIT_MS,
+        onEvent: (event) => this.#takeServers(event),
+      }),
       () => clearInterval(expiry),
     );
   }
--- a/packages/banyangrade/routed/ports.ts
+++ b/packages/banyangrade/routed/ports.ts
@@ -111,6 +111,8 @@
   readonly retries: core.RetryBound;
   /** Time after which a withdrawn key must not start anything. */
   readonly withdrawMs: number;
+  /** Time within which a leaving server must get no more work. */
+  readonly leaveMs: number;
   readonly leaseMs: number;
   readonly usageWindowMs: number;
   /** Time after a window's end by which its report is due. */
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -1,4 +1,4 @@
-/** The control roles: usage windows and orders, run by the host that holds each. */
+/** The control roles, usage windows and orders: one host at a time holds both, by one lease. */
 import * as core from "@banyangrade/core";
 import * as store from "@banyangrade/store";
 import * as usage from "@banyangrade/usage";
@@ -8,12 +8,18 @@
 
 /** Margin of a lease for clock drift and scheduling, in ms. */
 const LEASE_MARGIN_MS = 400;
+/** Rounds of the lease of which a host that does not hold it uses one, to look whether it is free. */
+const ROUNDS_PER_TRY = 4;
+/** Role under which the lease lies in the store. */
+const ROLE = "platform";
 /** Between two rounds of reports, in ms. */
 const REPORT_MS = 1_000;
 /** Between two rounds of orders, in ms. */
 const ORDERS_MS = 1_000;
-/** Time after a window's end for the hosts' counts to arrive, in ms: two publications. */
-const COUNTS_MS = 2_300;
+/** Least time after a window's end for the hosts' counts to arrive, in ms: a publication and a request that was just begun. */
+const COUNTS_MS = 1_500;
+/** Time before a report is due at which a window is fixed without the counts of a host that is out of reach, in ms: two rounds and a call that is lost. */
+const FIX_MARGIN_MS = 4_000;
 /** Time after which an order that shows no effect is sent again, in ms, beyond the time a server takes to start. */
 const REPEAT_MS = 3_000;
 /** All usage windows are one subject. */
@@ -45,7 +51,8 @@
   readonly #collector = new core.WindowCollector();
   readonly #planners = new Map<string, core.DomainPlanner>();
   readonly #sent = new Map<string, SentOrder>();
-  readonly #holders = new Map<ports.ControlRole, store.LeaseHolder>();
+  #holder: store.LeaseHolder | undefined;
+  #round = 0;
   #stops: (() => void)[] = [];
 
   constructor(options: RolesOptions) {
@@ -53,9 +60,8 @@
   }
 
   start(): void {
-    this.#options.settings.roles.forEach((role) =>
-      this.#holders.set(role, this.#startHolder(role))
-    );
+    if (this.#options.settings.roles.length === 0) return;
+    this.#holder = this.#startHolder();
     this.#stops = [
       utils.startInterval(REPORT_MS, () => this.#report()),
       utils.startInterval(ORDERS_MS, () => this.#order()),
@@ -65,42 +71,48 @@
   /** Gives the roles back. */
   async stop(): Promise<void> {
     this.#stops.splice(0).forEach((stop) => stop());
-    const holders = [...this.#holders.values()];
-    this.#holders.clear();
-    await Promise.all(holders.map((holder) => holder.release()));
+    const holder = this.#holder;
+    this.#holder = undefined;
+    await holder?.release();
   }
 
-  /** Whether this host holds any role. */
+  /** Whether this host holds the roles. */
   hasRole(): boolean {
-    return [...this.#holders.values()].some((holder) =>
-      holder.getLease().kind === "held"
-    );
+    return this.#getLease().kind === "held";
   }
 
-  #startHolder(role: ports.ControlRole): store.LeaseHolder {
+  #startHolder(): store.LeaseHolder {
     const { settings, platform, clock, log, incarnation } = this.#options;
     return store.startLeaseHolder({
       store: platform.store,
       clock,
       log,
-      role,
+      role: ROLE,
       host: settings.host,
       incarnation,
       terms: { ttlMs: settings.leaseMs, marginMs: LEASE_MARGIN_MS },
       // Every call bears the fencing token, and the platform refuses old ones.
       flightMs: 0,
-      isCandidate: this.#options.isReady,
+      isCandidate: () => {
+        this.#round += 1;
+        return this.#options.isReady() && this.#round % ROUNDS_PER_TRY === 0;
+      },
       onChange: () => this.#sent.clear(),
     });
   }
 
-  #getLease(role: ports.ControlRole): core.LeaseState {
-    return this.#holders.get(role)?.getLease() ?? { kind: "none" };
+  #getLease(): core.LeaseState {
+    return this.#holder?.getLease() ?? { kind: "none" };
+  }
+
+  /** Whether this host does the work of a role now. */
+  #isInCharge(role: ports.ControlRole): boolean {
+    return this.hasRole() && this.#options.settings.roles.includes(role);
   }
 
   async #report(): Promise<void> {
-    if (this.#getLease("usage").kind === "none") return;
-    const { settings, platform, clock, log } = this.#options;
+    if (!this.#isInCharge("usage")) return;
+    const { platform, clock, log } = this.#options;
     this.#collector.setTables(
       this.#options.listEntries().map((entry) => entry.usage),
     );
@@ -108,12 +120,10 @@
       store: platform.store,
       usage: platform.usage,
       clock,
-      getLease: () => this.#getLease("usage"),
+      getLease: () => this.#getLease(),
       collector: this.#collector,
       failureDomain: ALL_DOMAINS,
-      lastClosed: Math.floor(
-        (this.#options.getTrueTime() - COUNTS_MS) / settings.usageWindowMs,
-      ) - 1,
+      lastClosed: this.#findLastClosed(),
     });
     if (round.fixed + round.reported > 0) {
       const { fixed, reported } = round;
@@ -124,9 +134,23 @@
     }
   }
 
+  /**
+   * Finds the newest window that can be fixed: all hosts have published since
+   * its end, or its report would come too late if it waited for more.
+   */
+  #findLastClosed(): number {
+    const { settings, getTrueTime, listEntries } = this.#options;
+    const { usageWindowMs, usageDueMs } = settings;
+    const now = getTrueTime();
+    const published = Math.min(...listEntries().map((entry) => entry.at));
+    const complete = Math.min(now - COUNTS_MS, published);
+    const forced = now - (usageDueMs - FIX_MARGIN_MS);
+    return Math.floor(Math.max(complete, forced) / usageWindowMs) - 1;
+  }
+
   async #order(): Promise<void> {
     const configuration = this.#options.getConfiguration();
-    if (this.#getLease("orders").kind === "none" || !configuration) return;
+    if (!this.#isInCharge("orders") || !configuration) return;
     const orders = configuration.services.flatMap((service) =>
       this.#planService(service)
     );
@@ -173,7 +197,7 @@
     const key = `${wanted.service}/${wanted.failureDomain}/${wanted.spot}`;
     const now = clock.now();
     if (!this.#isDue(planned, { sent: this.#sent.get(key), now })) return;
-    const lease = this.#getLease("orders");
+    const lease = this.#getLease();
     // No await between this check and the send: a process that was paused
     // finds out here that its lease is over.
     if (lease.kind === "none" || !core.mayAct(lease, now)) return;
--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -133,7 +133,10 @@
       customer,
       keyId: head.key ?? "",
       className: route.name,
-      tier: grant?.tier ?? route.tier,
+      tier: core.rankRequest(admitted.table, {
+        customerTier: grant?.tier,
+        routeTier: route.tier,
+      }),
       target: service,
       kind: route.kind === "stream" ? "generate" : "call",
       pools: [],
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -85,6 +85,7 @@
     clock: leaseClock,
     log: utils.createPartLogger(log, "belief"),
     withdrawMs: settings.withdrawMs,
+    leaveMs: settings.leaveMs,
     onConfiguration: ({ configuration }) => {
       ingress.setLimits(configuration.limits);
       dispatch.send({
--- a/packages/core/engine_choice.ts
+++ b/packages/core/engine_choice.ts
@@ -149,10 +149,10 @@
   engines: readonly EngineView[],
   prefix: string,
 ): EngineView | undefined {
-  const mean = engines.reduce((sum, one) => sum + weigh(one), 0) /
+  const mean = engines.reduce((sum, one) => sum + measureLoad(one), 0) /
     Math.max(1, engines.length);
   const bound = SUBJECT_BOUND.factor * mean + SUBJECT_BOUND.slack;
-  return engines.filter((engine) => weigh(engine) < bound)
+  return engines.filter((engine) => measureLoad(engine) < bound)
     .map((engine) => ({ engine, rank: hashText(`${prefix}|${engine.name}`) }))
     .reduce<{ engine: EngineView; rank: number } | undefined>(
       (best, one) => best && best.rank <= one.rank ? best : one,
@@ -165,14 +165,15 @@
   failureDomain: string,
 ): EngineView | undefined {
   const score = (engine: EngineView) =>
-    weigh(engine) + (engine.failureDomain === failureDomain ? 0 : FOREIGN_LOAD);
+    measureLoad(engine) +
+    (engine.failureDomain === failureDomain ? 0 : FOREIGN_LOAD);
   return engines.reduce<EngineView | undefined>(
     (best, one) => best && score(best) <= score(one) ? best : one,
     undefined,
   );
 }
 
-function weigh({ load, prompting }: EngineView): number {
+function measureLoad({ load, prompting }: EngineView): number {
   return load + prompting / TOKENS_PER_LOAD;
 }
 
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -75,8 +75,9 @@
  * backend servers with the same class.
  *
  * @example
- * getLaneKey(request); // "counter|status|"
+ * getLaneKey(request); // "counter|1|status|"
  */
 export function getLaneKey(request: Request): string {
-  return `${request.className}|${request.target}|${request.pools.join(",")}`;
+  const { className, tier, target, pools } = request;
+  return `${className}|${tier}|${target}|${pools.join(",")}`;
 }
--- a/packages/core/routes.ts
+++ b/packages/core/routes.ts
@@ -82,7 +82,7 @@
 export interface RoutedCustomer {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Goes before the tier of the route. */
+  /** Compared before the tier of the route. */
   readonly tier?: number;
 }
 
@@ -117,6 +117,13 @@
   /** Routes of each host name, the longest prefix first. */
   readonly byHost: ReadonlyMap<string, readonly Route[]>;
   readonly byKey: ReadonlyMap<string, RoutedGrant>;
+  /** All pairs of a customer's and a route's tier, the most urgent first. */
+  readonly ranks: readonly TierPair[];
+}
+
+interface TierPair {
+  readonly customer: number;
+  readonly route: number;
 }
 
 /**
@@ -141,7 +148,47 @@
       keys.map((key) => [key, { customer: name, tier }] as const)
     ),
   );
-  return { configuration, byHost, byKey };
+  return { configuration, byHost, byKey, ranks: rankTiers(configuration) };
+}
+
+/** Tiers that engines tell apart. */
+const MAX_TIERS = 10;
+
+function rankTiers(configuration: RoutingConfiguration): TierPair[] {
+  const customers = new Set([
+    ...(configuration.customers ?? []).map(({ tier }) => tier ?? LAST_TIER),
+    LAST_TIER,
+  ]);
+  const tiers = new Set(configuration.routes.map((route) => route.tier));
+  return [...customers].flatMap((customer) =>
+    [...tiers].map((route) => ({ customer, route }))
+  ).toSorted((a, b) => a.customer - b.customer || a.route - b.route);
+}
+
+/** Tier of callers whose customer has none, and of those without a key. */
+const LAST_TIER = 1_000;
+
+/**
+ * Returns the tier of a request, 1 being the highest: by the customer's tier
+ * first, and among equal ones by the route's.
+ *
+ * @example
+ * rankRequest(table, { customerTier: 2, routeTier: 1 }); // 4
+ */
+export function rankRequest(
+  table: RouteTable,
+  { customerTier, routeTier }: {
+    readonly customerTier: number | undefined;
+    readonly routeTier: number;
+  },
+): number {
+  const customer = customerTier ?? LAST_TIER;
+  const rank = table.ranks.findIndex((pair) =>
+    pair.customer === customer && pair.route === routeTier
+  );
+  const count = table.ranks.length;
+  const scale = Math.min(1, MAX_TIERS / count);
+  return 1 + Math.floor(Math.max(0, rank) * scale);
 }
 
 /**
--- a/packages/core/server_list.ts
+++ b/packages/core/server_list.ts
@@ -24,20 +24,34 @@
 
 /** Time after the store's return in which lapsed entries come back, in ms; the platform promises about 2 s. */
 export const RETURN_MS = 2_200;
+/**
+ * Part of the time within which a leaving server must get no more work for
+ * which one whose entry is missing stays in use beside others. A host that was
+ * cut off from the store cannot tell a lapsed entry from one of a server that
+ * left while the others knew; the rest covers the way of the news and of the
+ * request.
+ */
+const HOLD_SHARE = 0.75;
 /** Time after a failed call for which the store does not count as steady, in ms. */
 export const UNSTEADY_MS = 3_000;
 
 interface Held {
   readonly server: ListedServer;
-  /** Set while its entry is missing: monotonic ms at which it counts as gone. */
-  goneAt?: number;
+  /** Set while its entry is missing: monotonic ms since when. */
+  missingSince?: number;
 }
 
 /** What the host takes for the servers that live. */
 export class ServerList {
   readonly #held = new Map<string, Held>();
+  readonly #holdMs: number;
   #lastFailure = Number.NEGATIVE_INFINITY;
 
+  /** Takes the time within which a leaving server must get no more work, in ms. */
+  constructor(options: { readonly leaveMs: number }) {
+    this.#holdMs = Math.min(RETURN_MS, HOLD_SHARE * options.leaveMs);
+  }
+
   /** Records that the store did not answer. */
   recordOutage(now: number): void {
     this.#lastFailure = now;
@@ -56,7 +70,7 @@
     const mayReturn = now - this.#lastFailure < UNSTEADY_MS &&
       held.server.state === "ready";
     if (!mayReturn) this.#held.delete(id);
-    else held.goneAt ??= now + RETURN_MS;
+    else held.missingSince ??= now;
   }
 
   /** Takes over the whole list. */
@@ -69,9 +83,17 @@
 
   /** Drops the servers whose entries did not come back; true if there were any. */
   expire(now: number): boolean {
-    const gone = [...this.#held].filter(([, held]) =>
-      held.goneAt !== undefined && held.goneAt <= now
+    const listed = new Set(
+      [...this.#held.values()].filter((held) => held.missingSince === undefined)
+        .map((held) => held.server.service),
     );
+    const gone = [...this.#held].filter(([, { missingSince, server }]) => {
+      if (missingSince === undefined) return false;
+      // Where every entry of a service lapsed, the store was away: its servers
+      // are all there is until they are back.
+      const holdMs = listed.has(server.service) ? this.#holdMs : RETURN_MS;
+      return now - missingSince >= holdMs;
+    });
     gone.forEach(([id]) => this.#held.delete(id));
     return gone.length > 0;
   }
