--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -8,12 +8,16 @@
 
 /** When to come back to a host that has no word from the store, in ms: another host is likely to have it. */
 const UNPROVED_RETRY_MS = 100;
+/** When to come back to a host that is stopping, in ms: on a new connection, which leads elsewhere. */
+const CLOSED_RETRY_MS = 50;
 /** Part of the caller's time for which a request may wait for a server. */
 const QUEUE_SHARE = 0.4;
 
 /** Options of {@link RoutedFront}. */
 export interface RoutedFrontOptions extends routedExchange.ExchangeContext {
   readonly belief: beliefTask.BeliefTask;
+  /** Whether nothing more is taken; see the drain of the host. */
+  readonly isClosed: () => boolean;
   readonly random: utils.Random;
 }
 
@@ -51,6 +55,15 @@
   ): utils.Result<Admitted, core.Refusal> {
     const { belief, clock } = this.#options;
     const { requestId } = head;
+    if (this.#options.isClosed()) {
+      return utils.Err(core.buildRefusal({
+        code: "draining",
+        ran: "no",
+        step: "caller.admit",
+        waitMs: CLOSED_RETRY_MS,
+        leastRetryMs: CLOSED_RETRY_MS,
+      }));
+    }
     const table = belief.getTable();
     if (table === undefined) return utils.Err(buildUnproved("configuration"));
     if (requestId === undefined) {
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -46,7 +46,7 @@
   options: RoutedHostOptions,
 ): Promise<RoutedHost> {
   const { settings, platform, log, clock } = options;
-  const state = { draining: false };
+  const state = { draining: false, closed: false };
   const pools = new serverPools.ServerPools();
   const metrics = new metricsModule.Metrics();
   const budget = new core.WindowRetryBudget(settings.retries, {
@@ -111,6 +111,7 @@
 
   const front = new routedFront.RoutedFront({
     belief,
+    isClosed: () => state.closed,
     random,
     clock,
     log: utils.createPartLogger(log, "request"),
@@ -210,6 +211,9 @@
       log.info({ open: dispatch.countOpen() }, "Draining.");
       // Requests are still taken until the balancer has seen it.
       await Promise.all([roles.stop(), utils.waitFor(BALANCER_NOTICE_MS)]);
+      // A connection that was busy all the while may bring one more request,
+      // which could outlast the stop; its caller loses less by going elsewhere.
+      state.closed = true;
       ingress.drain();
       while (dispatch.countOpen() > 0 && clock.now() < until) {
         await utils.waitFor(DRAIN_POLL_MS);
--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -1,7 +1,4 @@
-/**
- * Connections to one backend server. They count resets, since the HTTP client
- * takes a reset for the orderly end of an answer that has no length.
- */
+/** Connections to one backend server. */
 import * as undici from "undici";
 
 /** Longest wait for a new connection, in ms: some hundred times the way between failure domains. */
@@ -16,8 +13,6 @@
 /** Connections to one server. */
 export interface ServerConnections {
   readonly dispatcher: undici.Dispatcher;
-  /** Connections of this server that broke so far. */
-  readonly countResets: () => number;
   /** Closes them as their work ends. */
   readonly close: () => Promise<void>;
   /** Closes them at once. */
@@ -34,31 +29,15 @@
   url: string,
   options: { readonly connections: number },
 ): ServerConnections {
-  let resets = 0;
-  const connect = undici.buildConnector({ timeout: CONNECT_MS });
   const pool = new undici.Pool(url, {
     connections: options.connections,
     pipelining: 1,
     keepAliveTimeout: IDLE_MS,
-    connect: (target, callback) =>
-      connect(target, (...[error, socket]) => {
-        if (error !== null) return callback(error, null);
-        // Before the client's own listener, which ends the answer.
-        socket.prependListener("error", (thrown) => {
-          if (isReset(thrown)) resets += 1;
-        });
-        callback(null, socket);
-      }),
+    connect: { timeout: CONNECT_MS },
   });
   return {
     dispatcher: pool,
-    countResets: () => resets,
     close: () => pool.close(),
     destroy: () => pool.destroy(),
   };
 }
-
-/** The client reports an orderly end as an error too, with a code of its own. */
-function isReset(thrown: { readonly code?: string }): boolean {
-  return thrown.code !== undefined && !thrown.code.startsWith("UND_ERR");
-}
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -95,7 +95,6 @@
   call: ForwardCall,
   sink: ForwardSink,
 ): Promise<ForwardOutcome> {
-  const resets = call.connections.countResets();
   try {
     const answer = await call.connections.dispatcher.request({
       method: call.method as undici.Dispatcher.HttpMethod,
@@ -107,9 +106,7 @@
       signal: call.signal,
     });
     const outcome = await readAnswer(answer, { call, sink });
-    const cut = !isFramed(answer.headers) &&
-      call.connections.countResets() > resets;
-    return cut ? buildCut(outcome) : outcome;
+    return isFramed(answer.headers) ? outcome : buildUnproved(outcome);
   } catch (thrown) {
     if (call.signal.aborted) return { kind: "aborted" };
     const reason = utils.readMessage(thrown);
@@ -124,19 +121,19 @@
 }
 
 /**
- * Takes back a success whose end was a reset connection. The HTTP client calls
- * such an answer whole, so a caller would get the first part of a booking's
- * answer as all of it. A reset of another connection of the server at the same
- * time counts too: it costs an answer, and cannot be told apart.
+ * Takes back a success that has neither a length nor chunks. It ends with its
+ * connection, and the connection of a server that crashes may be closed in
+ * order too, so a caller would get the first part of a booking's answer as all
+ * of it.
  */
-function buildCut(outcome: ForwardOutcome): ForwardOutcome {
+function buildUnproved(outcome: ForwardOutcome): ForwardOutcome {
   switch (outcome.kind) {
     case "whole":
     case "streamed":
       return {
         kind: "failed",
         failure: "connection_lost",
-        reason: "The connection was reset within an answer without a length.",
+        reason: "The answer does not say where it ends.",
       };
     case "failed":
     case "aborted":
--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -82,11 +82,20 @@
   t.match(outcome, { kind: "failed", failure: "connection_lost" });
 });
 
-// The same answer that ends with the connection closed in order is whole, and
-// must reach its caller.
-tap.test("an answer without a length that is closed is whole", async (t) => {
+// The server crashes while it sends such an answer, and its system closes the
+// connection in order. Nothing tells this from the answer's own end, so a part
+// of a booking's answer would pass for all of it.
+tap.test("an answer without a length that is closed is not whole", async (t) => {
   const { outcome } = await runAgainst((socket) => {
-    socket.end(`${HEAD}connection: close\r\n\r\nall of it`);
+    socket.end(`${HEAD}connection: close\r\n\r\nhalf of`);
+  });
+  t.match(outcome, { kind: "failed", failure: "connection_lost" });
+});
+
+// The same with chunks says where it ends, and must reach its caller.
+tap.test("an answer in chunks is whole with its last one", async (t) => {
+  const { outcome } = await runAgainst((socket) => {
+    socket.end(`${HEAD}transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n`);
   });
   t.match(outcome, { kind: "whole", answer: { status: 200 } });
 });
