--- a/packages/core/routes.ts
+++ b/packages/core/routes.ts
@@ -82,7 +82,7 @@
 export interface RoutedCustomer {
   readonly name: string;
   readonly keys: readonly string[];
-  /** Compared before the tier of the route. */
+  /** Compared among requests of routes with the same tier. */
   readonly tier?: number;
 }
 
@@ -162,18 +162,20 @@
   const tiers = new Set(configuration.routes.map((route) => route.tier));
   return [...customers].flatMap((customer) =>
     [...tiers].map((route) => ({ customer, route }))
-  ).toSorted((a, b) => a.customer - b.customer || a.route - b.route);
+  ).toSorted((a, b) => a.route - b.route || a.customer - b.customer);
 }
 
 /** Tier of callers whose customer has none, and of those without a key. */
 const LAST_TIER = 1_000;
 
 /**
- * Returns the tier of a request, 1 being the highest: by the customer's tier
- * first, and among equal ones by the route's.
+ * Returns the tier of a request, 1 being the highest: by the route's tier
+ * first, and among equal ones by the customer's. Engines preempt the least
+ * urgent requests; by the customer's tier first, a large customer's bulk work
+ * would preempt every urgent request of the others.
  *
  * @example
- * rankRequest(table, { customerTier: 2, routeTier: 1 }); // 4
+ * rankRequest(table, { customerTier: 2, routeTier: 1 }); // 2
  */
 export function rankRequest(
   table: RouteTable,
