Keep serving longer without the store, and ask it less often

Windows were fixed 4 s before their report was due, before hosts that had been without the store had published (off by 141 of 298).

Ruled out: shorter polls (a watch that hears nothing for a second would then pass for a proof).

Change: a proof is good for 0.9 of the withdrawal time, the host is ready up to 0.7; windows wait until 2.5 s before the report is due; looks for the lease are divided by the hosts; a pause of 100 ms after changes gathers the next ones.

--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -18,13 +18,14 @@
 /** The same for the list of servers, whose polls fail with those of the configuration. */
 const SERVERS_WAIT_MS = 3_000;
 /**
- * Part of the withdrawal time for which a proof is good. The rest covers the
- * wait of the poll that was open when the store fell silent, and the way to
- * the server.
+ * Part of the withdrawal time for which a proof is good; the rest covers the
+ * way to the server and what the process is late. A smaller part refuses
+ * callers while another host could not serve them either: at 0.7, an outage of
+ * the store cost every keyed request from its second second on.
  */
-const PROOF_SHARE = 0.7;
-/** Part of it for which the host calls itself ready. */
-const READY_SHARE = 0.6;
+const PROOF_SHARE = 0.9;
+/** Part of it for which the host calls itself ready; above the age that a proof reaches between two polls. */
+const READY_SHARE = 0.7;
 /** Between two looks at servers whose entries are missing, in ms. */
 const EXPIRE_MS = 200;
 
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -8,8 +8,10 @@
 
 /** Margin of a lease for clock drift and scheduling, in ms. */
 const LEASE_MARGIN_MS = 400;
-/** Rounds of the lease of which a host that does not hold it uses one, to look whether it is free. */
-const ROUNDS_PER_TRY = 4;
+/** Between two looks of any host whether the lease is free, in ms; with more hosts each one looks more seldom. */
+const TRY_MS = 500;
+/** Rounds of the lease task within the lease's length. */
+const ROUNDS_PER_LEASE = 4;
 /** Role under which the lease lies in the store. */
 const ROLE = "platform";
 /** Between two rounds of reports, in ms. */
@@ -18,8 +20,8 @@
 const ORDERS_MS = 1_000;
 /** Least time after a window's end for the hosts' counts to arrive, in ms: a publication and a request that was just begun. */
 const COUNTS_MS = 1_500;
-/** Time before a report is due at which a window is fixed without the counts of a host that is out of reach, in ms: two rounds and a call that is lost. */
-const FIX_MARGIN_MS = 4_000;
+/** Time before a report is due at which a window is fixed without the counts of a host that is out of reach, in ms: two rounds. */
+const FIX_MARGIN_MS = 2_500;
 /** Time after which an order that shows no effect is sent again, in ms, beyond the time a server takes to start. */
 const REPEAT_MS = 3_000;
 /** All usage windows are one subject. */
@@ -95,12 +97,19 @@
       flightMs: 0,
       isCandidate: () => {
         this.#round += 1;
-        return this.#options.isReady() && this.#round % ROUNDS_PER_TRY === 0;
+        return this.#options.isReady() &&
+          this.#round % this.#countRoundsPerTry() === 0;
       },
       onChange: () => this.#sent.clear(),
     });
   }
 
+  #countRoundsPerTry(): number {
+    const roundMs = this.#options.settings.leaseMs / ROUNDS_PER_LEASE;
+    const hosts = this.#options.listEntries().length;
+    return Math.max(1, Math.round(hosts * TRY_MS / roundMs));
+  }
+
   #getLease(): core.LeaseState {
     return this.#holder?.getLease() ?? { kind: "none" };
   }
--- a/packages/store/feed.ts
+++ b/packages/store/feed.ts
@@ -71,6 +71,13 @@
   readonly onEvent: (event: FeedEvent) => void;
 }
 
+/**
+ * Pause after an answer with changes, in ms. Changes come in groups, such as
+ * the servers of a failure domain that leave together; without it each of them
+ * costs every host a call. A twentieth of the time in which a change must be
+ * in force.
+ */
+const SETTLE_MS = 100;
 /** First pause after a call that failed, in ms; doubles up to {@link RETRY_MAX_MS}. */
 const RETRY_MS = 50;
 /** Longest pause between calls to a store that does not answer, in ms: a tenth of the time within which a change must be in force. */
@@ -112,6 +119,7 @@
     // brings, or says that they are no longer kept.
     if (changes.length > 0) after = Math.max(since, revision);
     onEvent({ kind: "changed", changes, revision, sentAt });
+    if (changes.length > 0) await utils.waitFor(SETTLE_MS);
     return undefined;
   }
 
