Test the decisions that serving by routes added

One expectation of mine was wrong (a single engine belongs to either part; what matters is that it takes both).

--- /dev/null
+++ b/packages/core/engine_choice_test.ts
@@ -0,0 +1,122 @@
+/** Engines for short and long prompts, alike on every host. */
+import * as tapModule from "tap";
+import * as core from "./mod.ts";
+
+const tap = tapModule.default;
+const DOMAINS = ["a", "b", "c", "d"];
+
+function buildEngines(
+  count: number,
+  change: (index: number) => Partial<core.EngineView> = () => ({}),
+): core.EngineView[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `engine-${index}`,
+    failureDomain: DOMAINS[index % DOMAINS.length],
+    slots: 32,
+    load: 0,
+    prompting: 0,
+    ...change(index),
+  }));
+}
+
+const DEMAND = { short: 40, long: 25 };
+
+tap.test("every host divides the engines alike, over failure domains", (t) => {
+  const engines = buildEngines(13);
+  const names = core.divideEngines(engines, DEMAND);
+  t.same(core.divideEngines(engines.toReversed(), DEMAND), names);
+  t.ok(names.size > 2 && names.size < 9, `${names.size} of 13`);
+  const domains = engines.filter(({ name }) => names.has(name))
+    .map(({ failureDomain }) => failureDomain);
+  t.equal(new Set(domains).size, Math.min(names.size, DOMAINS.length));
+  t.end();
+});
+
+tap.test("a kind that nobody asks for takes no engine", (t) => {
+  const engines = buildEngines(6);
+  t.equal(core.divideEngines(engines, { short: 0, long: 9 }).size, 0);
+  t.equal(core.divideEngines(engines, { short: 9, long: 0 }).size, 6);
+  const usable = buildEngines(1);
+  const shortNames = core.divideEngines(usable, DEMAND);
+  [true, false].forEach((isShort) =>
+    t.equal(
+      core.chooseEngine({ isShort, prefix: "" }, {
+        usable,
+        shortNames,
+        failureDomain: "a",
+      }),
+      "engine-0",
+      "the only engine takes both",
+    )
+  );
+  t.end();
+});
+
+// Long summaries and short queries arrive together. A query beside a summary's
+// prompt waits for it between any two of its tokens, and misses its pauses.
+tap.test("short and long prompts do not meet while there is room", (t) => {
+  const engines = buildEngines(13);
+  const shortNames = core.divideEngines(engines, DEMAND);
+  const choose = (wanted: core.EngineRequest, usable = engines) =>
+    core.chooseEngine(wanted, { usable, shortNames, failureDomain: "a" });
+  const query = { isShort: true, prefix: "" };
+  t.ok(shortNames.has(choose(query) ?? ""));
+  const summaries = Array.from(
+    { length: 40 },
+    (_, index) => choose({ isShort: false, prefix: `plant-${index}` }),
+  );
+  t.notOk(summaries.some((name) => shortNames.has(name ?? "")));
+  t.ok(new Set(summaries).size > 4, "subjects spread over the engines");
+  t.equal(
+    choose({ isShort: false, prefix: "plant-1" }),
+    summaries[1],
+    "a subject comes back to its engine",
+  );
+  t.end();
+});
+
+// A burst of queries fills its engines: the rest must not wait there while
+// other engines have room.
+tap.test("a part that is full gives over to the other one", (t) => {
+  const shortNames = core.divideEngines(buildEngines(13), DEMAND);
+  const usable = buildEngines(
+    13,
+    (index) => ({ load: shortNames.has(`engine-${index}`) ? 30 : 1 }),
+  );
+  const options = { usable, shortNames, failureDomain: "a" };
+  const name = core.chooseEngine({ isShort: true, prefix: "" }, options);
+  t.notOk(shortNames.has(name ?? ""));
+  t.equal(
+    core.chooseEngine({ isShort: true, prefix: "" }, {
+      ...options,
+      usable: [],
+    }),
+    undefined,
+  );
+  t.end();
+});
+
+// One subject gets a third of all requests: its engine may keep its prompt, but
+// not all of its work.
+tap.test("a subject in demand leaves its engine when that is loaded", (t) => {
+  const engines = buildEngines(13);
+  const shortNames = core.divideEngines(engines, DEMAND);
+  const wanted = { isShort: false, prefix: "hot" };
+  const own = core.chooseEngine(wanted, {
+    usable: engines,
+    shortNames,
+    failureDomain: "a",
+  });
+  const loaded = engines.map((engine) =>
+    engine.name === own ? { ...engine, load: 9 } : engine
+  );
+  t.not(
+    core.chooseEngine(wanted, {
+      usable: loaded,
+      shortNames,
+      failureDomain: "a",
+    }),
+    own,
+  );
+  t.end();
+});
