--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -185,6 +185,7 @@
       isReady: () => !state.draining && belief.isReady(),
       getStatus: () => ({ open: dispatch.countOpen() }),
     });
+  addGauges(metrics, { belief, dispatch, roles });
   belief.start();
   presence.start();
   roles.start();
@@ -224,6 +225,33 @@
   };
 }
 
+/** Ages of beliefs, open work and roles, read when the metrics are. */
+function addGauges(
+  metrics: metricsModule.Metrics,
+  { belief, dispatch, roles }: {
+    readonly belief: beliefTask.BeliefTask;
+    readonly dispatch: dispatchTask.DispatchTask;
+    readonly roles: rolesTask.RolesTask;
+  },
+): void {
+  metrics.addGauge("banyangrade_proof_age_seconds", {
+    help: "Age of the last word from the store.",
+    read: () => belief.getAge() / 1_000,
+  });
+  metrics.addGauge("banyangrade_open_requests", {
+    help: "Requests queued and running.",
+    read: () => dispatch.countOpen(),
+  });
+  metrics.addGauge("banyangrade_servers", {
+    help: "Backend servers that are in use.",
+    read: () => belief.listServers().length,
+  });
+  metrics.addGauge("banyangrade_has_role", {
+    help: "1 while this host holds the control roles.",
+    read: () => roles.hasRole() ? 1 : 0,
+  });
+}
+
 /** Time for the balancer to find the host not ready twice, in ms; it asks once a second. */
 const BALANCER_NOTICE_MS = 2_300;
 /** Time before the end of the grace period at which the rest is given up, in ms. */
--- a/packages/utils/log.ts
+++ b/packages/utils/log.ts
@@ -18,6 +18,8 @@
   readonly fields?: Record<string, string>;
   /** @default "stderr" */
   readonly output?: "stdout" | "stderr";
+  /** Most lines a second; more are counted and left out. @default unbounded */
+  readonly linesPerSecond?: number;
 }
 
 /**
@@ -32,7 +34,11 @@
  */
 export function createLogger(options: LoggerOptions = {}): Logger {
   return pino.pino(
-    { level: options.level ?? "info", base: options.fields ?? {} },
+    {
+      level: options.level ?? "info",
+      base: options.fields ?? {},
+      hooks: buildHooks(options.linesPerSecond),
+    },
     pino.destination({
       dest: options.output === "stdout" ? 1 : 2,
       sync: false,
@@ -41,6 +47,33 @@
   );
 }
 
+/**
+ * Leaves out the lines beyond a bound and counts them, so that a host under a
+ * flood of refusals spends its time on requests instead of on telling of them.
+ */
+function buildHooks(
+  linesPerSecond: number | undefined,
+): pino.LoggerOptions["hooks"] {
+  if (linesPerSecond === undefined) return {};
+  let second = 0;
+  let written = 0;
+  let leftOut = 0;
+  return {
+    logMethod(values, method) {
+      const now = Math.floor(performance.now() / 1_000);
+      if (now !== second) {
+        if (leftOut > 0) method.call(this, { leftOut }, "Lines left out.");
+        second = now;
+        written = 0;
+        leftOut = 0;
+      }
+      written += 1;
+      if (written > linesPerSecond) leftOut += 1;
+      else method.apply(this, values);
+    },
+  };
+}
+
 /**
  * Derives the logger of one part; its lines begin with `part: `.
  *
