Give a server no more requests than there are connections to it

Ruled out: old news of the server (the host knew of its leaving in time).

Change: a server's slots are at most this host's connections to it.

--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -95,14 +95,25 @@
           settings.failureDomain,
         ),
       });
+      applyServers(belief.listServers());
     },
-    onServers: (listed) => {
-      const servers = listed.map(toServerInfo);
-      pools.keep(new Set(servers.map((server) => server.name)));
-      dispatch.send({ kind: "servers_changed", servers });
-    },
+    onServers: applyServers,
   });
 
+  function applyServers(listed: readonly core.ListedServer[]): void {
+    const limits = new Map(
+      (belief.getTable()?.configuration.services ?? [])
+        .map((one) => [one.name, one.connectionLimit]),
+    );
+    const servers = listed.map((server) => {
+      const name = getServerName(server);
+      const limit = pools.getLimit(name, limits.get(server.service) ?? 0);
+      return toServerInfo(server, { name, limit });
+    });
+    pools.keep(new Set(servers.map((server) => server.name)));
+    dispatch.send({ kind: "servers_changed", servers });
+  }
+
   function checkKey(key: string, customer: string): routedExchange.KeyCheck {
     if (!belief.isProved()) return "unproved";
     const grant = belief.getTable()?.byKey.get(key);
@@ -259,15 +270,22 @@
 /** Between two looks at what is still running, in ms. */
 const DRAIN_POLL_MS = 50;
 
-/** A server that started again under its name is another one: it knows nothing of the first. */
-function toServerInfo(listed: core.ListedServer): core.ServerInfo {
+/** A server that started again under its identifier is another one: it knows nothing of the first. */
+function getServerName(listed: core.ListedServer): string {
+  return `${listed.id}@${listed.bornAt}`;
+}
+
+function toServerInfo(
+  listed: core.ListedServer,
+  { name, limit }: { readonly name: string; readonly limit: number },
+): core.ServerInfo {
   return {
-    name: `${listed.id}@${listed.bornAt}`,
+    name,
     instance: listed.id,
     pool: listed.service,
     url: `http://${listed.address}`,
     state: listed.state === "ready" ? "live" : "leaving",
-    slots: listed.slots,
+    slots: Math.min(listed.slots, limit),
     failureDomain: listed.failureDomain,
   };
 }
--- a/packages/banyangrade/routed/server_pools.ts
+++ b/packages/banyangrade/routed/server_pools.ts
@@ -23,6 +23,20 @@
     this.#hosts = Math.max(1, hosts);
   }
 
+  /**
+   * Returns how many requests this host may give to one server at a time: as
+   * many as it opens connections. More would wait inside the HTTP client, where
+   * neither a leaving server nor a withdrawn key stops them.
+   */
+  getLimit(name: string, connectionLimit: number): number {
+    return this.#pools.get(name)?.limit ?? this.#share(connectionLimit);
+  }
+
+  #share(connectionLimit: number): number {
+    const part = USED_SHARE * connectionLimit / this.#hosts;
+    return Math.max(LEAST_CONNECTIONS, Math.floor(part));
+  }
+
   /** Returns the connections to a server, which is made on first use. */
   get(
     server: core.ServerInfo,
@@ -30,9 +44,8 @@
   ): service.ServerConnections {
     const known = this.#pools.get(server.name);
     if (known !== undefined) return known;
-    const part = USED_SHARE * options.connectionLimit / this.#hosts;
     const pool = service.createServerConnections(server.url, {
-      connections: Math.max(LEAST_CONNECTIONS, Math.floor(part)),
+      connections: this.#share(options.connectionLimit),
       clock: this.#clock,
     });
     this.#pools.set(server.name, pool);
--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -14,6 +14,8 @@
 /** Connections to one server. */
 export interface ServerConnections {
   readonly dispatcher: undici.Dispatcher;
+  /** Most connections, and so most requests at a time. */
+  readonly limit: number;
   /** Records that the server sent something on any of them. */
   readonly recordHeard: () => void;
   /** Time since then, in ms. */
@@ -44,6 +46,7 @@
   });
   return {
     dispatcher: pool,
+    limit: options.connections,
     recordHeard: () => {
       heardAt = clock.now();
     },
