Fix no window unread, order nothing before the list has settled

Change: windows are fixed by what the newest entry of each host says (core.findLastWindow), on entries at most 2.5 s old; looks by living hosts; the planner waits until the number of servers stands still for 2 s.

Tests: core/window_counts_test.ts, core/domain_orders_test.ts.

--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -45,9 +45,27 @@
   }), { short: 0, long: 0 });
 }
 
+/**
+ * Keeps the newest entry of each host.
+ *
+ * @example
+ * listCurrent(entries).length; // hosts
+ */
+export function listCurrent(entries: readonly HostEntry[]): HostEntry[] {
+  const newest = new Map<string, HostEntry>();
+  entries.forEach((entry) => {
+    const known = newest.get(entry.host);
+    if (known === undefined || known.at < entry.at) {
+      newest.set(entry.host, entry);
+    }
+  });
+  return [...newest.values()];
+}
+
 /** Options of {@link PresenceTask}. */
 export interface PresenceOptions {
   readonly store: store.KeyValueClient;
+  readonly clock: utils.Clock;
   readonly log: utils.Logger;
   readonly host: string;
   readonly incarnation: string;
@@ -65,6 +83,7 @@
   #revision = 0;
   #entries: readonly HostEntry[] = [];
   #sinceLook = LOOK_MS;
+  #readAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: PresenceOptions) {
     this.#options = options;
@@ -83,11 +102,19 @@
     await this.#publish();
   }
 
-  /** The entries of all hosts as last read. */
+  /**
+   * The entries of all hosts as last read: the newest of each host, and older
+   * ones of its earlier incarnations, whose counts still stand.
+   */
   list(): readonly HostEntry[] {
     return this.#entries;
   }
 
+  /** Monotonic time at which they were read; before the first time, none is. */
+  getReadAt(): number {
+    return this.#readAt;
+  }
+
   async #runRound(): Promise<void> {
     await this.#publish();
     this.#sinceLook += PUBLISH_MS;
@@ -131,12 +158,14 @@
   }
 
   async #readOthers(): Promise<void> {
+    const sentAt = this.#options.clock.now();
     const listed = await this.#options.store.list(PREFIX);
     if (listed.err) return this.#recordFailure(listed.val);
     this.#entries = listed.val.flatMap((entry) => {
       const parsed = utils.parseJson(entry.value) as HostEntry | undefined;
       return parsed === undefined ? [] : [parsed];
     });
+    this.#readAt = sentAt;
     this.#options.onEntries(this.#entries);
   }
 
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -9,7 +9,7 @@
 /** Margin of a lease for clock drift and scheduling, in ms. */
 const LEASE_MARGIN_MS = 400;
 /** Between two looks of any host whether the lease is free, in ms; with more hosts each one looks more seldom. */
-const TRY_MS = 500;
+const TRY_MS = 300;
 /** Rounds of the lease task within the lease's length. */
 const ROUNDS_PER_LEASE = 4;
 /** Role under which the lease lies in the store. */
@@ -20,8 +20,12 @@
 const ORDERS_MS = 1_000;
 /** Least time after a window's end for the hosts' counts to arrive, in ms: a publication and a request that was just begun. */
 const COUNTS_MS = 1_500;
-/** Time before a report is due at which a window is fixed without the counts of a host that is out of reach, in ms: two rounds. */
-const FIX_MARGIN_MS = 2_500;
+/** Part of the time until a report is due after which a window is fixed without the counts of a few hosts that are out of reach. */
+const PARTIAL_SHARE = 0.5;
+/** Time before a report is due at which a window is fixed in any case, in ms: a round and the calls. */
+const FIX_MARGIN_MS = 1_500;
+/** Age up to which the hosts' entries count as read, in ms: two rounds. */
+const ENTRIES_VALID_MS = 2_500;
 /** Time after which an order that shows no effect is sent again, in ms, beyond the time a server takes to start. */
 const REPEAT_MS = 3_000;
 /** All usage windows are one subject. */
@@ -40,6 +44,8 @@
   readonly getConfiguration: () => core.RoutingConfiguration | undefined;
   readonly listServers: () => readonly core.ListedServer[];
   readonly listEntries: () => readonly presence.HostEntry[];
+  /** Monotonic time at which the entries were read. */
+  readonly getEntriesAt: () => number;
 }
 
 interface SentOrder {
@@ -106,7 +112,7 @@
 
   #countRoundsPerTry(): number {
     const roundMs = this.#options.settings.leaseMs / ROUNDS_PER_LEASE;
-    const hosts = this.#options.listEntries().length;
+    const hosts = presence.listCurrent(this.#options.listEntries()).length;
     return Math.max(1, Math.round(hosts * TRY_MS / roundMs));
   }
 
@@ -122,6 +128,9 @@
   async #report(): Promise<void> {
     if (!this.#isInCharge("usage")) return;
     const { platform, clock, log } = this.#options;
+    // A host that has just won the role has not read the others' counts yet.
+    const age = clock.now() - this.#options.getEntriesAt();
+    if (age > ENTRIES_VALID_MS) return;
     this.#collector.setTables(
       this.#options.listEntries().map((entry) => entry.usage),
     );
@@ -143,18 +152,17 @@
     }
   }
 
-  /**
-   * Finds the newest window that can be fixed: all hosts have published since
-   * its end, or its report would come too late if it waited for more.
-   */
+  /** Finds the newest window that can be fixed. */
   #findLastClosed(): number {
     const { settings, getTrueTime, listEntries } = this.#options;
-    const { usageWindowMs, usageDueMs } = settings;
-    const now = getTrueTime();
-    const published = Math.min(...listEntries().map((entry) => entry.at));
-    const complete = Math.min(now - COUNTS_MS, published);
-    const forced = now - (usageDueMs - FIX_MARGIN_MS);
-    return Math.floor(Math.max(complete, forced) / usageWindowMs) - 1;
+    return core.findLastWindow({
+      now: getTrueTime(),
+      publishedAt: presence.listCurrent(listEntries()).map(({ at }) => at),
+      windowMs: settings.usageWindowMs,
+      countsMs: COUNTS_MS,
+      partialMs: PARTIAL_SHARE * settings.usageDueMs,
+      latestMs: settings.usageDueMs - FIX_MARGIN_MS,
+    });
   }
 
   async #order(): Promise<void> {
@@ -172,7 +180,7 @@
     const planner = this.#planners.get(name) ?? new core.DomainPlanner();
     this.#planners.set(name, planner);
     const { short, long } = presence.sumDemand(
-      this.#options.listEntries(),
+      presence.listCurrent(this.#options.listEntries()),
       name,
     );
     const planned = planner.plan({
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -141,6 +141,7 @@
   });
   const presence: presenceTask.PresenceTask = new presenceTask.PresenceTask({
     store: platform.store,
+    clock: leaseClock,
     log: utils.createPartLogger(log, "presence"),
     host: settings.host,
     incarnation,
@@ -153,15 +154,15 @@
     }),
     hasRole: () => roles.hasRole(),
     onEntries: (entries) => {
-      const hosts = new Set(entries.map((entry) => entry.host));
-      budget.setHosts(hosts.size);
-      pools.setHosts(hosts.size);
+      const current = presenceTask.listCurrent(entries);
+      budget.setHosts(current.length);
+      pools.setHosts(current.length);
       belief.getTable()?.configuration.services.forEach(({ name }) =>
-        dispatch.setDemand(name, presenceTask.sumDemand(entries, name))
+        dispatch.setDemand(name, presenceTask.sumDemand(current, name))
       );
       trueClock.update(
         readClocks(),
-        entries.filter((entry) => entry.host !== settings.host)
+        current.filter((entry) => entry.host !== settings.host)
           .map((entry) => entry.at),
       );
     },
@@ -177,6 +178,7 @@
     getConfiguration: () => belief.getTable()?.configuration,
     listServers: () => belief.listServers(),
     listEntries: () => presence.list(),
+    getEntriesAt: () => presence.getReadAt(),
   });
   const ingress = await ingressModule.startIngress({
     ...utils.splitAddress(settings.callerAddress),
--- a/packages/banyangrade/routed/server_pools.ts
+++ b/packages/banyangrade/routed/server_pools.ts
@@ -29,10 +29,10 @@
    * neither a leaving server nor a withdrawn key stops them.
    */
   getLimit(name: string, connectionLimit: number): number {
-    return this.#pools.get(name)?.limit ?? this.#share(connectionLimit);
+    return this.#pools.get(name)?.limit ?? this.#computeShare(connectionLimit);
   }
 
-  #share(connectionLimit: number): number {
+  #computeShare(connectionLimit: number): number {
     const part = USED_SHARE * connectionLimit / this.#hosts;
     return Math.max(LEAST_CONNECTIONS, Math.floor(part));
   }
@@ -45,7 +45,7 @@
     const known = this.#pools.get(server.name);
     if (known !== undefined) return known;
     const pool = service.createServerConnections(server.url, {
-      connections: this.#share(options.connectionLimit),
+      connections: this.#computeShare(options.connectionLimit),
       clock: this.#clock,
     });
     this.#pools.set(server.name, pool);
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -13,6 +13,8 @@
 /** Time for which no reclaimable servers are asked for where there were none, in ms. */
 const UNAVAILABLE_MS = 3_000;
 
+/** Time for which the number of servers stands still before the first plan, in ms: some heartbeats apart, they register within it. */
+const SETTLE_MS = 2_000;
 /** Time beyond its start for a server to be listed, in ms. */
 const STARTING_MARGIN_MS = 2_000;
 
@@ -49,8 +51,10 @@
 export class DomainPlanner {
   #needed: readonly Needed[] = [];
   #firstAt: number | undefined;
-  /** Servers that there were at the first round. */
+  /** Servers that there were when their number first stood still. */
   #atFirst = 0;
+  #ready = 0;
+  #readySince = 0;
   readonly #unavailable = new Map<string, number>();
   readonly #ordered = new Map<
     string,
@@ -62,9 +66,10 @@
     this.#unavailable.set(failureDomain, now);
   }
 
-  /** Plans the next orders. */
+  /** Plans the next orders; none before it is known what is there. */
   plan(service: ServiceDemand, now: number): DomainCounts[] {
     const { bounds, servers } = service;
+    if (!this.#hasSettled(servers, now)) return [];
     const total = this.#computeTotal(service, now);
     const hasSpot = ({ failureDomain }: DomainServers) =>
       bounds.spotPrice > 0 &&
@@ -126,20 +131,31 @@
     return counts;
   }
 
+  /**
+   * Whether the number of servers has stood still for a moment. When all hosts
+   * and servers start at once the list fills while the first plans are made;
+   * one made for an empty list sent every server away as traffic began.
+   */
+  #hasSettled(servers: readonly DomainServers[], now: number): boolean {
+    if (this.#atFirst > 0) return true;
+    const ready = servers.reduce(
+      (sum, one) => sum + one.ordinary + one.spot,
+      0,
+    );
+    if (ready !== this.#ready) {
+      this.#ready = ready;
+      this.#readySince = now;
+    }
+    if (ready > 0 && now - this.#readySince >= SETTLE_MS) this.#atFirst = ready;
+    return this.#atFirst > 0;
+  }
+
   /** The most that was needed of late. */
-  #computeTotal(
-    { slots, demand, servers }: ServiceDemand,
-    now: number,
-  ): number {
+  #computeTotal({ slots, demand }: ServiceDemand, now: number): number {
     // A planner that has just begun does not know what was needed of late: it
     // keeps what is there.
     if (demand > 0) this.#firstAt ??= now;
     const begun = now - (this.#firstAt ?? now) < KEEP_MS;
-    const ready = servers.reduce(
-      (sum, one) => sum + one.ordinary + one.spot,
-      0,
-    );
-    if (this.#atFirst === 0) this.#atFirst = ready;
     const count = Math.max(
       begun ? this.#atFirst : 0,
       Math.ceil(demand / (slots * TARGET_UTILISATION)),
--- a/packages/core/domain_orders_test.ts
+++ b/packages/core/domain_orders_test.ts
@@ -30,6 +30,16 @@
   };
 }
 
+/** A planner that knows what is there, at time 0. */
+function startPlanner(
+  servers: Partial<core.DomainServers>,
+): core.DomainPlanner {
+  const planner = new core.DomainPlanner();
+  planner.plan(buildDemand(0, servers), -9_000);
+  planner.plan(buildDemand(0, servers), -4_000);
+  return planner;
+}
+
 const sum = (
   counts: readonly core.DomainCounts[],
   kind: "ordinary" | "spot",
@@ -38,7 +48,7 @@
 // Ordinary servers are sent away before the cheap ones that replace them have
 // started: for some seconds nothing is left to serve.
 tap.test("ordinary servers stay until the cheap ones are there", (t) => {
-  const planner = new core.DomainPlanner();
+  const planner = startPlanner({ ordinary: 3 });
   const first = planner.plan(buildDemand(60, { ordinary: 3 }), 0);
   t.equal(sum(first, "spot"), 12);
   t.equal(sum(first, "ordinary"), 12);
@@ -52,7 +62,7 @@
 // A new holder of the role has seen no demand yet, or none has begun: it must
 // not send the servers away that a burst is about to need.
 tap.test("a planner that has just begun keeps what is there", (t) => {
-  const planner = new core.DomainPlanner();
+  const planner = startPlanner({ spot: 3 });
   const idle = planner.plan(buildDemand(0, { spot: 3 }), 0);
   t.equal(sum(idle, "spot"), 12);
   const low = planner.plan(buildDemand(2, { spot: 3 }), 1_000);
@@ -65,7 +75,7 @@
 // A failure domain's cheap servers are reclaimed and no more are to be had
 // there for a while. The load must not wait for them.
 tap.test("where no cheap servers are to be had, ordinary ones come", (t) => {
-  const planner = new core.DomainPlanner();
+  const planner = startPlanner({ spot: 3 });
   planner.recordUnavailable("b", 0);
   const counts = planner.plan(buildDemand(60, { spot: 3 }), 500);
   const own = counts.find(({ failureDomain }) => failureDomain === "b");
@@ -81,7 +91,7 @@
 
 // A burst asks for more than the bounds allow: both kinds together keep them.
 tap.test("both kinds together keep the bounds of a failure domain", (t) => {
-  const planner = new core.DomainPlanner();
+  const planner = startPlanner({ ordinary: 3 });
   [0, 100, 1_000, 9_000].forEach((demand, round) => {
     const counts = planner.plan(
       buildDemand(demand, { ordinary: round, spot: 2 * round }),
@@ -101,7 +111,7 @@
 // for as many as a failure domain may have. Each time cheap ones were tried
 // again, the ordinary ones on their way were called off, and none came.
 tap.test("ordinary servers on their way are not called off", (t) => {
-  const planner = new core.DomainPlanner();
+  const planner = startPlanner({ spot: 1 });
   const servers = { ordinary: 0, spot: 0 };
   planner.plan(buildDemand(900, servers), 0);
   DOMAINS.forEach((domain) => planner.recordUnavailable(domain, 100));
@@ -115,3 +125,17 @@
   t.ok(started.every(({ ordinary, spot }) => ordinary + spot <= 7));
   t.end();
 });
+
+// All machines start at once. The host that wins the role plans while servers
+// are still registering; it must not send those away that it does not see yet.
+tap.test("nothing is ordered before the list of servers has settled", (t) => {
+  const planner = new core.DomainPlanner();
+  t.same(planner.plan(buildDemand(0, {}), 0), []);
+  t.same(planner.plan(buildDemand(0, { ordinary: 1 }), 1_000), []);
+  t.same(planner.plan(buildDemand(0, { ordinary: 3 }), 2_000), []);
+  t.same(planner.plan(buildDemand(0, { ordinary: 3 }), 3_000), []);
+  const settled = planner.plan(buildDemand(0, { ordinary: 3 }), 4_100);
+  t.equal(sum(settled, "spot"), 12);
+  t.equal(sum(settled, "ordinary"), 12);
+  t.end();
+});
--- a/packages/core/window_counts.ts
+++ b/packages/core/window_counts.ts
@@ -71,3 +71,40 @@
     return { failureDomain, window, figures, adjustments: [], counted: {} };
   }
 }
+
+/** When windows may be fixed. Times in ms, all after a window's end. */
+export interface WindowTimes {
+  /** True time of day. */
+  readonly now: number;
+  /** True times at which the hosts last published their counts. */
+  readonly publishedAt: readonly number[];
+  readonly windowMs: number;
+  /** Least time for the counts of requests that have just begun. */
+  readonly countsMs: number;
+  /** From when on it is enough that half of the hosts have published. */
+  readonly partialMs: number;
+  /** When a window is fixed in any case, as its report would come too late. */
+  readonly latestMs: number;
+}
+
+/**
+ * Finds the newest window that may be fixed: all hosts have published since its
+ * end; or half of them have, and the rest may be gone; or it is the last moment.
+ * A window that was fixed without counts cannot be mended, so it waits for hosts
+ * that are cut off, but not for one that is dead.
+ *
+ * @example
+ * findLastWindow({ now, publishedAt, windowMs: 5_000, ...times });
+ */
+export function findLastWindow(times: WindowTimes): number {
+  const { now, windowMs } = times;
+  const sorted = times.publishedAt.toSorted((a, b) => a - b);
+  const all = sorted[0] ?? Number.NEGATIVE_INFINITY;
+  const half = sorted[Math.floor(sorted.length / 2)] ?? all;
+  const end = Math.max(
+    Math.min(now - times.countsMs, all),
+    Math.min(now - times.partialMs, half),
+    now - times.latestMs,
+  );
+  return Math.floor(end / windowMs) - 1;
+}
