--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -126,7 +126,6 @@
       route: admitted.route,
       open: admitted.route.anonymous || admitted.grant === undefined,
       endsAt: arrivedAt + getPatience(admitted),
-      arrivedAt,
     });
   }
 
