--- a/packages/banyangrade/command_line.ts
+++ b/packages/banyangrade/command_line.ts
@@ -107,9 +107,10 @@
   },
   explain: {
     summary: "Say why a request was refused, a class waits or a server idles.",
-    usage: "explain request ID | explain class NAME | explain server NAME",
-    example: "banyangrade explain class redraft --operator operator.toml",
-    options: REACH,
+    usage: "explain request ID [--log FILE] | explain class NAME | " +
+      "explain server NAME",
+    example: "banyangrade explain request 2f8579f066be2260 --log hosts.log",
+    options: { ...REACH, log: "string" },
     load: () => import("./commands/explain.ts"),
   },
   drain: {
--- a/packages/banyangrade/commands/explain.ts
+++ b/packages/banyangrade/commands/explain.ts
@@ -1,6 +1,8 @@
 /** `banyangrade explain`: why a request was refused, a class waits or a server idles. */
+import * as fs from "node:fs";
 import type * as core from "@banyangrade/core";
 import * as commandLine from "../command_line.ts";
+import * as logStory from "../log_story.ts";
 import * as reachModule from "../reach.ts";
 import type * as statusModule from "../status.ts";
 import * as publish from "./publish.ts";
@@ -16,6 +18,10 @@
     );
     return commandLine.EXIT.usage;
   }
+  const { log } = input.options;
+  if (subject === "request" && typeof log === "string") {
+    return explainFromLog(log, name);
+  }
   return await reachModule.useReach(input.options, async (reach) => {
     if (subject === "request") return await explainRequest(reach, name);
     const status = await reachModule.askAnyHost(
@@ -32,6 +38,17 @@
   });
 }
 
+/** Tells the story from log lines; needs no host. */
+function explainFromLog(file: string, requestId: string): number {
+  const lines = logStory.tellRequest(fs.readFileSync(file, "utf8"), requestId);
+  if (lines.length === 0) {
+    process.stderr.write(`No line in ${file} names ${requestId}.\n`);
+    return commandLine.EXIT.failed;
+  }
+  process.stdout.write(`${lines.join("\n")}\n`);
+  return commandLine.EXIT.ok;
+}
+
 /** Asks every host that is named, since only one of them refused it. */
 async function explainRequest(
   reach: reachModule.Reach,
--- /dev/null
+++ b/packages/banyangrade/log_story.ts
@@ -0,0 +1,118 @@
+/** The story of one request, told from the log lines of the hosts. */
+import * as utils from "@banyangrade/utils";
+
+/** The fields of a line that the story uses. */
+interface LogLine {
+  readonly time: number;
+  readonly host?: string;
+  readonly msg: string;
+  readonly requestId?: string;
+  readonly attempt?: number;
+  readonly server?: string;
+  readonly route?: string;
+  readonly version?: number;
+  readonly waitedMs?: number;
+  readonly resumeAfter?: number;
+  readonly failure?: string;
+  readonly reason?: string;
+  readonly events?: number;
+  readonly attempts?: number;
+  readonly totalMs?: number;
+  readonly firstMs?: number;
+  readonly code?: string;
+  readonly ran?: string;
+  readonly step?: string;
+  readonly peer?: string;
+  readonly status?: number;
+  readonly proofAgeMs?: number;
+  readonly error?: utils.StepError;
+}
+
+/** Lines of a host before a request's end that may have led to it, in ms. */
+const BACKGROUND_MS = 10_000;
+/** Parts whose lines change what a host believes. */
+const BELIEFS = /^(belief|roles): /;
+/** Most such lines that are told. */
+const MAX_BACKGROUND = 12;
+
+/**
+ * Tells what became of a request, one sentence a line; empty if no line names it.
+ *
+ * @example
+ * tellRequest(fs.readFileSync("hosts.log", "utf8"), "attempt-7");
+ */
+export function tellRequest(text: string, requestId: string): string[] {
+  const lines = text.split("\n").flatMap(parseLine);
+  const own = lines.filter((line) => line.requestId === requestId)
+    .toSorted((a, b) => a.time - b.time);
+  if (own.length === 0) return [];
+  const end = own[own.length - 1];
+  const background = lines.filter((line) =>
+    line.host === end.host && BELIEFS.test(line.msg) &&
+    line.time <= end.time && end.time - line.time <= BACKGROUND_MS
+  ).slice(-MAX_BACKGROUND);
+  return [
+    ...own.map((line) => `${describeTime(line, own[0])} ${describe(line)}`),
+    ...(background.length === 0 ? [] : [
+      `What ${end.host} came to believe in the ${
+        BACKGROUND_MS / 1_000
+      } s before:`,
+    ]),
+    ...background.map((line) =>
+      `${describeTime(line, own[0])} ${line.msg}${describeError(line)}`
+    ),
+  ];
+}
+
+/** A line may follow other text, such as the time a collector adds. */
+function parseLine(text: string): LogLine[] {
+  const parsed = utils.parseJson(text.slice(Math.max(0, text.indexOf("{"))));
+  const line = parsed as LogLine | undefined;
+  return typeof line?.msg === "string" && typeof line.time === "number"
+    ? [line]
+    : [];
+}
+
+function describeTime(line: LogLine, first: LogLine): string {
+  const ms = line.time - first.time;
+  return `${ms < 0 ? "" : "+"}${ms} ms`;
+}
+
+function describe(line: LogLine): string {
+  switch (line.msg.replace(/^\w+: /, "")) {
+    case "Attempt started.": {
+      const resumed = line.resumeAfter === undefined
+        ? ""
+        : `, to go on behind event ${line.resumeAfter}`;
+      return `${line.host} sent it to ${line.server} (attempt ${line.attempt}` +
+        `, route ${line.route}, configuration ${line.version}) after ` +
+        `${line.waitedMs} ms${resumed}.`;
+    }
+    case "Attempt failed.":
+      return `${line.server} failed it (${line.failure}): ${line.reason} ` +
+        `The caller had ${line.events} events.`;
+    case "Request answered.":
+      return `Answered whole after ${line.totalMs} ms, the first part after ` +
+        `${line.firstMs} ms.`;
+    case "Failure passed on.":
+      return `The failure of ${line.server} was passed on (status ` +
+        `${line.status}).`;
+    case "Request refused.":
+      return `${line.host} refused it at ${line.step} (${line.code}); ran: ` +
+        `${line.ran}; peer: ${line.peer}${describeProof(line)}.`;
+    case "Caller left.":
+      return `The caller left after ${line.totalMs} ms.`;
+    default:
+      return line.msg;
+  }
+}
+
+function describeProof({ proofAgeMs }: LogLine): string {
+  return proofAgeMs === undefined
+    ? ""
+    : `; last word from the store ${proofAgeMs} ms before`;
+}
+
+function describeError({ error }: LogLine): string {
+  return error === undefined ? "" : ` ${utils.formatStepError(error)}`;
+}
--- /dev/null
+++ b/packages/banyangrade/log_story_test.ts
@@ -0,0 +1,35 @@
+/** The story of one request, from lines as hosts write them. */
+import * as tapModule from "tap";
+import * as logStory from "./log_story.ts";
+
+const tap = tapModule.default;
+
+const LINES = [
+  `{"time":1000,"host":"h1","msg":"belief: Store lost.","error":{"code":"unreachable","step":"store.poll","peer":"store","message":"No answer."}}`,
+  `{"time":4000,"host":"h2","msg":"belief: Store lost."}`,
+  `12.5 h1 {"time":5000,"host":"h1","requestId":"r1","attempt":1,"server":"s1@7","route":"chat","version":3,"waitedMs":2,"msg":"request: Attempt started."}`,
+  `{"time":5100,"host":"h1","requestId":"r2","attempt":1,"server":"s2@7","msg":"request: Attempt started."}`,
+  `{"time":5200,"host":"h1","requestId":"r1","attempt":1,"server":"s1@7","failure":"connection_lost","reason":"read ECONNRESET","events":4,"msg":"request: Attempt failed."}`,
+  `not JSON {`,
+  `{"time":5210,"host":"h1","requestId":"r1","attempt":2,"server":"s2@7","route":"chat","version":3,"waitedMs":210,"resumeAfter":4,"msg":"request: Attempt started."}`,
+  `{"time":6000,"host":"h1","requestId":"r1","totalMs":1000,"firstMs":90,"msg":"request: Request answered."}`,
+];
+
+tap.test("only the request's lines are told, and its host's beliefs", (t) => {
+  const story = logStory.tellRequest(LINES.join("\n"), "r1");
+  t.match(story, [
+    /^\+0 ms h1 sent it to s1@7 \(attempt 1/,
+    /^\+200 ms s1@7 failed it \(connection_lost\): read ECONNRESET/,
+    /go on behind event 4\.$/,
+    /^\+1000 ms Answered whole after 1000 ms/,
+    /^What h1 came to believe/,
+    /^-4000 ms belief: Store lost\. store\.poll at store: No answer\./,
+  ]);
+  t.equal(story.length, 6);
+  t.end();
+});
+
+tap.test("an unknown request has no story", (t) => {
+  t.same(logStory.tellRequest(LINES.join("\n"), "r9"), []);
+  t.end();
+});
