--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -13,6 +13,8 @@
 const PUBLISH_MS = 1_000;
 /** Between two looks at the others, in ms, for a host without a role. */
 const LOOK_MS = 4_000;
+/** Tries to publish in one round: after the entry and its lease have both gone. */
+const PUBLISH_TRIES = 3;
 /** Length of the lease in seconds: three usage windows, in which a window is fixed even by a second holder of the role. */
 const LEASE_SECONDS = 15;
 /** Between two renewals, in ms. */
@@ -123,7 +125,15 @@
     await this.#readOthers();
   }
 
+  /** Publishes; once more at once where the entry or its lease had gone. */
   async #publish(): Promise<void> {
+    for (let left = PUBLISH_TRIES; left > 0; left -= 1) {
+      if (await this.#tryPublish()) return;
+    }
+  }
+
+  /** Tries once; false if another try may succeed at once. */
+  async #tryPublish(): Promise<boolean> {
     const { store: client, host, incarnation } = this.#options;
     if (this.#lease === undefined) {
       const granted = await client.grantLease(LEASE_SECONDS);
@@ -142,6 +152,7 @@
     this.#revision = swapped.val.kind === "won"
       ? swapped.val.modRevision
       : swapped.val.current?.modRevision ?? 0;
+    return swapped.val.kind === "won";
   }
 
   async #renew(): Promise<void> {
@@ -160,7 +171,7 @@
   async #readOthers(): Promise<void> {
     const sentAt = this.#options.clock.now();
     const listed = await this.#options.store.list(PREFIX);
-    if (listed.err) return this.#recordFailure(listed.val);
+    if (listed.err) return void this.#recordFailure(listed.val);
     this.#entries = listed.val.flatMap((entry) => {
       const parsed = utils.parseJson(entry.value) as HostEntry | undefined;
       return parsed === undefined ? [] : [parsed];
@@ -169,9 +180,14 @@
     this.#options.onEntries(this.#entries);
   }
 
-  /** A failure that lasts shows as a lost store; one round is made good by the next. */
-  #recordFailure(error: utils.StepError): void {
-    if (error.code === "not_found") this.#drop();
+  /**
+   * Records a failure; false if it was a lease that had ended. A failure that
+   * lasts shows as a lost store, and one round is made good by the next.
+   */
+  #recordFailure(error: utils.StepError): boolean {
     this.#options.log.debug({ error }, "Round put off.");
+    if (error.code !== "not_found") return true;
+    this.#drop();
+    return false;
   }
 }
--- a/packages/core/window_counts.ts
+++ b/packages/core/window_counts.ts
@@ -87,24 +87,37 @@
   readonly latestMs: number;
 }
 
+/** Windows that can be open at once; older ones are fixed in any case. */
+const OPEN_WINDOWS = 4;
+
 /**
  * Finds the newest window that may be fixed: all hosts have published since its
  * end; or half of them have, and the rest may be gone; or it is the last moment.
  * A window that was fixed without counts cannot be mended, so it waits for hosts
- * that are cut off, but not for one that is dead.
+ * that are cut off, but not for one that is dead. A host that has published
+ * nothing for the whole window either is dead or was without word from the
+ * store, and served nothing that counts.
  *
  * @example
  * findLastWindow({ now, publishedAt, windowMs: 5_000, ...times });
  */
 export function findLastWindow(times: WindowTimes): number {
   const { now, windowMs } = times;
-  const sorted = times.publishedAt.toSorted((a, b) => a - b);
-  const all = sorted[0] ?? Number.NEGATIVE_INFINITY;
-  const half = sorted[Math.floor(sorted.length / 2)] ?? all;
-  const end = Math.max(
-    Math.min(now - times.countsMs, all),
-    Math.min(now - times.partialMs, half),
-    now - times.latestMs,
-  );
-  return Math.floor(end / windowMs) - 1;
+  const newest = Math.floor(now / windowMs) - 1;
+  const open = Array.from({ length: OPEN_WINDOWS }, (_, age) => newest - age);
+  return open.find((window) => mayFix((window + 1) * windowMs, times)) ??
+    newest - OPEN_WINDOWS;
+}
+
+function mayFix(end: number, times: WindowTimes): boolean {
+  const since = times.now - end;
+  if (since >= times.latestMs) return true;
+  const { publishedAt } = times;
+  const living = publishedAt.filter((at) => at >= end - times.windowMs);
+  const done = living.filter((at) => at >= end).length;
+  if (since >= times.countsMs && done > 0 && done === living.length) {
+    return true;
+  }
+  return since >= times.partialMs && 2 * done >= publishedAt.length &&
+    done > 0;
 }
--- a/packages/core/window_counts_test.ts
+++ b/packages/core/window_counts_test.ts
@@ -49,6 +49,7 @@
   t.equal(find(55_100, [54_000, 48_000, 54_200]), 9, "and stays so");
   t.equal(find(56_000, [48_000, 48_000, 48_100]), 8, "the store was away");
   t.equal(find(58_600, [48_000, 48_000, 48_100]), 9, "the last moment");
+  t.equal(find(51_600, [51_000, 42_000, 51_200]), 9, "one has long been gone");
   t.equal(find(58_400, []), 8, "nobody has published");
   t.end();
 });
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -46,6 +46,7 @@
  */
 export function startLeaseHolder(options: LeaseHolderOptions): LeaseHolder {
   let lease: core.LeaseState = { kind: "none" };
+  let lapsed: core.LeaseState = { kind: "none" };
   let released = false;
 
   function setLease(next: core.LeaseState): void {
@@ -58,8 +59,12 @@
   }
 
   async function work(): Promise<void> {
-    const next = await advanceLease(lease, options);
-    if (!released) setLease(next);
+    const before = lease.kind === "held" ? lease : lapsed;
+    const next = await advanceLease(before, options);
+    lapsed = next.kind === "held" ? next : { kind: "none" };
+    if (!released && !core.isLeaseHeld(next, options.clock.now())) {
+      setLease({ kind: "none" });
+    } else if (!released) setLease(next);
     else if (next.kind === "held") {
       await options.store.revokeLease(next.leaseId);
     }
@@ -84,7 +89,10 @@
 export type AdvanceOptions = Omit<LeaseHolderOptions, "log" | "onChange">;
 
 /**
- * Takes one step: renews the lease if it is held, else tries for it.
+ * Takes one step: renews the lease if it is held, else tries for it. A lease
+ * that has ended by this host's own count is renewed too, as long as the store
+ * does not say that it is gone: a store that was away may have stopped its own
+ * count, and the role would stay empty until that lease ended there.
  *
  * @example
  * lease = await advanceLease(lease, options);
@@ -106,11 +114,8 @@
   if (renewed.ok && renewed.val) {
     return core.recordRenewed(lease, { sentAt, terms: options.terms });
   }
-  const gone = renewed.ok;
-  // No answer says nothing of the lease: it holds until its own end.
-  return gone || !core.isLeaseHeld(lease, options.clock.now())
-    ? { kind: "none" }
-    : lease;
+  // No answer says nothing of the lease: whoever asks sees when it ends.
+  return renewed.ok ? { kind: "none" } : lease;
 }
 
 async function acquire(
