Share the store's rates between many hosts

Change: changes of servers are gathered for 400 ms; beyond 24 hosts each one publishes and looks more seldom; the true clock allows for that.

--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -17,6 +17,10 @@
 const POLL_WAIT_MS = 1_000;
 /** The same for the list of servers, whose polls fail with those of the configuration. */
 const SERVERS_WAIT_MS = 3_000;
+/** Pause that gathers changes of the configuration, in ms: a twentieth of the time in which one must be in force. */
+const CONFIGURATION_SETTLE_MS = 100;
+/** The same for servers, in ms: a fifth of the time in which one may leave. */
+const SERVERS_SETTLE_MS = 400;
 /**
  * Part of the withdrawal time for which a proof is good; the rest covers the
  * way to the server and what the process is late. A smaller part refuses
@@ -69,6 +73,7 @@
         clock,
         prefix: platform.configurationKey,
         waitMs: POLL_WAIT_MS,
+        settleMs: CONFIGURATION_SETTLE_MS,
         onEvent: (event) => this.#takeConfig(event),
       }),
       store.watchPrefix({
@@ -76,6 +81,7 @@
         clock,
         prefix: platform.serversPrefix,
         waitMs: SERVERS_WAIT_MS,
+        settleMs: SERVERS_SETTLE_MS,
         onEvent: (event) => this.#takeServers(event),
       }),
       () => clearInterval(expiry),
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -9,10 +9,12 @@
 
 /** Prefix of the entries. */
 const PREFIX = "banyangrade/hosts/";
-/** Between two publications, in ms; also what a host that is killed loses of its counts. */
-const PUBLISH_MS = 1_000;
-/** Between two looks at the others, in ms, for a host without a role. */
-const LOOK_MS = 4_000;
+/** Length of a round, in ms; also what a host that is killed loses of its counts. */
+const ROUND_MS = 1_000;
+/** Hosts of which each publishes in every round; with more, each does so more seldom, since all share the store's rates. */
+const HOSTS_PER_ROUND = 24;
+/** Publications after which a host without a role looks at the others. */
+const ROUNDS_PER_LOOK = 4;
 /** Tries to publish in one round: after the entry and its lease have both gone. */
 const PUBLISH_TRIES = 3;
 /** Length of the lease in seconds: three usage windows, in which a window is fixed even by a second holder of the role. */
@@ -84,7 +86,7 @@
   #lease: string | undefined;
   #revision = 0;
   #entries: readonly HostEntry[] = [];
-  #sinceLook = LOOK_MS;
+  #round = 0;
   #readAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: PresenceOptions) {
@@ -93,7 +95,7 @@
 
   start(): void {
     this.#stops.push(
-      utils.startInterval(PUBLISH_MS, () => this.#runRound()),
+      utils.startInterval(ROUND_MS, () => this.#runRound()),
       utils.startInterval(RENEW_MS, () => this.#renew()),
     );
   }
@@ -112,17 +114,24 @@
     return this.#entries;
   }
 
+  /** Time between two publications of a host, in ms. */
+  getPublishMs(): number {
+    const hosts = listCurrent(this.#entries).length;
+    return ROUND_MS * Math.max(1, Math.ceil(hosts / HOSTS_PER_ROUND));
+  }
+
   /** Monotonic time at which they were read; before the first time, none is. */
   getReadAt(): number {
     return this.#readAt;
   }
 
   async #runRound(): Promise<void> {
-    await this.#publish();
-    this.#sinceLook += PUBLISH_MS;
-    if (!this.#options.hasRole() && this.#sinceLook < LOOK_MS) return;
-    this.#sinceLook = 0;
-    await this.#readOthers();
+    const every = this.getPublishMs() / ROUND_MS;
+    const round = this.#round;
+    this.#round += 1;
+    if (round % every === 0) await this.#publish();
+    const looks = round % (ROUNDS_PER_LOOK * every) === 0;
+    if (looks || this.#options.hasRole()) await this.#readOthers();
   }
 
   /** Publishes; once more at once where the entry or its lease had gone. */
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -160,11 +160,11 @@
       belief.getTable()?.configuration.services.forEach(({ name }) =>
         dispatch.setDemand(name, presenceTask.sumDemand(current, name))
       );
-      trueClock.update(
-        readClocks(),
-        current.filter((entry) => entry.host !== settings.host)
+      trueClock.update(readClocks(), {
+        publishMs: presence.getPublishMs(),
+        others: current.filter((entry) => entry.host !== settings.host)
           .map((entry) => entry.at),
-      );
+      });
     },
   });
   const roles: rolesTask.RolesTask = new rolesTask.RolesTask({
--- a/packages/core/engine_choice.ts
+++ b/packages/core/engine_choice.ts
@@ -21,9 +21,9 @@
 /** Part of an engine's slots at which its part of the engines counts as full. */
 const FULL_SHARE = 0.7;
 /** Prompt tokens not yet taken in that weigh like one running request. */
-const TOKENS_PER_LOAD = 4_000;
+const TOKENS_PER_LOAD = 8_000;
 /** Load above the mean at which a subject's own engine is left, as a multiple and in requests. */
-const SUBJECT_BOUND = { factor: 1.25, slack: 2 };
+const SUBJECT_BOUND = { factor: 1.25, slack: 3 };
 /** Weight of the way to another failure domain, in running requests. */
 const FOREIGN_LOAD = 0.5;
 
--- a/packages/core/freshness.ts
+++ b/packages/core/freshness.ts
@@ -50,10 +50,15 @@
   }
 }
 
-/** Distance from the other hosts' time at which the own one is doubted, in ms; their word is up to a second old. */
-const TRUST_MS = 1_200;
-/** Mean age of the other hosts' word, in ms: half of the time between two publications. */
-const WORD_AGE_MS = 500;
+/** Distance from the other hosts' time at which the own one is doubted, in ms, beside half of the time between two publications. */
+const TRUST_MS = 700;
+
+/** What the other hosts last published of their time. */
+export interface OthersTime {
+  readonly others: readonly number[];
+  /** Time between two publications of a host, in ms. */
+  readonly publishMs: number;
+}
 
 /**
  * The true time of day of a host whose own clock may jump. It goes on at the
@@ -70,13 +75,16 @@
   }
 
   /** Takes over what the other hosts last published as their time. */
-  update(reading: ClockReading, others: readonly number[]): void {
+  update(reading: ClockReading, { others, publishMs }: OthersTime): void {
     if (others.length === 0) return;
+    // Their word is half a publication old in the mean, and a whole one at most.
+    const age = publishMs / 2;
+    const trustMs = TRUST_MS + age;
     const sorted = others.toSorted((a, b) => a - b);
-    const theirs = sorted[Math.floor(sorted.length / 2)] + WORD_AGE_MS;
+    const theirs = sorted[Math.floor(sorted.length / 2)] + age;
     const own = this.read(reading);
-    if (Math.abs(own - theirs) <= TRUST_MS) return;
-    const wallFits = Math.abs(reading.wall - theirs) <= TRUST_MS;
+    if (Math.abs(own - theirs) <= trustMs) return;
+    const wallFits = Math.abs(reading.wall - theirs) <= trustMs;
     this.#offset = (wallFits ? reading.wall : theirs) - reading.now;
   }
 }
--- a/packages/core/freshness_test.ts
+++ b/packages/core/freshness_test.ts
@@ -34,7 +34,10 @@
   const clock = new core.TrueClock();
   clock.read({ now: 0, wall: START });
   const reading = { now: 1_000, wall: START + 3_000 };
-  clock.update(reading, [START + 500, START + 700, START + 100]);
+  clock.update(reading, {
+    others: [START + 500, START + 700, START + 100],
+    publishMs: 1_000,
+  });
   t.equal(clock.read(reading), START + 1_000);
   t.end();
 });
@@ -45,7 +48,10 @@
   const clock = new core.TrueClock();
   clock.read({ now: 0, wall: START });
   const reading = { now: 1_000, wall: START + 8_000 };
-  clock.update(reading, [START + 7_600, START + 7_200]);
+  clock.update(reading, {
+    others: [START + 7_600, START + 7_200],
+    publishMs: 1_000,
+  });
   t.equal(clock.read(reading), START + 8_000);
   t.end();
 });
@@ -55,9 +61,12 @@
   const clock = new core.TrueClock();
   const reading = { now: 500, wall: START + 60_000 };
   clock.read(reading);
-  clock.update(reading, [START, START + 100, START + 200]);
+  clock.update(reading, {
+    others: [START, START + 100, START + 200],
+    publishMs: 1_000,
+  });
   t.ok(Math.abs(clock.read(reading) - START) < 1_000);
-  clock.update(reading, []);
+  clock.update(reading, { others: [], publishMs: 1_000 });
   t.ok(Math.abs(clock.read(reading) - START) < 1_000);
   t.end();
 });
--- a/packages/store/feed.ts
+++ b/packages/store/feed.ts
@@ -68,16 +68,15 @@
   readonly prefix: string;
   /** Longest time that one poll waits for a change, in ms. */
   readonly waitMs: number;
+  /**
+   * Pause after an answer with changes, in ms. Changes come in groups, such as
+   * the servers of a failure domain that leave together; without it each of
+   * them costs every host a call.
+   */
+  readonly settleMs: number;
   readonly onEvent: (event: FeedEvent) => void;
 }
 
-/**
- * Pause after an answer with changes, in ms. Changes come in groups, such as
- * the servers of a failure domain that leave together; without it each of them
- * costs every host a call. A twentieth of the time in which a change must be
- * in force.
- */
-const SETTLE_MS = 100;
 /** First pause after a call that failed, in ms; doubles up to {@link RETRY_MAX_MS}. */
 const RETRY_MS = 50;
 /** Longest pause between calls to a store that does not answer, in ms: a tenth of the time within which a change must be in force. */
@@ -87,7 +86,7 @@
  * Starts following a prefix; returns a function that stops it.
  *
  * @example
- * const stop = watchPrefix({ feed, clock, prefix: "servers/", waitMs: 1000, onEvent });
+ * const stop = watchPrefix({ feed, clock, prefix: "servers/", waitMs: 1000, settleMs: 100, onEvent });
  */
 export function watchPrefix(options: WatchPrefixOptions): () => void {
   const { clock, feed, prefix, onEvent } = options;
@@ -119,7 +118,7 @@
     // brings, or says that they are no longer kept.
     if (changes.length > 0) after = Math.max(since, revision);
     onEvent({ kind: "changed", changes, revision, sentAt });
-    if (changes.length > 0) await utils.waitFor(SETTLE_MS);
+    if (changes.length > 0) await utils.waitFor(options.settleMs);
     return undefined;
   }
 
