Take back the frugal orders; hear of servers sooner where hosts are few

Cause: ordinary servers ordered for 0.45 of their slots where no cheap ones are to be had.

Change: as before; the pause that gathers changes of servers is 100 ms up to 16 hosts and grows to 400 ms with their number.

--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -17,10 +17,12 @@
 const POLL_WAIT_MS = 1_000;
 /** The same for the list of servers, whose polls fail with those of the configuration. */
 const SERVERS_WAIT_MS = 3_000;
-/** Pause that gathers changes of the configuration, in ms: a twentieth of the time in which one must be in force. */
-const CONFIGURATION_SETTLE_MS = 100;
-/** The same for servers, in ms: a fifth of the time in which one may leave. */
-const SERVERS_SETTLE_MS = 400;
+/** Pause that gathers changes, in ms: a twentieth of the time in which one must be in force. */
+const SETTLE_MS = 100;
+/** Hosts that share the store's rates with that pause for servers; more take a longer one. */
+const HOSTS_PER_SETTLE = 16;
+/** Longest pause for servers, in ms: a fifth of the time in which one may leave. */
+const MAX_SETTLE_MS = 400;
 /**
  * Part of the withdrawal time for which a proof is good; the rest covers the
  * way to the server and what the process is late. A smaller part refuses
@@ -42,6 +44,8 @@
   readonly withdrawMs: number;
   /** Time within which a leaving server must get no more work, in ms. */
   readonly leaveMs: number;
+  /** Hosts that share the store's rates. */
+  readonly countHosts: () => number;
   readonly onConfiguration: (table: core.RouteTable) => void;
   readonly onServers: (servers: readonly core.ListedServer[]) => void;
 }
@@ -73,7 +77,7 @@
         clock,
         prefix: platform.configurationKey,
         waitMs: POLL_WAIT_MS,
-        settleMs: CONFIGURATION_SETTLE_MS,
+        getSettleMs: () => SETTLE_MS,
         onEvent: (event) => this.#takeConfig(event),
       }),
       store.watchPrefix({
@@ -81,7 +85,12 @@
         clock,
         prefix: platform.serversPrefix,
         waitMs: SERVERS_WAIT_MS,
-        settleMs: SERVERS_SETTLE_MS,
+        getSettleMs: () =>
+          Math.min(
+            MAX_SETTLE_MS,
+            SETTLE_MS *
+              Math.ceil(this.#options.countHosts() / HOSTS_PER_SETTLE),
+          ),
         onEvent: (event) => this.#takeServers(event),
       }),
       () => clearInterval(expiry),
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -86,6 +86,7 @@
     log: utils.createPartLogger(log, "belief"),
     withdrawMs: settings.withdrawMs,
     leaveMs: settings.leaveMs,
+    countHosts: () => presenceTask.listCurrent(presence.list()).length,
     onConfiguration: ({ configuration }) => {
       ingress.setLimits(configuration.limits);
       dispatch.send({
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -8,8 +8,6 @@
 
 /** Load that a server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
 const TARGET_UTILISATION = 0.2;
-/** The same where only ordinary servers are to be had, which cost several times as much. */
-const ORDINARY_UTILISATION = 0.45;
 /** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
 const KEEP_MS = 20_000;
 /** Time for which no reclaimable servers are asked for where there were none, in ms. */
@@ -73,7 +71,7 @@
   plan(service: ServiceDemand, now: number): DomainCounts[] {
     const { bounds, servers } = service;
     if (!this.#hasSettled(servers, now)) return [];
-    const { total, least } = this.#computeTotals(service, now);
+    const total = this.#computeTotal(service, now);
     const hasSpot = ({ failureDomain }: DomainServers) =>
       bounds.spotPrice > 0 &&
       now - (this.#unavailable.get(failureDomain) ?? -Infinity) >
@@ -83,14 +81,12 @@
     );
     const names = ranked.map((one) => one.failureDomain);
     const shares = spreadEvenly(total, { ranked: names, bounds });
-    const leastShares = spreadEvenly(least, { ranked: names, bounds });
     return servers.map((domain) => {
       const { failureDomain } = domain;
       const wanted = shares.get(failureDomain) ?? 0;
-      const needed = leastShares.get(failureDomain) ?? 0;
       if (!hasSpot(domain)) {
         const spot = Math.min(domain.spot, wanted);
-        return { failureDomain, spot, ordinary: Math.max(0, needed - spot) };
+        return { failureDomain, spot, ordinary: wanted - spot };
       }
       return this.#planSpot(domain, { bounds, wanted, now });
     }).map((counts) => this.#recordOrdered(counts, now));
@@ -153,11 +149,8 @@
     return this.#atFirst > 0;
   }
 
-  /** The most that was needed of late: what serves well, and what just serves. */
-  #computeTotals(
-    { slots, demand }: ServiceDemand,
-    now: number,
-  ): { readonly total: number; readonly least: number } {
+  /** The most that was needed of late. */
+  #computeTotal({ slots, demand }: ServiceDemand, now: number): number {
     // A planner that has just begun does not know what was needed of late: it
     // keeps what is there.
     if (demand > 0) this.#firstAt ??= now;
@@ -167,13 +160,10 @@
       { at: now, slots: demand / slots },
     ];
     const most = Math.max(...this.#needed.map((needed) => needed.slots));
-    return {
-      total: Math.max(
-        begun ? this.#atFirst : 0,
-        Math.ceil(most / TARGET_UTILISATION),
-      ),
-      least: Math.ceil(most / ORDINARY_UTILISATION),
-    };
+    return Math.max(
+      begun ? this.#atFirst : 0,
+      Math.ceil(most / TARGET_UTILISATION),
+    );
   }
 }
 
--- a/packages/store/feed.ts
+++ b/packages/store/feed.ts
@@ -73,7 +73,7 @@
    * the servers of a failure domain that leave together; without it each of
    * them costs every host a call.
    */
-  readonly settleMs: number;
+  readonly getSettleMs: () => number;
   readonly onEvent: (event: FeedEvent) => void;
 }
 
@@ -86,7 +86,7 @@
  * Starts following a prefix; returns a function that stops it.
  *
  * @example
- * const stop = watchPrefix({ feed, clock, prefix: "servers/", waitMs: 1000, settleMs: 100, onEvent });
+ * const stop = watchPrefix({ feed, clock, prefix: "servers/", waitMs: 1000, getSettleMs: () => 100, onEvent });
  */
 export function watchPrefix(options: WatchPrefixOptions): () => void {
   const { clock, feed, prefix, onEvent } = options;
@@ -118,7 +118,7 @@
     // brings, or says that they are no longer kept.
     if (changes.length > 0) after = Math.max(since, revision);
     onEvent({ kind: "changed", changes, revision, sentAt });
-    if (changes.length > 0) await utils.waitFor(options.settleMs);
+    if (changes.length > 0) await utils.waitFor(options.getSettleMs());
     return undefined;
   }
 
