--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -54,8 +54,18 @@
     .map((name) => path.join(ROOT, folder, name));
 }
 
+/** Names of the users' platform, which only its adapter may know. */
+const PLATFORM_NAMES =
+  /banyangrade-(attempt-id|deadline-ms|server-stamp|duty-holder|fencing-token|expected-instance|not-executed)|\bkv-(txn|watch|range|lease|key|keep)\b|\bop\/config\b/i;
+
 function checkFile(name: string): void {
   const text = fs.readFileSync(name, "utf8");
+  const relative = path.relative(ROOT, name);
+  const knows = relative.startsWith("platform") ||
+    relative.startsWith(path.join("scripts", "check_style"));
+  if (!knows && PLATFORM_NAMES.test(text)) {
+    problems.push(`${relative}:1: a name of the platform outside platform/`);
+  }
   const file = ts.createSourceFile(
     name,
     text,
