--- /dev/null
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -0,0 +1,271 @@
+/**
+ * The parts of a host that serves by routes, and how they are connected. They
+ * refer to each other, so they are added to one draft, step by step, and look
+ * each other up when they are called.
+ */
+import * as core from "@banyangrade/core";
+import * as utils from "@banyangrade/utils";
+import * as dispatchTask from "../dispatch_task.ts";
+import * as metricsModule from "../metrics.ts";
+import * as beliefTask from "./belief_task.ts";
+import * as hostClocks from "./host_clocks.ts";
+import type * as ingressModule from "./ingress.ts";
+import type * as ports from "./ports.ts";
+import * as presenceTask from "./presence_task.ts";
+import * as rolesTask from "./roles_task.ts";
+import type * as routedExchange from "./routed_exchange.ts";
+import * as routedFront from "./routed_front.ts";
+import * as serverPools from "./server_pools.ts";
+
+/** Options of {@link buildRoutedParts}. */
+export interface RoutedHostOptions {
+  readonly settings: ports.RoutedSettings;
+  readonly platform: ports.Platform;
+  readonly log: utils.Logger;
+  readonly clock: utils.Clock;
+}
+
+/** Everything a host is made of but its servers. */
+export interface RoutedParts extends RoutedHostOptions {
+  readonly clocks: hostClocks.HostClocks;
+  readonly incarnation: string;
+  readonly random: utils.Random;
+  /** Draining: not ready any more. Closed: nothing more is taken. */
+  readonly state: { draining: boolean; closed: boolean };
+  readonly pools: serverPools.ServerPools;
+  readonly metrics: metricsModule.Metrics;
+  readonly budget: core.WindowRetryBudget;
+  readonly counter: core.WindowCounter;
+  readonly dispatch: dispatchTask.DispatchTask;
+  readonly belief: beliefTask.BeliefTask;
+  readonly presence: presenceTask.PresenceTask;
+  readonly roles: rolesTask.RolesTask;
+  readonly front: routedFront.RoutedFront;
+  /** Set when the server for callers has started. */
+  ingress?: ingressModule.Ingress;
+}
+
+/** Parts while they are being added. */
+type Draft = { -readonly [Name in keyof RoutedParts]: RoutedParts[Name] };
+
+/** Shortest time to come back that a refusal gives, in ms: some turns of the shortest calls. */
+const LEAST_RETRY_MS = 50;
+/** Servers lost to one request before it is run apart from others. */
+const ISOLATE_AFTER = 2;
+/** Hosts that are taken to share budgets and connections before their number is known. */
+const HOSTS_AT_FIRST = 8;
+
+/**
+ * Builds all parts; nothing is started.
+ *
+ * @example
+ * const parts = buildRoutedParts({ settings, platform, log, clock });
+ */
+export function buildRoutedParts(options: RoutedHostOptions): RoutedParts {
+  const draft = buildBase(options) as Draft;
+  addDispatch(draft);
+  addBelief(draft);
+  addPresence(draft);
+  addRoles(draft);
+  addFront(draft);
+  return draft;
+}
+
+/**
+ * Whether new connections do well to come to this host.
+ *
+ * @example
+ * const status = isReady(parts) ? 200 : 503;
+ */
+export function isReady(
+  { state, belief }: Pick<RoutedParts, "state" | "belief">,
+): boolean {
+  return !state.draining && belief.isReady();
+}
+
+/** What refers to no other part. */
+function buildBase(options: RoutedHostOptions): Partial<Draft> {
+  const { settings, clock } = options;
+  const pools = new serverPools.ServerPools({ clock });
+  pools.setHosts(HOSTS_AT_FIRST);
+  const incarnation = utils.createId();
+  return {
+    ...options,
+    incarnation,
+    pools,
+    clocks: hostClocks.createHostClocks(clock),
+    random: utils.createRandom(utils.hashSeed(incarnation)),
+    state: { draining: false, closed: false },
+    metrics: new metricsModule.Metrics(),
+    counter: new core.WindowCounter(),
+    budget: new core.WindowRetryBudget(settings.retries, {
+      hosts: HOSTS_AT_FIRST,
+    }),
+  };
+}
+
+function addDispatch(draft: Draft): void {
+  const { settings, clock, random, budget } = draft;
+  draft.dispatch = new dispatchTask.DispatchTask({
+    clock,
+    dispatcher: new core.Dispatcher({
+      failureDomain: settings.failureDomain,
+      host: settings.host,
+      random,
+      budget,
+      preempts: false,
+      leastRetryMs: LEAST_RETRY_MS,
+      isolateAfter: ISOLATE_AFTER,
+      dividesEngines: true,
+    }),
+    // Hosts share neither marks of servers lost nor slots here.
+    onSuspect: () => undefined,
+    onAskCapacity: () => undefined,
+  });
+}
+
+function addBelief(draft: Draft): void {
+  const { settings, platform, clocks, log } = draft;
+  draft.belief = new beliefTask.BeliefTask({
+    platform,
+    clock: clocks.lease,
+    log: utils.createPartLogger(log, "belief"),
+    withdrawMs: settings.withdrawMs,
+    leaveMs: settings.leaveMs,
+    countHosts: () => presenceTask.listCurrent(draft.presence.list()).length,
+    onConfiguration: ({ configuration }) => {
+      draft.ingress?.setLimits(configuration.limits);
+      draft.dispatch.send({
+        kind: "configured",
+        configuration: core.toDispatchConfiguration(
+          configuration,
+          settings.failureDomain,
+        ),
+      });
+      applyServers(draft, draft.belief.listServers());
+    },
+    onServers: (listed) => applyServers(draft, listed),
+  });
+}
+
+function addPresence(draft: Draft): void {
+  const { settings, platform, clocks, log, incarnation } = draft;
+  draft.presence = new presenceTask.PresenceTask({
+    store: platform.store,
+    clock: clocks.lease,
+    log: utils.createPartLogger(log, "presence"),
+    host: settings.host,
+    incarnation,
+    describe: () => ({
+      host: settings.host,
+      incarnation,
+      at: clocks.getTrueTime(),
+      demand: draft.dispatch.countByTarget(),
+      usage: draft.counter.list(),
+    }),
+    hasRole: () => draft.roles.hasRole(),
+    onEntries: (entries) => applyEntries(draft, entries),
+  });
+}
+
+function addRoles(draft: Draft): void {
+  const { settings, platform, clocks, log, incarnation } = draft;
+  draft.roles = new rolesTask.RolesTask({
+    settings,
+    platform,
+    clock: clocks.lease,
+    log: utils.createPartLogger(log, "roles"),
+    incarnation,
+    isReady: () => isReady(draft),
+    getTrueTime: clocks.getTrueTime,
+    getConfiguration: () => draft.belief.getTable()?.configuration,
+    listServers: () => draft.belief.listServers(),
+    listEntries: () => draft.presence.list(),
+    getEntriesAt: () => draft.presence.getReadAt(),
+  });
+}
+
+function addFront(draft: Draft): void {
+  draft.front = new routedFront.RoutedFront({
+    ...draft,
+    log: utils.createPartLogger(draft.log, "request"),
+    wire: draft.platform.wire,
+    isClosed: () => draft.state.closed,
+    checkKey: (key, customer) => checkKey(draft, { key, customer }),
+    countUsage: (customer, at) => countUsage(draft, { customer, at }),
+  });
+}
+
+function checkKey(
+  { belief }: Draft,
+  { key, customer }: { readonly key: string; readonly customer: string },
+): routedExchange.KeyCheck {
+  if (!belief.isProved()) return "unproved";
+  const grant = belief.getTable()?.byKey.get(key);
+  return grant?.customer === customer ? "valid" : "withdrawn";
+}
+
+/** Counts a request that began at `at`, monotonic ms, in its usage window. */
+function countUsage(
+  { clock, clocks, counter, settings }: Draft,
+  { customer, at }: { readonly customer: string; readonly at: number },
+): void {
+  const trueAt = clocks.getTrueTime() - (clock.now() - at);
+  counter.record(Math.floor(trueAt / settings.usageWindowMs), customer);
+}
+
+/** Takes over the list of backend servers. */
+function applyServers(
+  { belief, pools, dispatch }: Draft,
+  listed: readonly core.ListedServer[],
+): void {
+  const limits = new Map(
+    (belief.getTable()?.configuration.services ?? [])
+      .map((one) => [one.name, one.connectionLimit]),
+  );
+  const servers = listed.map((server) => {
+    const name = getServerName(server);
+    const limit = pools.getLimit(name, limits.get(server.service) ?? 0);
+    return toServerInfo(server, { name, limit });
+  });
+  pools.keep(new Set(servers.map((server) => server.name)));
+  dispatch.send({ kind: "servers_changed", servers });
+}
+
+/** Takes over what the hosts have published. */
+function applyEntries(
+  { belief, budget, clocks, dispatch, pools, presence, settings }: Draft,
+  entries: readonly presenceTask.HostEntry[],
+): void {
+  const current = presenceTask.listCurrent(entries);
+  budget.setHosts(current.length);
+  pools.setHosts(current.length);
+  belief.getTable()?.configuration.services.forEach(({ name }) =>
+    dispatch.setDemand(name, presenceTask.sumDemand(current, name))
+  );
+  clocks.updateTrueTime({
+    publishMs: presence.getPublishMs(),
+    others: current.filter((entry) => entry.host !== settings.host)
+      .map((entry) => entry.at),
+  });
+}
+
+/** A server that started again under its identifier is another one: it knows nothing of the first. */
+function getServerName(listed: core.ListedServer): string {
+  return `${listed.id}@${listed.bornAt}`;
+}
+
+function toServerInfo(
+  listed: core.ListedServer,
+  { name, limit }: { readonly name: string; readonly limit: number },
+): core.ServerInfo {
+  return {
+    name,
+    instance: listed.id,
+    pool: listed.service,
+    url: `http://${listed.address}`,
+    state: listed.state === "ready" ? "live" : "leaving",
+    slots: Math.min(listed.slots, limit),
+    failureDomain: listed.failureDomain,
+  };
+}
