--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -45,7 +45,7 @@
 interface Needed {
   readonly at: number;
   /** Demand in servers whose slots are all in use. */
-  readonly slots: number;
+  readonly fullServers: number;
 }
 
 /** Plans the servers of one service, round by round. */
@@ -157,9 +157,9 @@
     const begun = now - (this.#firstAt ?? now) < KEEP_MS;
     this.#needed = [
       ...this.#needed.filter((needed) => now - needed.at < KEEP_MS),
-      { at: now, slots: demand / slots },
+      { at: now, fullServers: demand / slots },
     ];
-    const most = Math.max(...this.#needed.map((needed) => needed.slots));
+    const most = Math.max(...this.#needed.map((needed) => needed.fullServers));
     return Math.max(
       begun ? this.#atFirst : 0,
       Math.ceil(most / TARGET_UTILISATION),
