Order reclaimable servers at once, and elsewhere where one failure domain has none

Cause: orders began 7 s after the start, when the list had stood still, with all servers at full price until then; where a failure domain's reclaimable servers were taken, ordinary ones at five times the price came in their place; an order that had been filled and lost its servers was sent again only after 7 s. Ruled out: fewer servers (bursts of 2.5 times find none). Change: reclaimable ones are ordered as the others register, half as many again at first; what one failure domain cannot have comes from the others and stays until it is no longer needed; ordinary ones only where answers would fail.

--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -51,6 +51,8 @@
 interface SentOrder {
   readonly order: ports.DomainOrder;
   readonly at: number;
+  /** Whether as many servers were there since. */
+  reached: boolean;
 }
 
 /** Tries for the roles and does their work. */
@@ -174,6 +176,13 @@
     for (const order of orders) await this.#sendOrder(order);
   }
 
+  /** Counts the servers that are ready of what an order is for. */
+  #countOrdered({ order }: PlannedOrder): number {
+    const there = this.#countServers(order.service)
+      .find((one) => one.failureDomain === order.failureDomain);
+    return (order.spot ? there?.spot : there?.ordinary) ?? 0;
+  }
+
   #planService(service: core.RoutedService): PlannedOrder[] {
     const { scaling, engine, name } = service;
     if (scaling === undefined) return [];
@@ -189,12 +198,13 @@
       demand: short + long,
       servers: this.#countServers(name),
     }, this.#options.clock.now());
-    return planned.flatMap(({ failureDomain, ordinary, spot }) => [
-      ...(scaling.spotPrice > 0
-        ? [{ service: name, failureDomain, spot: true, count: spot }]
-        : []),
-      { service: name, failureDomain, spot: false, count: ordinary },
-    ]).map((order) => ({ order, bootMs: scaling.bootMs }));
+    return planned.flatMap(({ failureDomain, ordinary, spot }) =>
+      ([[true, spot], [false, ordinary]] as const).flatMap(([isSpot, count]) =>
+        count === undefined
+          ? []
+          : [{ service: name, failureDomain, spot: isSpot, count }]
+      )
+    ).map((order) => ({ order, bootMs: scaling.bootMs }));
   }
 
   #countServers(service: string): core.DomainServers[] {
@@ -219,7 +229,7 @@
     // finds out here that its lease is over.
     if (lease.kind === "none" || !core.mayAct(lease, now)) return;
     const order = { ...wanted, fencingToken: lease.token };
-    this.#sent.set(key, { order, at: now });
+    this.#sent.set(key, { order, at: now, reached: false });
     const sent = await platform.sendOrder(order);
     log.info({ ...order, error: sent.err ? sent.val : undefined }, "Ordered.");
     if (sent.ok) return;
@@ -230,16 +240,22 @@
     }
   }
 
-  /** Whether an order is new, or was sent and has shown no effect. */
+  /**
+   * Whether an order is new, or was sent and has shown no effect, or the servers
+   * that it brought are gone again: after a reclaim no second is lost until the
+   * platform says whether there are more.
+   */
   #isDue(
-    { order: wanted, bootMs }: PlannedOrder,
+    planned: PlannedOrder,
     { sent, now }: { readonly sent: SentOrder | undefined; now: number },
   ): boolean {
+    const { order: wanted, bootMs } = planned;
     if (sent === undefined || sent.order.count !== wanted.count) return true;
-    const there = this.#countServers(wanted.service)
-      .find((one) => one.failureDomain === wanted.failureDomain);
-    const count = wanted.spot ? there?.spot : there?.ordinary;
-    return count !== wanted.count && now - sent.at > bootMs + REPEAT_MS;
+    const count = this.#countOrdered(planned);
+    const lost = sent.reached && count < wanted.count;
+    sent.reached ||= count >= wanted.count;
+    return lost || count !== wanted.count &&
+        now - sent.at > bootMs + REPEAT_MS;
   }
 }
 
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -6,14 +6,25 @@
  */
 import type * as routes from "./routes.ts";
 
-/** Load that a server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
+/** Load that a reclaimable server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
 const TARGET_UTILISATION = 0.2;
+/**
+ * Load at which ordinary servers are ordered where no reclaimable ones are to
+ * be had. They cost some five times as much, so they are held for answers that
+ * would fail, not for those that would be slow.
+ */
+const ORDINARY_UTILISATION = 0.4;
 /** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
 const KEEP_MS = 20_000;
+/**
+ * Servers at the beginning for each one that was there: the demand of a burst
+ * is not known before it comes, and a server takes some seconds to start.
+ */
+const FIRST_FACTOR = 1.5;
 /** Time for which no reclaimable servers are asked for where there were none, in ms. */
 const UNAVAILABLE_MS = 3_000;
 
-/** Time for which the number of servers stands still before the first plan, in ms: some heartbeats apart, they register within it. */
+/** Time for which the number of servers stands still before any is sent away, in ms: some heartbeats apart, they register within it. */
 const SETTLE_MS = 2_000;
 /** Time beyond its start for a server to be listed, in ms. */
 const STARTING_MARGIN_MS = 2_000;
@@ -25,11 +36,11 @@
   readonly spot: number;
 }
 
-/** What is ordered in one failure domain. */
+/** What is ordered in one failure domain; a kind that is undefined stays as it is. */
 export interface DomainCounts {
   readonly failureDomain: string;
-  readonly ordinary: number;
-  readonly spot: number;
+  readonly ordinary: number | undefined;
+  readonly spot: number | undefined;
 }
 
 /** What is known of a service. */
@@ -48,85 +59,182 @@
   readonly fullServers: number;
 }
 
+interface Ordered {
+  readonly count: number;
+  readonly at: number;
+}
+
+type Kind = "ordinary" | "spot";
+
+/** One look at a service. */
+interface Round extends ServiceDemand {
+  readonly now: number;
+  /** Servers that are wanted while reclaimable ones are to be had. */
+  readonly wanted: number;
+  /** Servers for which ordinary ones that are there stay. */
+  readonly enough: number;
+  /** Servers without which answers would fail. */
+  readonly least: number;
+}
+
 /** Plans the servers of one service, round by round. */
 export class DomainPlanner {
   #needed: readonly Needed[] = [];
   #firstAt: number | undefined;
   /** Servers that there were when their number first stood still. */
   #atFirst = 0;
-  #ready = 0;
+  /** Ordinary servers in the last round, -1 before the first, and since when there are as many. */
+  #ready = -1;
   #readySince = 0;
   readonly #unavailable = new Map<string, number>();
-  readonly #ordered = new Map<
-    string,
-    { readonly ordinary: number; readonly at: number }
-  >();
+  /** Last order by failure domain and kind, and since when it is that. */
+  readonly #ordered = new Map<string, Ordered>();
 
   /** Records that a failure domain has no reclaimable servers now. */
   recordUnavailable(failureDomain: string, now: number): void {
     this.#unavailable.set(failureDomain, now);
   }
 
-  /** Plans the next orders; none before it is known what is there. */
+  /** Plans the next orders; none is sent away before it is known what is there. */
   plan(service: ServiceDemand, now: number): DomainCounts[] {
-    const { bounds, servers } = service;
-    if (!this.#hasSettled(servers, now)) return [];
-    const total = this.#computeTotal(service, now);
-    const hasSpot = ({ failureDomain }: DomainServers) =>
-      bounds.spotPrice > 0 &&
-      now - (this.#unavailable.get(failureDomain) ?? -Infinity) >
-        UNAVAILABLE_MS;
-    const ranked = servers.toSorted((a, b) =>
-      getPrice(bounds, a, hasSpot(a)) - getPrice(bounds, b, hasSpot(b))
+    if (!this.#hasSettled(service.servers, now)) return planFirst(service);
+    const round: Round = {
+      ...service,
+      now,
+      ...this.#computeNeeds(service, now),
+    };
+    const spot = this.#planSpot(round);
+    const ordinary = this.#planOrdinary(round, spot);
+    return service.servers.map(({ failureDomain }) =>
+      this.#recordOrdered({
+        failureDomain,
+        spot: spot.get(failureDomain),
+        ordinary: ordinary.get(failureDomain) ?? 0,
+      }, now)
     );
-    const names = ranked.map((one) => one.failureDomain);
-    const shares = spreadEvenly(total, { ranked: names, bounds });
-    return servers.map((domain) => {
-      const { failureDomain } = domain;
-      const wanted = shares.get(failureDomain) ?? 0;
-      if (!hasSpot(domain)) {
-        const spot = Math.min(domain.spot, wanted);
-        return { failureDomain, spot, ordinary: wanted - spot };
-      }
-      return this.#planSpot(domain, { bounds, wanted, now });
-    }).map((counts) => this.#recordOrdered(counts, now));
   }
 
   /**
-   * Plans reclaimable servers for what is wanted, beside the ordinary ones that
-   * are there or about to start: these stay until the others have started. New
-   * ones are never ordinary here, and those on their way are not called off:
-   * a domain at its upper bound would swing between both kinds and have none.
+   * Plans reclaimable servers for all that is wanted, over the failure domains
+   * where they are to be had. What one cannot have comes from the others, and
+   * what those have gained is sent away only once there are more than wanted:
+   * servers that may come back to the first are not there yet.
    */
-  #planSpot(
-    { failureDomain, ordinary, spot }: DomainServers,
-    { bounds, wanted, now }: {
-      readonly bounds: routes.ScalingBounds;
-      readonly wanted: number;
-      readonly now: number;
-    },
-  ): DomainCounts {
-    const ordered = this.#ordered.get(failureDomain);
-    const coming = ordered !== undefined &&
-        now - ordered.at < bounds.bootMs + STARTING_MARGIN_MS
-      ? ordered.ordinary
-      : 0;
-    const kept = Math.min(
-      Math.max(0, wanted - spot),
-      Math.max(ordinary, coming),
+  #planSpot(round: Round): ReadonlyMap<string, number> {
+    const { servers, bounds, wanted } = round;
+    const open = servers.filter((domain) => this.#hasSpot(domain, round));
+    const shut = servers.filter((domain) => !open.includes(domain));
+    const ranked = open.toSorted((a, b) =>
+      getPrice(bounds, a.failureDomain) - getPrice(bounds, b.failureDomain)
     );
-    return {
-      failureDomain,
-      ordinary: kept,
-      spot: Math.min(wanted, bounds.maxServers - kept),
-    };
+    const shares = spreadEvenly(wanted - sumOf(shut, ({ spot }) => spot), {
+      domains: ranked.map((domain) => ({
+        failureDomain: domain.failureDomain,
+        least: Math.max(0, bounds.minServers - domain.ordinary),
+        most: this.#countRoom(domain, round),
+      })),
+    });
+    let surplus = sumOf(servers, ({ spot }) => spot) - wanted;
+    return new Map(
+      ranked.toReversed().map((domain) => {
+        const { failureDomain } = domain;
+        const share = shares.get(failureDomain) ?? 0;
+        const there = this.#countComing(domain, { kind: "spot", round });
+        const dropped = Math.min(
+          Math.max(0, surplus),
+          Math.max(0, there - share),
+        );
+        surplus -= dropped;
+        const most = this.#countRoom(domain, round);
+        return [
+          failureDomain,
+          Math.min(most, Math.max(share, there - dropped)),
+        ];
+      }),
+    );
+  }
+
+  /** Counts the reclaimable servers that a failure domain has room for beside the ordinary ones. */
+  #countRoom(domain: DomainServers, round: Round): number {
+    return round.bounds.maxServers -
+      this.#countComing(domain, { kind: "ordinary", round });
+  }
+
+  /**
+   * Plans ordinary servers. Those that are there stay until reclaimable ones
+   * have started in their place; new ones are ordered only where no more of
+   * the others are to be had and answers would fail, or to keep the lower
+   * bound. Those on their way are not called off: a service whose orders swing
+   * between both kinds has none.
+   */
+  #planOrdinary(
+    round: Round,
+    spot: ReadonlyMap<string, number>,
+  ): ReadonlyMap<string, number> {
+    const { servers, bounds, enough, least } = round;
+    const spotThere = sumOf(servers, (domain) => domain.spot);
+    const spotPlanned = sumOf(
+      servers,
+      ({ failureDomain, spot: there }) => spot.get(failureDomain) ?? there,
+    );
+    const missing = spotPlanned < least ? least - spotThere : 0;
+    const there = servers.map((domain) => {
+      const most = this.#countComing(domain, { kind: "ordinary", round });
+      const lacking = Math.max(0, bounds.minServers - domain.spot);
+      return {
+        failureDomain: domain.failureDomain,
+        // Where reclaimable ones are to be had, these keep the lower bound.
+        least: this.#hasSpot(domain, round) ? Math.min(most, lacking) : lacking,
+        most,
+      };
+    }).toSorted((a, b) =>
+      getPrice(bounds, a.failureDomain) - getPrice(bounds, b.failureDomain)
+    );
+    const kept = spreadEvenly(enough - spotThere, { domains: there });
+    const keptCount = [...kept.values()].reduce((sum, count) => sum + count, 0);
+    if (missing <= keptCount) return kept;
+    return spreadEvenly(missing, {
+      domains: there.map(({ failureDomain }) => ({
+        failureDomain,
+        least: kept.get(failureDomain) ?? 0,
+        most: bounds.maxServers -
+          Math.max(
+            countSpot(round, failureDomain),
+            spot.get(failureDomain) ?? 0,
+          ),
+      })),
+    });
+  }
+
+  #hasSpot(
+    { failureDomain }: DomainServers,
+    { bounds, now }: Round,
+  ): boolean {
+    const refusedAt = this.#unavailable.get(failureDomain) ?? -Infinity;
+    return bounds.spotPrice > 0 && now - refusedAt > UNAVAILABLE_MS;
+  }
+
+  /** Counts the servers of a kind that are there or about to start. */
+  #countComing(
+    domain: DomainServers,
+    { kind, round: { bounds, now } }: {
+      readonly kind: Kind;
+      readonly round: Round;
+    },
+  ): number {
+    const ordered = this.#ordered.get(`${domain.failureDomain}/${kind}`);
+    const starts = ordered !== undefined &&
+      now - ordered.at < bounds.bootMs + STARTING_MARGIN_MS;
+    return Math.max(domain[kind], starts ? ordered.count : 0);
   }
 
   #recordOrdered(counts: DomainCounts, now: number): DomainCounts {
-    const { failureDomain, ordinary } = counts;
-    if (this.#ordered.get(failureDomain)?.ordinary !== ordinary) {
-      this.#ordered.set(failureDomain, { ordinary, at: now });
-    }
+    (["ordinary", "spot"] as const).forEach((kind) => {
+      const key = `${counts.failureDomain}/${kind}`;
+      const count = counts[kind] ?? 0;
+      if (this.#ordered.get(key)?.count === count) return;
+      this.#ordered.set(key, { count, at: now });
+    });
     return counts;
   }
 
@@ -137,22 +245,25 @@
    */
   #hasSettled(servers: readonly DomainServers[], now: number): boolean {
     if (this.#atFirst > 0) return true;
-    const ready = servers.reduce(
-      (sum, one) => sum + one.ordinary + one.spot,
-      0,
-    );
-    if (ready !== this.#ready) {
-      this.#ready = ready;
+    // Reclaimable ones are ordered meanwhile, and come late.
+    const ordinary = sumOf(servers, (domain) => domain.ordinary);
+    const spot = sumOf(servers, (domain) => domain.spot);
+    if (ordinary !== this.#ready) {
+      this.#ready = ordinary;
       this.#readySince = now;
     }
-    if (ready > 0 && now - this.#readySince >= SETTLE_MS) this.#atFirst = ready;
+    const stands = now - this.#readySince >= SETTLE_MS;
+    if (ordinary + spot > 0 && stands) this.#atFirst = Math.max(ordinary, spot);
     return this.#atFirst > 0;
   }
 
-  /** The most that was needed of late. */
-  #computeTotal({ slots, demand }: ServiceDemand, now: number): number {
+  /** Computes what is wanted by the most that was needed of late. */
+  #computeNeeds(
+    { slots, demand }: ServiceDemand,
+    now: number,
+  ): Pick<Round, "wanted" | "enough" | "least"> {
     // A planner that has just begun does not know what was needed of late: it
-    // keeps what is there.
+    // keeps what is there, and some more.
     if (demand > 0) this.#firstAt ??= now;
     const begun = now - (this.#firstAt ?? now) < KEEP_MS;
     this.#needed = [
@@ -160,39 +271,71 @@
       { at: now, fullServers: demand / slots },
     ];
     const most = Math.max(...this.#needed.map((needed) => needed.fullServers));
-    return Math.max(
-      begun ? this.#atFirst : 0,
-      Math.ceil(most / TARGET_UTILISATION),
-    );
+    const planned = Math.ceil(most / TARGET_UTILISATION);
+    const atFirst = begun ? this.#atFirst : 0;
+    return {
+      wanted: Math.max(planned, Math.ceil(FIRST_FACTOR * atFirst)),
+      enough: Math.max(planned, atFirst),
+      least: Math.ceil(most / ORDINARY_UTILISATION),
+    };
   }
 }
 
-function getPrice(
-  bounds: routes.ScalingBounds,
-  { failureDomain }: DomainServers,
-  spot: boolean,
+/**
+ * Orders reclaimable servers for the ordinary ones that are listed so far: all
+ * of those cost their full price until the others have started, so no second is
+ * lost until the list is known to be whole.
+ */
+function planFirst({ servers, bounds }: ServiceDemand): DomainCounts[] {
+  if (bounds.spotPrice <= 0) return [];
+  return servers.filter(({ ordinary }) => ordinary > 0)
+    .map(({ failureDomain, ordinary, spot }) => ({
+      failureDomain,
+      ordinary: undefined,
+      spot: Math.max(spot, Math.min(ordinary, bounds.maxServers - ordinary)),
+    }));
+}
+
+function sumOf(
+  servers: readonly DomainServers[],
+  read: (domain: DomainServers) => number,
 ): number {
-  const price = bounds.domainPrices.get(failureDomain) ?? 1;
-  return price * (spot ? bounds.spotPrice : 1);
+  return servers.reduce((sum, domain) => sum + read(domain), 0);
+}
+
+function countSpot({ servers }: Round, failureDomain: string): number {
+  return servers.find((one) => one.failureDomain === failureDomain)?.spot ?? 0;
+}
+
+/** Price of a server against that of the others of its kind. */
+function getPrice(bounds: routes.ScalingBounds, failureDomain: string): number {
+  return bounds.domainPrices.get(failureDomain) ?? 1;
+}
+
+/** Servers that a failure domain may be given. */
+interface DomainRoom {
+  readonly failureDomain: string;
+  readonly least: number;
+  readonly most: number;
 }
 
 /** Gives each failure domain its least, then one at a time to each in its rank. */
 function spreadEvenly(
   total: number,
-  { ranked, bounds }: {
-    readonly ranked: readonly string[];
-    readonly bounds: routes.ScalingBounds;
-  },
+  { domains }: { readonly domains: readonly DomainRoom[] },
 ): ReadonlyMap<string, number> {
-  const counts = new Map(ranked.map((domain) => [domain, bounds.minServers]));
-  let left = total - ranked.length * bounds.minServers;
+  const counts = new Map(
+    domains.map(({ failureDomain, least }) => [failureDomain, least]),
+  );
+  const sum = domains.reduce((least, domain) => least + domain.least, 0);
+  let left = total - sum;
   while (left > 0) {
-    const open = ranked.filter((domain) =>
-      (counts.get(domain) ?? 0) < bounds.maxServers
+    const open = domains.filter(({ failureDomain, most }) =>
+      (counts.get(failureDomain) ?? 0) < most
     );
     if (open.length === 0) break;
-    open.slice(0, left).forEach((domain) =>
-      counts.set(domain, (counts.get(domain) ?? 0) + 1)
+    open.slice(0, left).forEach(({ failureDomain }) =>
+      counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1)
     );
     left -= open.length;
   }
