--- a/packages/banyangrade/certificates_test.ts
+++ b/packages/banyangrade/certificates_test.ts
@@ -40,7 +40,7 @@
       port: 0,
       secrets: ["new", "old"],
       tls: trusted,
-      handlers: buildHandlers(),
+      router: peer.buildRouter(buildHandlers()),
     });
     t.teardown(server.close);
     const askWith = async (secret: string, pair: peer.PeerTls) => {
--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -90,6 +90,11 @@
     return this.#options.dispatcher.countByTarget();
   }
 
+  /** Requests running at each engine. */
+  countByEngine(): Record<string, number> {
+    return this.#options.dispatcher.countByEngine();
+  }
+
   /** Takes over the demand of all hosts for a model or service. */
   setDemand(target: string, demand: core.PromptDemand): void {
     this.#options.dispatcher.setDemand(target, demand);
--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -91,7 +91,7 @@
       ...split(settings.peer.address),
       secrets: settingsModule.readSecrets(settings),
       tls: parts.certificates.getPeer(),
-      handlers: buildHandlers(parts),
+      router: peer.buildRouter(buildHandlers(parts)),
     }),
     caller: await caller.startCallerServer({
       ...split(settings.caller.address),
--- /dev/null
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -0,0 +1,147 @@
+/** Following the store by way of a relay: ages, losses, and what is answered. */
+import * as tapModule from "tap";
+import type * as peer from "@banyangrade/peer";
+import * as store from "@banyangrade/store";
+import * as utils from "@banyangrade/utils";
+import * as relayedFeed from "./routed/relayed_feed.ts";
+
+const tap = tapModule.default;
+const PREFIX = "servers/";
+const LOST = utils.createStepError("unreachable", {
+  step: "store.poll",
+  peer: "store",
+  message: "No answer.",
+});
+
+interface World {
+  readonly clock: utils.VirtualClock;
+  /** What the store answers to polls. */
+  changes: utils.Result<store.Changes, utils.StepError>;
+  /** What the relay answers to any call; undefined for no relay. */
+  relayed: peer.RelayedChanges | peer.RelayedSnapshot | undefined;
+  /** Calls that reached the store. */
+  readonly asked: string[];
+}
+
+function buildWorld(): World {
+  return {
+    clock: utils.createVirtualClock(),
+    changes: utils.Ok({ changes: [], revision: 5 }),
+    relayed: undefined,
+    asked: [],
+  };
+}
+
+function buildFeed(world: World): relayedFeed.RelayedFeed {
+  return new relayedFeed.RelayedFeed({
+    feed: {
+      readAll: () => {
+        world.asked.push("readAll");
+        return Promise.resolve(utils.Ok({ entries: [], revision: 5 }));
+      },
+      pollChanges: () => {
+        world.asked.push("poll");
+        return Promise.resolve(world.changes);
+      },
+    },
+    relay: {
+      callRelay: <Answer>() =>
+        Promise.resolve(world.relayed as Answer | undefined),
+    },
+    clock: world.clock,
+    withdrawMs: 5_000,
+  });
+}
+
+const poll = (feed: relayedFeed.RelayedFeed) =>
+  feed.pollChanges(PREFIX, { after: 5, waitMs: 0 });
+
+tap.test("with a relay that has recent word the store is not asked", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  world.relayed = { kind: "changes", changes: [], revision: 5, ageMs: 800 };
+  const polled = await poll(feed);
+  t.match(polled, { ok: true, val: { ageMs: 800 } });
+  t.same(world.asked, []);
+});
+
+// The relay is gone. Its followers must not stay without word until another
+// host has its lease.
+tap.test("without a relay the store is asked", async (t) => {
+  const world = buildWorld();
+  t.ok((await poll(buildFeed(world))).ok);
+  t.same(world.asked, ["poll"]);
+});
+
+// The relay alone is cut off from the store, and says so by the age of its
+// word. A key may have been withdrawn that it does not know of.
+tap.test("a relay with old word is not relied on", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  world.relayed = { kind: "changes", changes: [], revision: 5, ageMs: 3_000 };
+  await poll(feed);
+  const second = await poll(feed);
+  t.same(world.asked, ["poll"]);
+  t.equal(second.ok && second.val.ageMs, undefined, "the store's own word");
+  // Both have none: the failure counts, as it would without a relay.
+  world.changes = utils.Err(LOST);
+  t.ok((await poll(feed)).err);
+  // The relay is back before the store answers this host.
+  world.relayed = { kind: "changes", changes: [], revision: 5, ageMs: 100 };
+  t.match(await poll(feed), { ok: true, val: { ageMs: 100 } });
+  world.asked.length = 0;
+  await poll(feed);
+  t.same(world.asked, []);
+});
+
+tap.test("a relay that has not read a prefix says so", async (t) => {
+  const feed = buildFeed(buildWorld());
+  t.same(feed.answerReadAll(PREFIX), { kind: "unready" });
+  t.same(
+    await feed.answerPoll({ prefix: PREFIX, after: 0, waitMs: 0 }),
+    { kind: "unready" },
+  );
+});
+
+// Ages add up over relays: the word of a follower that answers as a relay is as
+// old as that of the relay it had it from, and older by what has passed since.
+tap.test("a proof does not become newer on its way", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  world.relayed = { kind: "snapshot", entries: [], revision: 5, ageMs: 900 };
+  await feed.readAll(PREFIX);
+  world.clock.advance(200);
+  const answer = await feed.answerPoll({ prefix: PREFIX, after: 5, waitMs: 0 });
+  t.match(answer, { kind: "changes", ageMs: 1_100 });
+});
+
+// A call is kept while a change comes. The age is that at the call's arrival,
+// from which its sender reckons, so the wait makes no word newer than it is.
+tap.test("a change ends the wait, and the age is that of the call", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  await feed.readAll(PREFIX);
+  world.clock.advance(100);
+  const answer = feed.answerPoll({ prefix: PREFIX, after: 5, waitMs: 60_000 });
+  world.clock.advance(400);
+  const entry = { key: "servers/a", value: "{}", modRevision: 6 };
+  world.changes = utils.Ok({ changes: [{ kind: "put", entry }], revision: 6 });
+  await poll(feed);
+  t.match(await answer, {
+    kind: "changes",
+    changes: [{ kind: "put", entry }],
+    ageMs: -400,
+  });
+});
+
+tap.test("who is behind what is remembered reads in full", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  await feed.readAll(PREFIX);
+  t.same(
+    await feed.answerPoll({ prefix: PREFIX, after: 4, waitMs: 0 }),
+    { kind: "gone" },
+  );
+  world.relayed = { kind: "gone" };
+  t.match(await poll(feed), { err: true, val: { code: "not_found" } });
+});
--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -19,7 +19,7 @@
 const SERVERS_WAIT_MS = 3_000;
 /** Pause that gathers changes, in ms: a twentieth of the time in which one must be in force. */
 const SETTLE_MS = 100;
-/** Hosts that share the store's rates with that pause for servers; more take a longer one. */
+/** Hosts that follow the store itself and share its rates with that pause for servers; more take a longer one. */
 const HOSTS_PER_SETTLE = 16;
 /** Longest pause for servers, in ms: a fifth of the time in which one may leave. */
 const MAX_SETTLE_MS = 400;
@@ -38,13 +38,14 @@
 /** Options of {@link BeliefTask}. */
 export interface BeliefOptions {
   readonly platform: ports.Platform;
+  readonly feed: store.FeedClient;
   /** Counts suspensions, so that a proof does not outlast one. */
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
   readonly withdrawMs: number;
   /** Time within which a leaving server must get no more work, in ms. */
   readonly leaveMs: number;
-  /** Hosts that share the store's rates. */
+  /** Hosts that follow the store itself. */
   readonly countHosts: () => number;
   readonly onConfiguration: (table: core.RouteTable) => void;
   readonly onServers: (servers: readonly core.ListedServer[]) => void;
@@ -68,8 +69,7 @@
 
   /** Starts following both prefixes. */
   start(): void {
-    const { platform, clock } = this.#options;
-    const { store: feed } = platform;
+    const { platform, feed, clock } = this.#options;
     const expiry = setInterval(() => this.#expire(), EXPIRE_MS);
     this.#stops.push(
       store.watchPrefix({
--- a/packages/banyangrade/routed/ports.ts
+++ b/packages/banyangrade/routed/ports.ts
@@ -106,6 +106,8 @@
   readonly failureDomains: readonly string[];
   readonly callerAddress: string;
   readonly readinessAddress: string;
+  /** Where other hosts reach this one; undefined if each follows the store by itself. */
+  readonly peerAddress: string | undefined;
   /** Where metrics are served; undefined for nowhere. */
   readonly metricsAddress: string | undefined;
   readonly retries: core.RetryBound;
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -1,69 +1,35 @@
 /**
- * What hosts tell each other through the store: that they live, what they
- * serve, and what they counted. Each host keeps one entry under a lease, so
- * that the counts of one that was killed outlast it for a while.
+ * What hosts tell each other: that they live, what they serve and what they
+ * counted. A host tells its relay. The relay publishes the words of all its
+ * followers in one entry of the store, under a lease, so that what a host
+ * counted outlasts both; and it exchanges sums of them with the other relays.
  */
-import type * as core from "@banyangrade/core";
+import * as core from "@banyangrade/core";
+import type * as peer from "@banyangrade/peer";
 import type * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
+import type * as relayTask from "./relay_task.ts";
 
 /** Prefix of the entries. */
 const PREFIX = "banyangrade/hosts/";
 /** Length of a round, in ms; also what a host that is killed loses of its counts. */
 const ROUND_MS = 1_000;
-/** Hosts of which each publishes in every round; with more, each does so more seldom, since all share the store's rates. */
-const HOSTS_PER_ROUND = 24;
-/** Publications after which a host without a role looks at the others. */
+/** Time until the first round, in ms: the relay is found by then, and until it this host does not know how many share the retry budget. */
+const FIRST_ROUND_MS = 300;
+/** Rounds after which a host without a role looks at the entries: for relays that are new. */
 const ROUNDS_PER_LOOK = 4;
 /** Tries to publish in one round: after the entry and its lease have both gone. */
 const PUBLISH_TRIES = 3;
-/** Length of the lease in seconds: three usage windows, in which a window is fixed even by a second holder of the role. */
-const LEASE_SECONDS = 15;
-/** Between two renewals, in ms. */
+/** Time since its last publication for which a relay says that it publishes, in ms: two rounds and a slow call. */
+const PUBLISHES_MS = 2_500;
+/** Between two renewals of the entry's lease, in ms. */
 const RENEW_MS = 4_000;
 
-/** What a host tells the others. */
-export interface HostEntry {
-  readonly host: string;
-  readonly incarnation: string;
-  /** Its own true time of day when it published this, Unix ms. */
-  readonly at: number;
-  /** Requests running and queued by service and length of prompt. */
-  readonly demand: Readonly<Record<string, core.PromptDemand>>;
-  readonly usage: core.WindowTable;
-}
-
-/**
- * Sums the demand of all hosts for a service.
- *
- * @example
- * sumDemand(entries, "planner").short; // 41
- */
-export function sumDemand(
-  entries: readonly HostEntry[],
-  service: string,
-): core.PromptDemand {
-  return entries.reduce((sum, { demand }) => ({
-    short: sum.short + (demand[service]?.short ?? 0),
-    long: sum.long + (demand[service]?.long ?? 0),
-  }), { short: 0, long: 0 });
-}
-
-/**
- * Keeps the newest entry of each host.
- *
- * @example
- * listCurrent(entries).length; // hosts
- */
-export function listCurrent(entries: readonly HostEntry[]): HostEntry[] {
-  const newest = new Map<string, HostEntry>();
-  entries.forEach((entry) => {
-    const known = newest.get(entry.host);
-    if (known === undefined || known.at < entry.at) {
-      newest.set(entry.host, entry);
-    }
-  });
-  return [...newest.values()];
+/** What one entry of the store holds. */
+interface PublishedWords {
+  /** How other relays reach the host that published it; absent if it is none. */
+  readonly contact?: store.RoleContact;
+  readonly words: readonly core.HostWord[];
 }
 
 /** Options of {@link PresenceTask}. */
@@ -73,19 +39,36 @@
   readonly log: utils.Logger;
   readonly host: string;
   readonly incarnation: string;
-  readonly describe: () => HostEntry;
-  /** Whether this host holds a role, for which it looks at the others often. */
+  readonly relay: Pick<
+    relayTask.RelayTask,
+    "callRelay" | "callContact" | "getContact" | "closeIdle"
+  >;
+  readonly describe: () => core.HostWord;
+  /** Whether this host holds a role, for which it looks at the entries often. */
   readonly hasRole: () => boolean;
-  readonly onEntries: (entries: readonly HostEntry[]) => void;
+  /** Told what is known of all other hosts. */
+  readonly onOthers: (digest: core.HostsDigest) => void;
+}
+
+interface Received {
+  readonly digest: core.HostsDigest;
+  readonly at: number;
 }
 
-/** Publishes this host's entry and reads the others'. */
+/** Tells of this host, and hears of the others. */
 export class PresenceTask {
   readonly #options: PresenceOptions;
+  /** Own words and those of followers. */
+  readonly #words = new core.HostWords();
+  /** Other relays by address, and what they last summed up. */
+  #contacts: readonly store.RoleContact[] = [];
+  readonly #received = new Map<string, Received>();
   readonly #stops: (() => void)[] = [];
   #lease: string | undefined;
   #revision = 0;
-  #entries: readonly HostEntry[] = [];
+  #publishedRound = Number.NEGATIVE_INFINITY;
+  #publishedAt = Number.NEGATIVE_INFINITY;
+  #published: readonly core.HostWord[] = [];
   #round = 0;
   #readAt = Number.NEGATIVE_INFINITY;
 
@@ -94,30 +77,28 @@
   }
 
   start(): void {
+    const first = setTimeout(() => this.#runRound(), FIRST_ROUND_MS);
     this.#stops.push(
+      () => clearTimeout(first),
       utils.startInterval(ROUND_MS, () => this.#runRound()),
       utils.startInterval(RENEW_MS, () => this.#renew()),
     );
   }
 
-  /** Publishes the last counts; they stay until the lease ends. */
+  /** Tells the last counts; they stay until the lease ends. */
   async stop(): Promise<void> {
     this.#stops.splice(0).forEach((stop) => stop());
-    await this.#publish();
+    this.#words.take(this.#options.describe(), this.#options.clock.now());
+    const answer = await this.#reportToRelay();
+    if (!answer?.publishes) await this.#publish();
   }
 
   /**
-   * The entries of all hosts as last read: the newest of each host, and older
-   * ones of its earlier incarnations, whose counts still stand.
+   * The words of all hosts as last published, the newest of each process;
+   * those of earlier processes included, whose counts still stand.
    */
-  list(): readonly HostEntry[] {
-    return this.#entries;
-  }
-
-  /** Time between two publications of a host, in ms. */
-  getPublishMs(): number {
-    const hosts = listCurrent(this.#entries).length;
-    return ROUND_MS * Math.max(1, Math.ceil(hosts / HOSTS_PER_ROUND));
+  listPublished(): readonly core.HostWord[] {
+    return this.#published;
   }
 
   /** Monotonic time at which they were read; before the first time, none is. */
@@ -125,48 +106,150 @@
     return this.#readAt;
   }
 
+  /** Takes a follower's words, its own first, and says what is known of the others. */
+  takeWords(words: readonly core.HostWord[]): peer.ReportAnswer {
+    const now = this.#options.clock.now();
+    words.forEach((word) => this.#words.take(word, now));
+    return {
+      others: this.#sumOthers({ without: words[0]?.host ?? "" }),
+      publishes: now - this.#publishedAt <= PUBLISHES_MS,
+    };
+  }
+
+  /** Hosts that follow the store itself, as far as they are known: the relays. */
+  countRelays(): number {
+    return this.#contacts.length + 1;
+  }
+
+  /** Sums up this host and its followers, for other relays. */
+  getDigest(): core.HostsDigest {
+    return this.#words.sum(this.#options.clock.now());
+  }
+
   async #runRound(): Promise<void> {
-    const every = this.getPublishMs() / ROUND_MS;
-    const round = this.#round;
+    const { hasRole, relay, clock, host } = this.#options;
     this.#round += 1;
-    if (round % every === 0) await this.#publish();
-    const looks = round % (ROUNDS_PER_LOOK * every) === 0;
-    if (looks || this.#options.hasRole()) await this.#readOthers();
+    this.#words.take(this.#options.describe(), clock.now());
+    const answer = await this.#reportToRelay();
+    if (!answer?.publishes) await this.#publish();
+    const looks = answer === undefined && this.#round % ROUNDS_PER_LOOK === 1;
+    if (looks || hasRole()) await this.#readPublished();
+    if (answer !== undefined) return this.#options.onOthers(answer.others);
+    if (relay.getContact() !== undefined) await this.#askRelays();
+    this.#options.onOthers(this.#sumOthers({ without: host }));
+    relay.closeIdle();
+  }
+
+  /** Tells the relay; undefined if there is none that answers. */
+  #reportToRelay(): Promise<peer.ReportAnswer | undefined> {
+    const words = [this.#options.describe()];
+    return this.#options.relay.callRelay({
+      step: "relay.report",
+      run: (client, signal) => client.report.mutate(words, { signal }),
+    });
+  }
+
+  /**
+   * Gives the words to any other relay. The store turns this host away while it
+   * serves others: what it and its followers counted would be missing from a
+   * usage window that is fixed meanwhile.
+   */
+  async #handOver(): Promise<void> {
+    const { relay, clock, host } = this.#options;
+    const words = this.#words.list(clock.now())
+      .toSorted((a, b) => Number(b.host === host) - Number(a.host === host));
+    for (const contact of this.#contacts) {
+      const answer = await relay.callContact(contact, {
+        step: "relay.handOver",
+        run: (client, signal) => client.report.mutate(words, { signal }),
+      });
+      if (answer?.publishes) return;
+    }
+  }
+
+  /** Asks the other relays for their sums, all at once. */
+  async #askRelays(): Promise<void> {
+    const { relay, clock } = this.#options;
+    await Promise.all(this.#contacts.map(async (contact) => {
+      const digest = await relay.callContact(contact, {
+        step: "relay.digest",
+        run: (client, signal) => client.digest.query(undefined, { signal }),
+      });
+      if (digest === undefined) return;
+      this.#received.set(contact.address, { digest, at: clock.now() });
+    }));
+  }
+
+  /**
+   * Sums up what is known of all hosts but one. Hosts of a failure domain that
+   * is out of reach still share what all hosts share, so their number counts on.
+   */
+  #sumOthers(options: { readonly without: string }): core.HostsDigest {
+    const now = this.#options.clock.now();
+    [...this.#received].filter(([, { at }]) => now - at > core.KEEP_WORD_MS)
+      .forEach(([address]) => this.#received.delete(address));
+    const sum = core.mergeDigests([
+      this.#words.sum(now, options),
+      ...[...this.#received.values()].map(({ digest, at }) =>
+        core.dropOldWork(digest, now - at)
+      ),
+    ]);
+    return { ...sum, hosts: Math.max(sum.hosts, this.#countPublished() - 1) };
+  }
+
+  #countPublished(): number {
+    const recent =
+      this.#options.clock.now() - this.#readAt <= core.KEEP_WORD_MS;
+    return recent ? core.listCurrentWords(this.#published).length : 0;
   }
 
   /** Publishes; once more at once where the entry or its lease had gone. */
   async #publish(): Promise<void> {
-    for (let left = PUBLISH_TRIES; left > 0; left -= 1) {
-      if (await this.#tryPublish()) return;
-    }
+    const { clock } = this.#options;
+    this.#publishedRound = this.#round;
+    const sentAt = clock.now();
+    let left = PUBLISH_TRIES;
+    while (left > 0 && !await this.#tryPublish()) left -= 1;
+    if (this.#publishedAt < sentAt) await this.#handOver();
   }
 
   /** Tries once; false if another try may succeed at once. */
   async #tryPublish(): Promise<boolean> {
-    const { store: client, host, incarnation } = this.#options;
+    const { store: client, host, incarnation, clock, relay } = this.#options;
     if (this.#lease === undefined) {
-      const granted = await client.grantLease(LEASE_SECONDS);
+      const granted = await client.grantLease(core.KEEP_WORD_MS / 1_000);
       if (granted.err) return this.#recordFailure(granted.val);
       this.#lease = granted.val;
     }
+    const contact = relay.getContact();
+    const published: PublishedWords = {
+      ...(contact && { contact }),
+      words: this.#words.list(clock.now()),
+    };
     const swapped = await client.swap({
       key: `${PREFIX}${host}/${incarnation}`,
       expected: this.#revision,
-      value: JSON.stringify(this.#options.describe()),
+      value: JSON.stringify(published),
       lease: this.#lease,
     });
     if (swapped.err) return this.#recordFailure(swapped.val);
     // An earlier write whose answer was lost took effect, or the entry went
     // with its lease: the next round goes on from what there is.
+    const won = swapped.val.kind === "won";
     this.#revision = swapped.val.kind === "won"
       ? swapped.val.modRevision
       : swapped.val.current?.modRevision ?? 0;
-    return swapped.val.kind === "won";
+    if (won) this.#publishedAt = clock.now();
+    return won;
   }
 
+  /** Renews the entry's lease while this host publishes; else the entry may go. */
   async #renew(): Promise<void> {
     const lease = this.#lease;
     if (lease === undefined) return;
+    if (this.#round - this.#publishedRound > ROUNDS_PER_LOOK) {
+      return this.#drop();
+    }
     const renewed = await this.#options.store.renewLease(lease);
     if (renewed.ok && !renewed.val && this.#lease === lease) this.#drop();
   }
@@ -177,16 +260,22 @@
     this.#revision = 0;
   }
 
-  async #readOthers(): Promise<void> {
+  async #readPublished(): Promise<void> {
     const sentAt = this.#options.clock.now();
     const listed = await this.#options.store.list(PREFIX);
     if (listed.err) return void this.#recordFailure(listed.val);
-    this.#entries = listed.val.flatMap((entry) => {
-      const parsed = utils.parseJson(entry.value) as HostEntry | undefined;
-      return parsed === undefined ? [] : [parsed];
-    });
+    const own = `${PREFIX}${this.#options.host}/${this.#options.incarnation}`;
+    const published = listed.val.map(({ key, value }) => ({
+      key,
+      ...utils.parseJson(value) as PublishedWords | undefined,
+    }));
+    this.#published = keepNewest(
+      published.flatMap(({ words = [] }) => words),
+    );
+    this.#contacts = published.flatMap(({ key, contact }) =>
+      contact === undefined || key === own ? [] : [contact]
+    );
     this.#readAt = sentAt;
-    this.#options.onEntries(this.#entries);
   }
 
   /**
@@ -200,3 +289,13 @@
     return false;
   }
 }
+
+/** Keeps the newest word of each process: a host that changed its relay stands in two entries. */
+function keepNewest(words: readonly core.HostWord[]): core.HostWord[] {
+  const newest = new Map<string, core.HostWord>();
+  words.forEach((word) => {
+    const key = `${word.host}/${word.incarnation}`;
+    if ((newest.get(key)?.at ?? -Infinity) < word.at) newest.set(key, word);
+  });
+  return [...newest.values()];
+}
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -4,7 +4,6 @@
 import * as usage from "@banyangrade/usage";
 import * as utils from "@banyangrade/utils";
 import type * as ports from "./ports.ts";
-import * as presence from "./presence_task.ts";
 
 /** Margin of a lease for clock drift and scheduling, in ms. */
 const LEASE_MARGIN_MS = 400;
@@ -24,8 +23,8 @@
 const PARTIAL_SHARE = 0.5;
 /** Time before a report is due at which a window is fixed in any case, in ms: a round and the calls. */
 const FIX_MARGIN_MS = 1_500;
-/** Age up to which the hosts' entries count as read, in ms: two rounds. */
-const ENTRIES_VALID_MS = 2_500;
+/** Age up to which the hosts' words count as read, in ms: two rounds. */
+const WORDS_VALID_MS = 2_500;
 /** Time after which an order that shows no effect is sent again, in ms, beyond the time a server takes to start. */
 const REPEAT_MS = 3_000;
 /** All usage windows are one subject. */
@@ -39,13 +38,17 @@
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
   readonly incarnation: string;
-  readonly isReady: () => boolean;
   readonly getTrueTime: () => number;
   readonly getConfiguration: () => core.RoutingConfiguration | undefined;
   readonly listServers: () => readonly core.ListedServer[];
-  readonly listEntries: () => readonly presence.HostEntry[];
-  /** Monotonic time at which the entries were read. */
-  readonly getEntriesAt: () => number;
+  /** The published words of all hosts. */
+  readonly listWords: () => readonly core.HostWord[];
+  /** Monotonic time at which they were read. */
+  readonly getWordsAt: () => number;
+  /** Hosts that try for the roles. */
+  readonly countCandidates: () => number;
+  /** Whether this host is one of them. */
+  readonly isCandidate: () => boolean;
 }
 
 interface SentOrder {
@@ -105,7 +108,7 @@
       flightMs: 0,
       isCandidate: () => {
         this.#round += 1;
-        return this.#options.isReady() &&
+        return this.#options.isCandidate() &&
           this.#round % this.#countRoundsPerTry() === 0;
       },
       onChange: () => this.#sent.clear(),
@@ -114,8 +117,8 @@
 
   #countRoundsPerTry(): number {
     const roundMs = this.#options.settings.leaseMs / ROUNDS_PER_LEASE;
-    const hosts = presence.listCurrent(this.#options.listEntries()).length;
-    return Math.max(1, Math.round(hosts * TRY_MS / roundMs));
+    const tries = this.#options.countCandidates() * TRY_MS / roundMs;
+    return Math.max(1, Math.round(tries));
   }
 
   #getLease(): core.LeaseState {
@@ -131,10 +134,10 @@
     if (!this.#isInCharge("usage")) return;
     const { platform, clock, log } = this.#options;
     // A host that has just won the role has not read the others' counts yet.
-    const age = clock.now() - this.#options.getEntriesAt();
-    if (age > ENTRIES_VALID_MS) return;
+    const age = clock.now() - this.#options.getWordsAt();
+    if (age > WORDS_VALID_MS) return;
     this.#collector.setTables(
-      this.#options.listEntries().map((entry) => entry.usage),
+      this.#options.listWords().map((word) => word.usage),
     );
     const round = await usage.reportWindows({
       store: platform.store,
@@ -156,10 +159,10 @@
 
   /** Finds the newest window that can be fixed. */
   #findLastClosed(): number {
-    const { settings, getTrueTime, listEntries } = this.#options;
+    const { settings, getTrueTime, listWords } = this.#options;
     return core.findLastWindow({
       now: getTrueTime(),
-      publishedAt: presence.listCurrent(listEntries()).map(({ at }) => at),
+      publishedAt: core.listCurrentWords(listWords()).map(({ at }) => at),
       windowMs: settings.usageWindowMs,
       countsMs: COUNTS_MS,
       partialMs: PARTIAL_SHARE * settings.usageDueMs,
@@ -188,8 +191,8 @@
     if (scaling === undefined) return [];
     const planner = this.#planners.get(name) ?? new core.DomainPlanner();
     this.#planners.set(name, planner);
-    const { short, long } = presence.sumDemand(
-      presence.listCurrent(this.#options.listEntries()),
+    const { short, long } = core.sumDemand(
+      core.listCurrentWords(this.#options.listWords()),
       name,
     );
     const planned = planner.plan({
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -31,6 +31,7 @@
   const parts = routedParts.buildRoutedParts(options);
   const servers = await startServers(parts);
   addGauges(parts);
+  await parts.relay.start();
   parts.belief.start();
   parts.presence.start();
   parts.roles.start();
@@ -80,8 +81,12 @@
 
 /** Ages of beliefs, open work and roles, read when the metrics are. */
 function addGauges(
-  { metrics, belief, dispatch, roles }: routedParts.RoutedParts,
+  { metrics, belief, dispatch, roles, relay }: routedParts.RoutedParts,
 ): void {
+  metrics.addGauge("banyangrade_is_relay", {
+    help: "1 while this host follows the store for its failure domain.",
+    read: () => relay.isRelay() ? 1 : 0,
+  });
   metrics.addGauge("banyangrade_proof_age_seconds", {
     help: "Age of the last word from the store.",
     read: () => belief.getAge() / 1_000,
@@ -101,14 +106,19 @@
 }
 
 async function drainHost(
-  { settings, state, clock, log, dispatch, roles }: routedParts.RoutedParts,
+  { settings, state, clock, log, dispatch, roles, relay }:
+    routedParts.RoutedParts,
   { ingress }: HostServers,
 ): Promise<void> {
   const until = clock.now() + settings.graceMs - STOP_MARGIN_MS;
   state.draining = true;
   log.info({ open: dispatch.countOpen() }, "Draining.");
   // Requests are still taken until the balancer has seen it.
-  await Promise.all([roles.stop(), utils.waitFor(BALANCER_NOTICE_MS)]);
+  await Promise.all([
+    roles.stop(),
+    relay.stop(),
+    utils.waitFor(BALANCER_NOTICE_MS),
+  ]);
   // A connection that was busy all the while may bring one more request,
   // which could outlast the stop; its caller loses less by going elsewhere.
   state.closed = true;
@@ -124,12 +134,17 @@
   { ingress, readiness, operations }: HostServers,
 ): Promise<void> {
   parts.belief.stop();
-  await Promise.all([parts.roles.stop(), parts.presence.stop()]);
+  await Promise.all([
+    parts.roles.stop(),
+    parts.relay.stop(),
+    parts.presence.stop(),
+  ]);
   parts.dispatch.stop();
   ingress.close();
   readiness.close();
   await Promise.all([
     operations?.close(),
+    parts.relay.close(),
     parts.pools.close(),
     parts.platform.store.close(),
   ]);
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -12,6 +12,8 @@
 import type * as ingressModule from "./ingress.ts";
 import type * as ports from "./ports.ts";
 import * as presenceTask from "./presence_task.ts";
+import * as relayTask from "./relay_task.ts";
+import * as relayedFeed from "./relayed_feed.ts";
 import * as rolesTask from "./roles_task.ts";
 import * as routedExchange from "./routed_exchange.ts";
 import * as routedFront from "./routed_front.ts";
@@ -37,6 +39,10 @@
   readonly budget: core.WindowRetryBudget;
   readonly counter: core.WindowCounter;
   readonly dispatch: dispatchTask.DispatchTask;
+  /** Servers lost of late, and the requests that they ran. */
+  readonly marks: core.MarkSet;
+  readonly relay: relayTask.RelayTask;
+  readonly feed: relayedFeed.RelayedFeed;
   readonly belief: beliefTask.BeliefTask;
   readonly presence: presenceTask.PresenceTask;
   readonly roles: rolesTask.RolesTask;
@@ -48,8 +54,20 @@
 /** Parts while they are being added. */
 type Draft = { -readonly [Name in keyof RoutedParts]: RoutedParts[Name] };
 
-/** Servers lost to one request before it is run apart from others. */
-const ISOLATE_AFTER = 2;
+/**
+ * A request is run apart once it has taken two servers, and refused after
+ * three. Every host knows of all of them: sixty hosts that each let it take two
+ * would lose every server to it.
+ */
+const SUSPECTS: core.SuspectOptions = {
+  isolateAfter: 2,
+  poisonLimit: 3,
+  // Callers send again after any loss, mostly to another host; only what has
+  // taken several servers waits.
+  holdsForeign: false,
+};
+/** Time for which the other hosts are told of a lost server, in ms: some words, so that each hears of it. */
+const MARK_MS = 10_000;
 /** Hosts that are taken to share budgets and connections before their number is known. */
 const HOSTS_AT_FIRST = 8;
 
@@ -62,6 +80,7 @@
 export function buildRoutedParts(options: RoutedHostOptions): RoutedParts {
   const draft = buildBase(options) as Draft;
   addDispatch(draft);
+  addRelay(draft);
   addBelief(draft);
   addPresence(draft);
   addRoles(draft);
@@ -99,6 +118,7 @@
     budget: new core.WindowRetryBudget(settings.retries, {
       hosts: HOSTS_AT_FIRST,
     }),
+    marks: new core.MarkSet(),
   };
 }
 
@@ -113,15 +133,44 @@
       budget,
       preempts: false,
       leastRetryMs: routedExchange.LEAST_RETRY_MS,
-      isolateAfter: ISOLATE_AFTER,
+      suspects: SUSPECTS,
       dividesEngines: true,
     }),
-    // Hosts share neither marks of servers lost nor slots here.
-    onSuspect: () => undefined,
+    onSuspect: ({ mark }) =>
+      void draft.marks.add({ ...mark, until: clock.now() + MARK_MS }),
     onAskCapacity: () => undefined,
   });
 }
 
+function addRelay(draft: Draft): void {
+  const { settings, platform, clocks, log, incarnation, state } = draft;
+  draft.relay = new relayTask.RelayTask({
+    store: platform.store,
+    clock: clocks.lease,
+    log: utils.createPartLogger(log, "relay"),
+    host: settings.host,
+    incarnation,
+    failureDomain: settings.failureDomain,
+    address: settings.peerAddress,
+    getHandlers: () => ({
+      readAll: (prefix) => draft.feed.answerReadAll(prefix),
+      pollChanges: (message) => {
+        // Its followers look for another relay while this one still answers.
+        if (state.draining) throw new Error("This host is stopping.");
+        return draft.feed.answerPoll(message);
+      },
+      report: (words) => draft.presence.takeWords(words),
+      getDigest: () => draft.presence.getDigest(),
+    }),
+  });
+  draft.feed = new relayedFeed.RelayedFeed({
+    feed: platform.store,
+    relay: draft.relay,
+    clock: clocks.lease,
+    withdrawMs: settings.withdrawMs,
+  });
+}
+
 function addBelief(draft: Draft): void {
   const { settings, platform, clocks, log } = draft;
   draft.belief = new beliefTask.BeliefTask({
@@ -130,7 +179,8 @@
     log: utils.createPartLogger(log, "belief"),
     withdrawMs: settings.withdrawMs,
     leaveMs: settings.leaveMs,
-    countHosts: () => presenceTask.listCurrent(draft.presence.list()).length,
+    feed: draft.feed,
+    countHosts: () => draft.presence.countRelays(),
     onConfiguration: ({ configuration }) => {
       draft.ingress?.setLimits(configuration.limits);
       draft.dispatch.send({
@@ -154,18 +204,30 @@
     log: utils.createPartLogger(log, "presence"),
     host: settings.host,
     incarnation,
-    describe: () => ({
-      host: settings.host,
-      incarnation,
-      at: clocks.getTrueTime(),
-      demand: draft.dispatch.countByTarget(),
-      usage: draft.counter.list(),
-    }),
+    relay: draft.relay,
+    describe: () => describeHost(draft),
     hasRole: () => draft.roles.hasRole(),
-    onEntries: (entries) => applyEntries(draft, entries),
+    onOthers: (digest) => applyOthers(draft, digest),
   });
 }
 
+/** What this host tells the others. */
+function describeHost(
+  { settings, incarnation, clock, clocks, counter, dispatch, marks }: Draft,
+): core.HostWord {
+  marks.removeLapsed(clock.now());
+  return {
+    host: settings.host,
+    incarnation,
+    at: clocks.getTrueTime(),
+    demand: dispatch.countByTarget(),
+    running: dispatch.countByEngine(),
+    usage: counter.list(),
+    suspects: marks.list()
+      .map(({ fingerprint, server }) => ({ fingerprint, server })),
+  };
+}
+
 function addRoles(draft: Draft): void {
   const { settings, platform, clocks, log, incarnation } = draft;
   draft.roles = new rolesTask.RolesTask({
@@ -174,12 +236,15 @@
     clock: clocks.lease,
     log: utils.createPartLogger(log, "roles"),
     incarnation,
-    isReady: () => isReady(draft),
+    isCandidate: () =>
+      isReady(draft) &&
+      (settings.peerAddress === undefined || draft.relay.isRelay()),
+    countCandidates: () => draft.presence.countRelays(),
     getTrueTime: clocks.getTrueTime,
     getConfiguration: () => draft.belief.getTable()?.configuration,
     listServers: () => draft.belief.listServers(),
-    listEntries: () => draft.presence.list(),
-    getEntriesAt: () => draft.presence.getReadAt(),
+    listWords: () => draft.presence.listPublished(),
+    getWordsAt: () => draft.presence.getReadAt(),
   });
 }
 
@@ -230,24 +295,35 @@
   dispatch.send({ kind: "servers_changed", servers });
 }
 
-/** Takes over what the hosts have published. */
-function applyEntries(
-  { belief, budget, clocks, dispatch, pools, presence, settings }: Draft,
-  entries: readonly presenceTask.HostEntry[],
+/** Takes over what is known of all other hosts. */
+function applyOthers(
+  { belief, budget, clock, clocks, dispatch, pools }: Draft,
+  others: core.HostsDigest,
 ): void {
-  const current = presenceTask.listCurrent(entries);
-  budget.setHosts(current.length);
-  pools.setHosts(current.length);
-  belief.getTable()?.configuration.services.forEach(({ name }) =>
-    dispatch.setDemand(name, presenceTask.sumDemand(current, name))
-  );
-  clocks.updateTrueTime({
-    publishMs: presence.getPublishMs(),
-    others: current.filter((entry) => entry.host !== settings.host)
-      .map((entry) => entry.at),
+  budget.setHosts(others.hosts + 1);
+  pools.setHosts(others.hosts + 1);
+  const own = dispatch.countByTarget();
+  belief.getTable()?.configuration.services.forEach(({ name }) => {
+    const { short, long } = others.demand[name] ?? NO_DEMAND;
+    const mine = own[name] ?? NO_DEMAND;
+    dispatch.setDemand(name, {
+      short: short + mine.short,
+      long: long + mine.long,
+    });
+  });
+  dispatch.send({
+    kind: "load_shared",
+    running: others.running,
+    asOf: clock.now(),
   });
+  if (others.suspects.length > 0) {
+    dispatch.send({ kind: "suspected", marks: others.suspects });
+  }
+  clocks.updateTrueTime({ others: others.times });
 }
 
+const NO_DEMAND: core.PromptDemand = { short: 0, long: 0 };
+
 /** A server that started again under its identifier is another one: it knows nothing of the first. */
 function getServerName(listed: core.ListedServer): string {
   return `${listed.id}@${listed.bornAt}`;
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -61,6 +61,16 @@
     return counts;
   }
 
+  /** Requests running at each engine, for the other hosts. */
+  countByEngine(): Record<string, number> {
+    const { table } = this.#state;
+    return Object.fromEntries(
+      table.listServers()
+        .filter(({ pool, running }) => pool.serves === "engine" && running > 0)
+        .map(({ info, running }) => [info.name, running]),
+    );
+  }
+
   /** Servers, pools and lanes, for `status` and `explain`. */
   inspect(): {
     readonly servers: readonly serverState.ServerState[];
@@ -112,6 +122,9 @@
         state,
         state.table.get(event.report.server)?.pool.targets ?? [],
       );
+    case "load_shared":
+      state.table.recordAllElsewhere(event.running, event.asOf);
+      return starting.dispatchQueue(state);
     case "servers_changed":
       state.table.setServers(event.servers);
       return starting.dispatchQueue(state);
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -93,6 +93,8 @@
   /** Records that a failure domain has no reclaimable servers now. */
   recordUnavailable(failureDomain: string, now: number): void {
     this.#unavailable.set(failureDomain, now);
+    // What was refused does not start.
+    this.#ordered.delete(`${failureDomain}/spot`);
   }
 
   /** Plans the next orders; none is sent away before it is known what is there. */
--- a/packages/core/domain_orders_test.ts
+++ b/packages/core/domain_orders_test.ts
@@ -140,6 +140,18 @@
   t.end();
 });
 
+// An order for more is refused. What it asked for was taken to be on its way, so
+// the load that it was for had neither cheap servers nor ordinary ones.
+tap.test("servers that were refused are not on their way", (t) => {
+  const planner = startPlanner({ spot: 3 });
+  const heavy = buildDemand(300, { spot: 3 });
+  t.equal(sum(planner.plan(heavy, 500), "spot"), 28);
+  DOMAINS.forEach((domain) => planner.recordUnavailable(domain, 600));
+  const refused = planner.plan(heavy, 700);
+  t.equal(sum(refused, "ordinary"), 12, "24 at 0.4 of their 32 slots, less 12");
+  t.end();
+});
+
 // Cheap servers are nowhere to be had. Ordinary ones are ordered for answers
 // that would fail, not for a load that those that are left can bear.
 tap.test("ordinary servers come where there are no cheap ones at all", (t) => {
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -131,6 +131,12 @@
     readonly resumable: boolean;
   }
   | { readonly kind: "load_reported"; readonly report: LoadReport }
+  | {
+    /** What all other hosts run, by server; none is left out. */
+    readonly kind: "load_shared";
+    readonly running: Readonly<Record<string, number>>;
+    readonly asOf: number;
+  }
   | {
     readonly kind: "servers_changed";
     readonly servers: readonly ServerInfo[];
--- a/packages/core/freshness.ts
+++ b/packages/core/freshness.ts
@@ -50,14 +50,13 @@
   }
 }
 
-/** Distance from the other hosts' time at which the own one is doubted, in ms, beside half of the time between two publications. */
-const TRUST_MS = 700;
+/** Distance from the other hosts' time at which the own one is doubted, in ms: their word is some hops of up to a second old. */
+const TRUST_MS = 1_000;
 
-/** What the other hosts last published of their time. */
+/** What is known of the other hosts' time. */
 export interface OthersTime {
+  /** Their true times of day as they are now, a little late. */
   readonly others: readonly number[];
-  /** Time between two publications of a host, in ms. */
-  readonly publishMs: number;
 }
 
 /**
@@ -75,16 +74,13 @@
   }
 
   /** Takes over what the other hosts last published as their time. */
-  update(reading: ClockReading, { others, publishMs }: OthersTime): void {
+  update(reading: ClockReading, { others }: OthersTime): void {
     if (others.length === 0) return;
-    // Their word is half a publication old in the mean, and a whole one at most.
-    const age = publishMs / 2;
-    const trustMs = TRUST_MS + age;
     const sorted = others.toSorted((a, b) => a - b);
-    const theirs = sorted[Math.floor(sorted.length / 2)] + age;
+    const theirs = sorted[Math.floor(sorted.length / 2)];
     const own = this.read(reading);
-    if (Math.abs(own - theirs) <= trustMs) return;
-    const wallFits = Math.abs(reading.wall - theirs) <= trustMs;
+    if (Math.abs(own - theirs) <= TRUST_MS) return;
+    const wallFits = Math.abs(reading.wall - theirs) <= TRUST_MS;
     this.#offset = (wallFits ? reading.wall : theirs) - reading.now;
   }
 }
--- a/packages/core/freshness_test.ts
+++ b/packages/core/freshness_test.ts
@@ -36,7 +36,6 @@
   const reading = { now: 1_000, wall: START + 3_000 };
   clock.update(reading, {
     others: [START + 500, START + 700, START + 100],
-    publishMs: 1_000,
   });
   t.equal(clock.read(reading), START + 1_000);
   t.end();
@@ -50,7 +49,6 @@
   const reading = { now: 1_000, wall: START + 8_000 };
   clock.update(reading, {
     others: [START + 7_600, START + 7_200],
-    publishMs: 1_000,
   });
   t.equal(clock.read(reading), START + 8_000);
   t.end();
@@ -63,10 +61,9 @@
   clock.read(reading);
   clock.update(reading, {
     others: [START, START + 100, START + 200],
-    publishMs: 1_000,
   });
   t.ok(Math.abs(clock.read(reading) - START) < 1_000);
-  clock.update(reading, { others: [], publishMs: 1_000 });
+  clock.update(reading, { others: [] });
   t.ok(Math.abs(clock.read(reading) - START) < 1_000);
   t.end();
 });
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -32,8 +32,7 @@
   readonly leastRetryMs?: number;
   /** Whether hosts divide engines between short and long prompts. @default false */
   readonly dividesEngines?: boolean;
-  /** Servers lost to a request before it runs apart from others like it. @default 1 */
-  readonly isolateAfter?: number;
+  readonly suspects?: quarantine.SuspectOptions;
 }
 
 /** The state of one host's decisions. */
@@ -84,7 +83,7 @@
     budget: options.budget ?? new retry.TokenRetryBudget(),
     lengths: new lengths.LengthEstimator(),
     credits: new fairness.ShareCredits(),
-    suspects: new quarantine.SuspectTable(options.isolateAfter),
+    suspects: new quarantine.SuspectTable(options.suspects),
     prompts,
     router: new router.Router({ table, prompts, ...options }),
   };
--- /dev/null
+++ b/packages/core/host_words_test.ts
@@ -0,0 +1,96 @@
+/** What follows from the words of many hosts. */
+import * as tapModule from "tap";
+import * as core from "./mod.ts";
+
+const tap = tapModule.default;
+
+function buildWord(
+  host: string,
+  changes: Partial<core.HostWord> = {},
+): core.HostWord {
+  return {
+    host,
+    incarnation: "first",
+    at: 1_000,
+    demand: { planner: { short: 2, long: 1 } },
+    running: { engine: 3 },
+    usage: {},
+    suspects: [],
+    ...changes,
+  };
+}
+
+tap.test("a host is told of all others, not of itself", (t) => {
+  const words = new core.HostWords();
+  ["a", "b", "c"].forEach((host) => words.take(buildWord(host), 0));
+  const others = words.sum(500, { without: "a" });
+  t.equal(others.hosts, 2);
+  t.same(others.running, { engine: 6 });
+  t.same(others.demand, { planner: { short: 4, long: 2 } });
+  t.same(others.times, [1_500, 1_500]);
+  t.end();
+});
+
+// A host is cut off for some seconds. Its requests are no load any more, but it
+// shares the retry budget still, and what it counted must be reported.
+tap.test("an old word counts for what is shared, not for load", (t) => {
+  const words = new core.HostWords();
+  words.take(buildWord("a"), 0);
+  const later = words.sum(4_000);
+  t.equal(later.hosts, 1);
+  t.same(later.running, {});
+  t.equal(words.list(4_000).length, 1);
+  t.equal(words.list(16_000).length, 0);
+  t.end();
+});
+
+// A host was killed and started again: the counts of its first life stand, and
+// a word of it that was under way comes after a newer one.
+tap.test("each life of a host has a word, the newest of it", (t) => {
+  const words = new core.HostWords();
+  words.take(buildWord("a", { at: 2_000 }), 0);
+  words.take(buildWord("a", { at: 1_500 }), 10);
+  words.take(buildWord("a", { incarnation: "second", at: 3_000 }), 20);
+  t.same(words.list(30).map(({ at }) => at), [2_000, 3_000]);
+  t.equal(words.sum(30).hosts, 1);
+  t.same(core.listCurrentWords(words.list(30)).map(({ at }) => at), [3_000]);
+  t.end();
+});
+
+tap.test("digests merge, and lose what is too old", (t) => {
+  const mark = { fingerprint: "f", server: "s" };
+  const one: core.HostsDigest = {
+    hosts: 3,
+    demand: { planner: { short: 1, long: 1 } },
+    running: { engine: 1 },
+    times: [5_000],
+    suspects: [mark],
+  };
+  const merged = core.mergeDigests([one, core.dropOldWork(one, 1_000)]);
+  t.equal(merged.hosts, 6);
+  t.same(merged.running, { engine: 2 });
+  t.same(merged.times, [5_000, 6_000]);
+  t.same(merged.suspects, [mark]);
+  t.match(core.dropOldWork(one, 5_000), { hosts: 3, running: {}, times: [] });
+  t.end();
+});
+
+// A request takes one server at each of three hosts. Each host alone would let
+// it take two more.
+tap.test("a request that took three servers anywhere is refused", (t) => {
+  const suspects = new core.SuspectTable({
+    isolateAfter: 2,
+    poisonLimit: 3,
+    holdsForeign: false,
+  });
+  suspects.add({ fingerprint: "f", server: "s1" });
+  t.notOk(suspects.isSuspect("f"));
+  suspects.addForeign({ fingerprint: "f", server: "s2" }, 0);
+  t.ok(suspects.isSuspect("f"));
+  t.equal(suspects.getHold("f", 0), 0);
+  suspects.addForeign({ fingerprint: "f", server: "s2" }, 0);
+  t.notOk(suspects.isPoison("f"));
+  suspects.addForeign({ fingerprint: "f", server: "s3" }, 0);
+  t.ok(suspects.isPoison("f"));
+  t.end();
+});
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -18,13 +18,27 @@
   heldUntil: number;
 }
 
+/** Options of {@link SuspectTable}. */
+export interface SuspectOptions {
+  /** Servers lost to a request before it runs apart from others like it. @default 1 */
+  readonly isolateAfter?: number;
+  /** Servers lost to a request before it is refused. @default constants.POISON_LIMIT */
+  readonly poisonLimit?: number;
+  /** Whether copies wait while another host may be trying the request. @default true */
+  readonly holdsForeign?: boolean;
+}
+
 /** Fingerprints and the servers that were lost with them in flight. */
 export class SuspectTable {
   readonly #suspicions = new Map<string, Suspicion>();
   readonly #isolateAfter: number;
+  readonly #poisonLimit: number;
+  readonly #holdsForeign: boolean;
 
-  constructor(isolateAfter = 1) {
-    this.#isolateAfter = isolateAfter;
+  constructor(options: SuspectOptions = {}) {
+    this.#isolateAfter = options.isolateAfter ?? 1;
+    this.#poisonLimit = options.poisonLimit ?? constants.POISON_LIMIT;
+    this.#holdsForeign = options.holdsForeign ?? true;
   }
 
   /** Adds a mark that this host made. */
@@ -40,6 +54,7 @@
     const suspicion = this.#get(mark.fingerprint);
     if (suspicion.servers.has(mark.server)) return;
     suspicion.servers.add(mark.server);
+    if (!this.#holdsForeign) return;
     suspicion.heldUntil = now + constants.SUSPECT_HOLD_MS;
   }
 
@@ -70,7 +85,7 @@
   /** Whether it is refused: enough servers were lost to it. */
   isPoison(fingerprint: string): boolean {
     const servers = this.#suspicions.get(fingerprint)?.servers;
-    return (servers?.size ?? 0) >= constants.POISON_LIMIT;
+    return (servers?.size ?? 0) >= this.#poisonLimit;
   }
 }
 
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -127,6 +127,17 @@
     });
   }
 
+  /** Records what all other hosts together ran at time `at`; plain services' calls are over before word of them. */
+  recordAllElsewhere(
+    running: Readonly<Record<string, number>>,
+    at: number,
+  ): void {
+    this.#servers.forEach((server, name) => {
+      if (server.pool.serves === "service") return;
+      server.elsewhere = { running: running[name] ?? 0, at };
+    });
+  }
+
   #setServer(info: events.ServerInfo): void {
     const pool = this.#pools.get(info.pool)?.part;
     if (pool === undefined) {
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -1,5 +1,6 @@
 /** Connections to other hosts: one for each, kept open, opened when first needed. */
 import * as trpc from "@trpc/client";
+import type * as trpcServer from "@trpc/server";
 import * as websocket from "ws";
 import * as utils from "@banyangrade/utils";
 import type * as protocol from "./protocol.ts";
@@ -10,14 +11,20 @@
 /** A connection that was not used for this long is closed, in ms. */
 const IDLE_CLOSE_MS = 60_000;
 
-type Client = trpc.TRPCClient<protocol.PeerRouter>;
+type AnyRouter = trpcServer.AnyRouter;
 
-interface Connection {
-  readonly client: Client;
+interface Connection<Router extends AnyRouter> {
+  readonly client: trpc.TRPCClient<Router>;
   readonly close: () => void;
   usedAt: number;
 }
 
+/** What a call does once it has its client. */
+export type PeerRun<Router extends AnyRouter, Answer> = (
+  client: trpc.TRPCClient<Router>,
+  signal: AbortSignal,
+) => Promise<Answer>;
+
 /** Options of {@link PeerClients}. */
 export interface PeerClientsOptions {
   readonly secret: string;
@@ -26,10 +33,10 @@
   readonly getTls?: () => server.PeerTls | undefined;
 }
 
-/** Calls other hosts by address. */
-export class PeerClients {
+/** Calls other hosts by address; the router is that of the protocol they serve. */
+export class PeerClients<Router extends AnyRouter = protocol.PeerRouter> {
   readonly #options: PeerClientsOptions;
-  readonly #connections = new Map<string, Connection>();
+  readonly #connections = new Map<string, Connection<Router>>();
   #sent = 0;
 
   constructor(options: PeerClientsOptions) {
@@ -42,7 +49,7 @@
    */
   async call<Answer>(
     to: { readonly address: string; readonly step: string },
-    run: (client: Client, signal: AbortSignal) => Promise<Answer>,
+    run: PeerRun<Router, Answer>,
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<utils.Result<Answer, utils.StepError>> {
     const { address: peer, step } = to;
@@ -81,14 +88,14 @@
     [...this.#connections.keys()].forEach((address) => this.#drop(address));
   }
 
-  #connect(address: string): Connection {
+  #connect(address: string): Connection<Router> {
     const known = this.#connections.get(address);
     const usedAt = this.#options.clock.now();
     if (known !== undefined) {
       known.usedAt = usedAt;
       return known;
     }
-    const opened = openConnection(address, this.#options);
+    const opened = openConnection<Router>(address, this.#options);
     const connection = { ...opened, usedAt };
     this.#connections.set(address, connection);
     return connection;
@@ -104,10 +111,10 @@
   }
 }
 
-function openConnection(
+function openConnection<Router extends AnyRouter>(
   address: string,
   options: PeerClientsOptions,
-): { readonly client: Client; readonly close: () => void } {
+): Omit<Connection<Router>, "usedAt"> {
   const tls = options.getTls?.();
   const socket = trpc.createWSClient({
     url: `${tls === undefined ? "ws" : "wss"}://${address}`,
@@ -116,8 +123,8 @@
     connectionParams: { secret: options.secret },
     retryDelayMs: () => 200,
   });
-  const client = trpc.createTRPCClient<protocol.PeerRouter>({
-    links: [trpc.wsLink({ client: socket })],
+  const client = trpc.createTRPCClient<Router>({
+    links: [trpc.wsLink<Router>({ client: socket } as never)],
   });
   return { client, close: () => void socket.close().catch(() => undefined) };
 }
--- a/packages/peer/mod.ts
+++ b/packages/peer/mod.ts
@@ -2,4 +2,5 @@
 export * from "./client.ts";
 export * from "./overlay.ts";
 export * from "./protocol.ts";
+export * from "./relay_protocol.ts";
 export * from "./server.ts";
--- a/packages/peer/protocol.ts
+++ b/packages/peer/protocol.ts
@@ -1,7 +1,9 @@
 /** Messages between hosts and the tRPC router that carries them. */
-import * as trpc from "@trpc/server";
 import * as z from "zod";
 import type * as core from "@banyangrade/core";
+import * as procedures from "./procedures.ts";
+
+const { accept, buildProcedures, procedure } = procedures;
 
 /** Who holds a control role, as it spreads with the beats. */
 export interface RoleNews {
@@ -129,26 +131,6 @@
   readonly startDrain: () => void;
 }
 
-/** Context of a call: whether the caller proved that it is a host of ours. */
-export interface PeerContext {
-  readonly trusted: boolean;
-}
-
-const server = trpc.initTRPC.context<PeerContext>().create();
-
-/** Calls by hosts that do not know the secret end here. */
-const procedure = server.procedure.use(({ ctx, next }) => {
-  if (!ctx.trusted) throw new trpc.TRPCError({ code: "UNAUTHORIZED" });
-  return next();
-});
-
-/** Checks only that a message is an object: both ends are the same program. */
-function accept<Message>(): z.ZodType<Message> {
-  return z.custom<Message>((value) =>
-    typeof value === "object" && value !== null
-  );
-}
-
 /**
  * Builds the router around a host's handlers.
  *
@@ -156,7 +138,7 @@
  * const router = buildRouter(handlers);
  */
 export function buildRouter(handlers: PeerHandlers) {
-  return server.router({
+  return buildProcedures({
     beat: procedure.input(accept<Beat>())
       .mutation(({ input }) => handlers.takeBeat(input)),
     members: procedure.query(() => handlers.listMembers()),
--- a/packages/peer/server.ts
+++ b/packages/peer/server.ts
@@ -2,10 +2,11 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import type * as net from "node:net";
+import type * as trpc from "@trpc/server";
 import * as adapter from "@trpc/server/adapters/ws";
 import * as websocket from "ws";
 import * as utils from "@banyangrade/utils";
-import * as protocol from "./protocol.ts";
+import type * as procedures from "./procedures.ts";
 
 /** Largest message in bytes: a snapshot for 1,600 customers with their keys. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
@@ -23,7 +24,8 @@
   readonly port: number;
   /** Secrets that are accepted: the current one, and the next or the last one during a change. */
   readonly secrets: readonly string[];
-  readonly handlers: protocol.PeerHandlers;
+  /** What is served, as one of this package's protocols builds it. */
+  readonly router: trpc.AnyRouter;
   /** Mutual TLS; plain if absent. */
   readonly tls?: PeerTls;
 }
@@ -40,7 +42,7 @@
  * Starts the server.
  *
  * @example
- * const server = await startPeerServer({ hostname: "127.0.0.1", port: 0, secrets, handlers });
+ * const server = await startPeerServer({ hostname: "127.0.0.1", port: 0, secrets, router });
  */
 export async function startPeerServer(
   options: PeerServerOptions,
@@ -54,8 +56,8 @@
   const digests = options.secrets.map(utils.computeDigest);
   adapter.applyWSSHandler({
     wss: sockets,
-    router: protocol.buildRouter(options.handlers),
-    createContext: ({ info }) => ({
+    router: options.router,
+    createContext: ({ info }): procedures.PeerContext => ({
       trusted: isTrusted(info.connectionParams?.secret, digests),
     }),
   });
--- a/packages/store/feed.ts
+++ b/packages/store/feed.ts
@@ -12,6 +12,11 @@
 export interface Snapshot {
   readonly entries: readonly client.StoreEntry[];
   readonly revision: number;
+  /**
+   * How long before the call was taken the read was sent that proves them
+   * current, in ms; negative if that was later. @default 0
+   */
+  readonly ageMs?: number;
 }
 
 /** One change. */
@@ -28,6 +33,8 @@
   readonly changes: readonly Change[];
   /** The revision to go on from. */
   readonly revision: number;
+  /** As in {@link Snapshot}. @default 0 */
+  readonly ageMs?: number;
 }
 
 /** The calls that following a prefix takes. */
@@ -98,8 +105,9 @@
     const sentAt = clock.now();
     const read = await feed.readAll(prefix);
     if (read.err) return read.val;
-    after = read.val.revision;
-    onEvent({ kind: "replaced", entries: read.val.entries, sentAt });
+    const { entries, revision, ageMs = 0 } = read.val;
+    after = revision;
+    onEvent({ kind: "replaced", entries, sentAt: sentAt - ageMs });
     return undefined;
   }
 
@@ -112,12 +120,12 @@
       after = undefined;
       return undefined;
     }
-    const { changes, revision } = polled.val;
+    const { changes, revision, ageMs = 0 } = polled.val;
     // An empty answer does not move the revision: a store that was about to
     // drop its history may have passed over changes, which the next poll then
     // brings, or says that they are no longer kept.
     if (changes.length > 0) after = Math.max(since, revision);
-    onEvent({ kind: "changed", changes, revision, sentAt });
+    onEvent({ kind: "changed", changes, revision, sentAt: sentAt - ageMs });
     if (changes.length > 0) await utils.waitFor(options.getSettleMs());
     return undefined;
   }
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -9,6 +9,15 @@
   readonly incarnation: string;
   /** Unique per try, so that a lost answer can be recognised. */
   readonly writerToken: string;
+  /** Where other hosts reach it, if they have reason to. */
+  readonly contact?: RoleContact;
+}
+
+/** How the holder of a role is reached. */
+export interface RoleContact {
+  readonly address: string;
+  /** Proves to it that the caller reads the same store. */
+  readonly secret: string;
 }
 
 /** Options of {@link startLeaseHolder}. */
@@ -27,6 +36,10 @@
   readonly isCandidate: () => boolean;
   /** Told when the role is won or lost. */
   readonly onChange: (lease: core.LeaseState) => void;
+  /** How this host is reached as the holder. */
+  readonly contact?: RoleContact;
+  /** Told of another holder that was found in its place. */
+  readonly onOther?: (record: RoleRecord) => void;
 }
 
 /** A role that is being held or tried for. */
@@ -124,13 +137,19 @@
   const sentAt = options.clock.now();
   const key = getRoleKey(options.role);
   const current = await options.store.get(key);
-  if (current.err || current.val !== undefined) return { kind: "none" };
+  if (current.err) return { kind: "none" };
+  if (current.val !== undefined) {
+    const record = utils.parseJson(current.val.value) as RoleRecord | undefined;
+    if (record !== undefined) options.onOther?.(record);
+    return { kind: "none" };
+  }
   const granted = await options.store.grantLease(options.terms.ttlMs / 1_000);
   if (granted.err) return { kind: "none" };
   const record: RoleRecord = {
     host: options.host,
     incarnation: options.incarnation,
     writerToken: utils.createId(),
+    ...(options.contact && { contact: options.contact }),
   };
   const swapped = await client.swapAndConfirm(options.store, {
     key,
--- a/packages/store/mod.ts
+++ b/packages/store/mod.ts
@@ -4,4 +4,5 @@
 export * from "./config_store.ts";
 export * from "./feed.ts";
 export * from "./lease_holder.ts";
+export * from "./prefix_cache.ts";
 export * from "./wire.ts";
--- a/scripts/check_style.ts
+++ b/scripts/check_style.ts
@@ -32,7 +32,7 @@
   service: ["core", "utils"],
   fleet: ["core", "store", "utils"],
   usage: ["core", "store", "utils"],
-  peer: ["core", "utils"],
+  peer: ["core", "store", "utils"],
   caller: ["core", "utils"],
   operator: ["core", "store", "utils"],
 };
