Let a relay without recent word say so, and take no old words for new

Change: a relay answers 'unready' once its own word is 1.9 s old, also to calls that wait; a follower then asks the store at once, and not again within 0.5 s where that fails too. Words that were passed on count for usage only. Tests first for each.

--- a/packages/banyangrade/relayed_feed_test.ts
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -49,7 +49,6 @@
         Promise.resolve(world.relayed as Answer | undefined),
     },
     clock: world.clock,
-    withdrawMs: 5_000,
   });
 }
 
@@ -73,25 +72,39 @@
   t.same(world.asked, ["poll"]);
 });
 
-// The relay alone is cut off from the store, and says so by the age of its
-// word. A key may have been withdrawn that it does not know of.
-tap.test("a relay with old word is not relied on", async (t) => {
+// The relay alone is cut off from the store. A key may have been withdrawn, or a
+// route, that it does not know of: its followers go to the store at once.
+tap.test("a relay without recent word is not relied on", async (t) => {
   const world = buildWorld();
   const feed = buildFeed(world);
-  world.relayed = { kind: "changes", changes: [], revision: 5, ageMs: 3_000 };
-  await poll(feed);
-  const second = await poll(feed);
+  world.relayed = { kind: "unready" };
+  t.ok((await poll(feed)).ok);
   t.same(world.asked, ["poll"]);
-  t.equal(second.ok && second.val.ageMs, undefined, "the store's own word");
-  // Both have none: the failure counts, as it would without a relay.
+  // Both have none: the failure counts, as it would without a relay, and the
+  // store is not asked again at once by each of sixty hosts.
   world.changes = utils.Err(LOST);
   t.ok((await poll(feed)).err);
-  // The relay is back before the store answers this host.
+  t.ok((await poll(feed)).err);
+  t.same(world.asked, ["poll", "poll"]);
+  world.clock.advance(600);
+  t.ok((await poll(feed)).err);
+  t.same(world.asked, ["poll", "poll", "poll"]);
+  // The relay has word before this host.
   world.relayed = { kind: "changes", changes: [], revision: 5, ageMs: 100 };
   t.match(await poll(feed), { ok: true, val: { ageMs: 100 } });
-  world.asked.length = 0;
-  await poll(feed);
-  t.same(world.asked, []);
+  t.equal(world.asked.length, 3);
+});
+
+// A relay is cut off without notice while followers wait at it: each of them
+// would wait on, and the change that came meanwhile not be in force in time.
+tap.test("a wait ends when the relay's own word grows old", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  await feed.readAll(PREFIX);
+  const answer = feed.answerPoll({ prefix: PREFIX, after: 5, waitMs: 60_000 });
+  world.clock.advance(2_000);
+  t.same(await answer, { kind: "unready" });
+  t.same(feed.answerReadAll(PREFIX), { kind: "unready" });
 });
 
 tap.test("a relay that has not read a prefix says so", async (t) => {
--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -14,7 +14,7 @@
  * while all is well; well below half of the time within which a withdrawn key
  * must stop working.
  */
-const POLL_WAIT_MS = 1_000;
+const POLL_WAIT_MS = 800;
 /** The same for the list of servers, whose polls fail with those of the configuration. */
 const SERVERS_WAIT_MS = 3_000;
 /** Pause that gathers changes, in ms: a twentieth of the time in which one must be in force. */
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -88,7 +88,7 @@
   /** Tells the last counts; they stay until the lease ends. */
   async stop(): Promise<void> {
     this.#stops.splice(0).forEach((stop) => stop());
-    this.#words.take(this.#options.describe(), this.#options.clock.now());
+    this.#takeOwn();
     const answer = await this.#reportToRelay();
     if (!answer?.publishes) await this.#publish();
   }
@@ -109,7 +109,9 @@
   /** Takes a follower's words, its own first, and says what is known of the others. */
   takeWords(words: readonly core.HostWord[]): peer.ReportAnswer {
     const now = this.#options.clock.now();
-    words.forEach((word) => this.#words.take(word, now));
+    words.forEach((word, index) =>
+      this.#words.take(word, { now, direct: index === 0 })
+    );
     return {
       others: this.#sumOthers({ without: words[0]?.host ?? "" }),
       publishes: now - this.#publishedAt <= PUBLISHES_MS,
@@ -127,9 +129,9 @@
   }
 
   async #runRound(): Promise<void> {
-    const { hasRole, relay, clock, host } = this.#options;
+    const { hasRole, relay, host } = this.#options;
     this.#round += 1;
-    this.#words.take(this.#options.describe(), clock.now());
+    this.#takeOwn();
     const answer = await this.#reportToRelay();
     if (!answer?.publishes) await this.#publish();
     const looks = answer === undefined && this.#round % ROUNDS_PER_LOOK === 1;
@@ -140,6 +142,11 @@
     relay.closeIdle();
   }
 
+  #takeOwn(): void {
+    const { clock, describe } = this.#options;
+    this.#words.take(describe(), { now: clock.now(), direct: true });
+  }
+
   /** Tells the relay; undefined if there is none that answers. */
   #reportToRelay(): Promise<peer.ReportAnswer | undefined> {
     const words = [this.#options.describe()];
@@ -154,13 +161,13 @@
    * serves others: what it and its followers counted would be missing from a
    * usage window that is fixed meanwhile.
    */
-  async #handOver(): Promise<void> {
+  async #giveWords(): Promise<void> {
     const { relay, clock, host } = this.#options;
     const words = this.#words.list(clock.now())
       .toSorted((a, b) => Number(b.host === host) - Number(a.host === host));
     for (const contact of this.#contacts) {
       const answer = await relay.callContact(contact, {
-        step: "relay.handOver",
+        step: "relay.giveWords",
         run: (client, signal) => client.report.mutate(words, { signal }),
       });
       if (answer?.publishes) return;
@@ -210,7 +217,7 @@
     const sentAt = clock.now();
     let left = PUBLISH_TRIES;
     while (left > 0 && !await this.#tryPublish()) left -= 1;
-    if (this.#publishedAt < sentAt) await this.#handOver();
+    if (this.#publishedAt < sentAt) await this.#giveWords();
   }
 
   /** Tries once; false if another try may succeed at once. */
--- a/packages/banyangrade/routed/relayed_feed.ts
+++ b/packages/banyangrade/routed/relayed_feed.ts
@@ -9,10 +9,17 @@
 import * as utils from "@banyangrade/utils";
 import type * as relayTask from "./relay_task.ts";
 
-/** Part of the withdrawal time at which a relay's word is too old and the store is asked as well. */
-const STALE_SHARE = 0.5;
-/** Wait of a call to the store beside a relay with old word, in ms: both are asked again soon. */
-const BESIDE_WAIT_MS = 200;
+/**
+ * Age of a relay's last word from the store, of any prefix, at which it does not
+ * answer for it any more, in ms. While all is well it is at most two polls of
+ * the configuration old. A relay that is cut off without notice is found out
+ * 1.1 s later, while a change has to be in force after 2 s.
+ */
+const FRESH_MS = 1_900;
+/** Between two looks at that age while a call waits, in ms. */
+const LOOK_MS = 200;
+/** Time for which the store is not asked again where neither it nor the relay had word, in ms: an outage costs each host some two calls a second. */
+const STORE_PAUSE_MS = 500;
 
 /** Options of {@link RelayedFeed}. */
 export interface RelayedFeedOptions {
@@ -20,12 +27,19 @@
   readonly relay: Pick<relayTask.RelayTask, "callRelay">;
   /** Counts suspensions, so that a proof does not outlast one. */
   readonly clock: utils.Clock;
-  readonly withdrawMs: number;
 }
 
 type Polled = utils.Result<store.Changes, utils.StepError>;
 type PollOptions = Parameters<store.FeedClient["pollChanges"]>[1];
 
+/** What a relay has to say. */
+type RelayPoll =
+  | { readonly kind: "answered"; readonly polled: Polled }
+  /** It has no recent word itself. */
+  | { readonly kind: "unready" }
+  /** There is no relay, or it does not answer. */
+  | { readonly kind: "none" };
+
 /** One prefix: the copy, and who waits for it to change. */
 interface Followed {
   readonly cache: store.PrefixCache;
@@ -36,8 +50,8 @@
 export class RelayedFeed implements store.FeedClient {
   readonly #options: RelayedFeedOptions;
   readonly #followed = new Map<string, Followed>();
-  /** Prefixes of which the relay's word was too old at the last call. */
-  readonly #stale = new Set<string>();
+  /** Last failure of the store while the relay had no word either. */
+  #failed: { readonly error: utils.StepError; readonly at: number } | undefined;
 
   constructor(options: RelayedFeedOptions) {
     this.#options = options;
@@ -52,39 +66,34 @@
       step: "relay.readAll",
       run: (client, signal) => client.readAll.query(prefix, { signal }),
     });
-    if (relayed?.kind === "snapshot" && !this.#isStale(relayed.ageMs)) {
+    if (relayed?.kind === "snapshot") {
       this.#setAll(prefix, { snapshot: relayed, sentAt });
       return utils.Ok(relayed);
     }
     const askedAt = clock.now();
     const read = await feed.readAll(prefix);
-    if (read.ok) {
-      this.#setAll(prefix, { snapshot: read.val, sentAt: askedAt });
-    }
+    if (read.ok) this.#setAll(prefix, { snapshot: read.val, sentAt: askedAt });
     return read;
   }
 
   async pollChanges(prefix: string, options: PollOptions): Promise<Polled> {
-    if (!this.#stale.has(prefix)) {
-      const relayed = await this.#pollRelay(prefix, options);
-      if (relayed !== undefined) return relayed;
-      return await this.#pollStore(prefix, options);
-    }
-    // An outage of the store, or only of the relay: whoever has word first.
-    const [relayed, read] = await Promise.all([
-      this.#pollRelay(prefix, options),
-      this.#pollStore(prefix, { ...options, waitMs: BESIDE_WAIT_MS }),
-    ]);
-    return read.err && relayed !== undefined && !this.#stale.has(prefix)
-      ? relayed
-      : read;
+    const relayed = await this.#pollRelay(prefix, options);
+    if (relayed.kind === "answered") return relayed.polled;
+    const { clock } = this.#options;
+    const failed = relayed.kind === "unready" ? this.#failed : undefined;
+    const pausing = failed !== undefined &&
+      clock.now() - failed.at < STORE_PAUSE_MS;
+    if (pausing) return utils.Err(failed.error);
+    const read = await this.#pollStore(prefix, options);
+    this.#failed = read.err ? { error: read.val, at: clock.now() } : undefined;
+    return read;
   }
 
   /** Answers a follower's call with the whole prefix. */
   answerReadAll(prefix: string): peer.RelayedSnapshot {
     const { cache } = this.#get(prefix);
     const ageMs = this.#options.clock.now() - cache.provedAt;
-    if (!Number.isFinite(ageMs)) return { kind: "unready" };
+    if (!Number.isFinite(ageMs) || !this.#isFresh()) return { kind: "unready" };
     return { kind: "snapshot", ...cache.read(), ageMs };
   }
 
@@ -94,11 +103,13 @@
   ): Promise<peer.RelayedChanges> {
     const receivedAt = this.#options.clock.now();
     const { cache } = this.#get(prefix);
+    const mayAnswer = () => Number.isFinite(cache.provedAt) && this.#isFresh();
     const hasNews = () => (cache.listSince(after)?.changes.length ?? 1) > 0;
-    if (Number.isFinite(cache.provedAt) && !hasNews()) {
-      await this.#waitForChange(prefix, { hasNews, waitMs });
-    }
-    if (!Number.isFinite(cache.provedAt)) return { kind: "unready" };
+    await this.#waitUntil(prefix, {
+      holds: () => !mayAnswer() || hasNews(),
+      waitMs,
+    });
+    if (!mayAnswer()) return { kind: "unready" };
     const changes = cache.listSince(after);
     if (changes === undefined) return { kind: "gone" };
     // By the arrival of the call, which the follower sent before: its own
@@ -113,7 +124,7 @@
   async #pollRelay(
     prefix: string,
     { after, waitMs }: PollOptions,
-  ): Promise<Polled | undefined> {
+  ): Promise<RelayPoll> {
     const sentAt = this.#options.clock.now();
     const message = { prefix, after, waitMs };
     const relayed = await this.#options.relay.callRelay({
@@ -121,21 +132,16 @@
       run: (client, signal) => client.pollChanges.query(message, { signal }),
       waitMs,
     });
-    this.#stale.delete(prefix);
     switch (relayed?.kind) {
       case undefined:
+        return { kind: "none" };
       case "unready":
-        return undefined;
+        return { kind: "unready" };
       case "gone":
-        return utils.Err(utils.createStepError("not_found", {
-          step: "relay.pollChanges",
-          peer: "relay",
-          message: "The relay no longer knows what has changed since.",
-        }));
+        return { kind: "answered", polled: utils.Err(buildGone()) };
       case "changes":
-        if (this.#isStale(relayed.ageMs)) this.#stale.add(prefix);
         this.#apply(prefix, { changes: relayed, sentAt });
-        return utils.Ok(relayed);
+        return { kind: "answered", polled: utils.Ok(relayed) };
     }
   }
 
@@ -146,8 +152,12 @@
     return polled;
   }
 
-  #isStale(ageMs: number): boolean {
-    return ageMs > STALE_SHARE * this.#options.withdrawMs;
+  /** Whether this host has recent word from the store, of any prefix. */
+  #isFresh(): boolean {
+    const provedAt = Math.max(
+      ...[...this.#followed.values()].map(({ cache }) => cache.provedAt),
+    );
+    return this.#options.clock.now() - provedAt <= FRESH_MS;
   }
 
   #setAll(
@@ -187,25 +197,37 @@
     return followed;
   }
 
-  async #waitForChange(
+  /** Waits until something holds, which a change or the passing of time can bring. */
+  async #waitUntil(
     prefix: string,
-    { hasNews, waitMs }: {
-      readonly hasNews: () => boolean;
+    { holds, waitMs }: {
+      readonly holds: () => boolean;
       readonly waitMs: number;
     },
   ): Promise<void> {
+    if (holds()) return;
     const { wakes } = this.#get(prefix);
     await new Promise<void>((resolve) => {
       const end = () => {
         clearTimeout(timer);
+        clearInterval(looks);
         wakes.delete(wake);
         resolve();
       };
       const wake = () => {
-        if (hasNews()) end();
+        if (holds()) end();
       };
       const timer = setTimeout(end, waitMs);
+      const looks = setInterval(wake, LOOK_MS);
       wakes.add(wake);
     });
   }
 }
+
+function buildGone(): utils.StepError {
+  return utils.createStepError("not_found", {
+    step: "relay.pollChanges",
+    peer: "relay",
+    message: "The relay no longer knows what has changed since.",
+  });
+}
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -167,7 +167,6 @@
     feed: platform.store,
     relay: draft.relay,
     clock: clocks.lease,
-    withdrawMs: settings.withdrawMs,
   });
 }
 
--- a/packages/core/host_words.ts
+++ b/packages/core/host_words.ts
@@ -62,18 +62,28 @@
   readonly word: HostWord;
   /** Monotonic ms. */
   readonly at: number;
+  /** Whether the host said it itself. */
+  readonly direct: boolean;
 }
 
 /** The words that a host has heard. */
 export class HostWords {
   readonly #heard = new Map<string, Heard>();
 
-  /** Takes over a word, unless a newer one of the same process is known. */
-  take(word: HostWord, now: number): void {
+  /**
+   * Takes over a word, unless it is no newer than what is known of the same
+   * process. One that another host passes on is of unknown age: only what it
+   * counted is of use. Taken for new, the times of words that were passed on
+   * during an outage set every host's time of day back by seconds.
+   */
+  take(
+    word: HostWord,
+    { now, direct }: { readonly now: number; readonly direct: boolean },
+  ): void {
     const key = `${word.host}/${word.incarnation}`;
     const known = this.#heard.get(key);
-    if (known !== undefined && known.word.at > word.at) return;
-    this.#heard.set(key, { word, at: now });
+    if (known !== undefined && known.word.at >= word.at) return;
+    this.#heard.set(key, { word, at: now, direct });
   }
 
   /** Lists the words that are kept, those of earlier incarnations included. */
@@ -87,7 +97,9 @@
   sum(now: number, options: { readonly without?: string } = {}): HostsDigest {
     const others = [...this.#heard.values()]
       .filter(({ word }) => word.host !== options.without);
-    const working = others.filter(({ at }) => now - at <= WORK_VALID_MS);
+    const working = others.filter(({ at, direct }) =>
+      direct && now - at <= WORK_VALID_MS
+    );
     return mergeDigests([
       {
         ...EMPTY_DIGEST,
--- a/packages/core/host_words_test.ts
+++ b/packages/core/host_words_test.ts
@@ -22,7 +22,9 @@
 
 tap.test("a host is told of all others, not of itself", (t) => {
   const words = new core.HostWords();
-  ["a", "b", "c"].forEach((host) => words.take(buildWord(host), 0));
+  ["a", "b", "c"].forEach((host) =>
+    words.take(buildWord(host), { now: 0, direct: true })
+  );
   const others = words.sum(500, { without: "a" });
   t.equal(others.hosts, 2);
   t.same(others.running, { engine: 6 });
@@ -35,7 +37,7 @@
 // shares the retry budget still, and what it counted must be reported.
 tap.test("an old word counts for what is shared, not for load", (t) => {
   const words = new core.HostWords();
-  words.take(buildWord("a"), 0);
+  words.take(buildWord("a"), { now: 0, direct: true });
   const later = words.sum(4_000);
   t.equal(later.hosts, 1);
   t.same(later.running, {});
@@ -48,15 +50,34 @@
 // a word of it that was under way comes after a newer one.
 tap.test("each life of a host has a word, the newest of it", (t) => {
   const words = new core.HostWords();
-  words.take(buildWord("a", { at: 2_000 }), 0);
-  words.take(buildWord("a", { at: 1_500 }), 10);
-  words.take(buildWord("a", { incarnation: "second", at: 3_000 }), 20);
+  words.take(buildWord("a", { at: 2_000 }), { now: 0, direct: true });
+  words.take(buildWord("a", { at: 1_500 }), { now: 10, direct: true });
+  words.take(buildWord("a", { incarnation: "second", at: 3_000 }), {
+    now: 20,
+    direct: true,
+  });
   t.same(words.list(30).map(({ at }) => at), [2_000, 3_000]);
   t.equal(words.sum(30).hosts, 1);
   t.same(core.listCurrentWords(words.list(30)).map(({ at }) => at), [3_000]);
   t.end();
 });
 
+// The store is away, and a host that cannot publish passes its followers' words
+// on, each second the same ones. Every host's time of day went back by seconds,
+// and requests were counted in the wrong usage windows.
+tap.test("a word that is passed on says nothing of time or load", (t) => {
+  const words = new core.HostWords();
+  words.take(buildWord("a"), { now: 0, direct: true });
+  words.take(buildWord("a"), { now: 2_000, direct: false });
+  words.take(buildWord("b"), { now: 2_000, direct: false });
+  const sum = words.sum(2_500);
+  t.same(sum.times, [3_500]);
+  t.same(sum.running, { engine: 3 });
+  t.equal(sum.hosts, 2);
+  t.equal(words.list(2_500).length, 2);
+  t.end();
+});
+
 tap.test("digests merge, and lose what is too old", (t) => {
   const mark = { fingerprint: "f", server: "s" };
   const one: core.HostsDigest = {
