--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -144,7 +144,10 @@
       usage: platform.usage,
       clock,
       getLease: () => this.#getLease(),
-      collector: this.#collector,
+      collector: {
+        setCounted: () => this.#collector.setCounted(),
+        buildWindow: (window, domain) => this.#countWindow(window, domain),
+      },
       failureDomain: ALL_DOMAINS,
       lastClosed: this.#findLastClosed(),
     });
@@ -157,6 +160,23 @@
     }
   }
 
+  /** Counts a window from the words of all hosts, and says which. */
+  #countWindow(window: number, failureDomain: string): core.FixedWindow {
+    const fixed = this.#collector.buildWindow(window, failureDomain);
+    const { listWords, log, getTrueTime, settings } = this.#options;
+    const end = (window + 1) * settings.usageWindowMs;
+    const words = core.listCurrentWords(listWords());
+    log.info({
+      window,
+      requests: Object.values(fixed.figures)
+        .reduce((sum, { requests }) => sum + requests, 0),
+      sinceEndMs: Math.round(getTrueTime() - end),
+      hosts: words.length,
+      behind: words.filter(({ at }) => at < end).map(({ host }) => host),
+    }, "Window counted.");
+    return fixed;
+  }
+
   /** Finds the newest window that can be fixed. */
   #findLastClosed(): number {
     const { settings, getTrueTime, listWords } = this.#options;
--- a/packages/core/host_words_test.ts
+++ b/packages/core/host_words_test.ts
@@ -115,3 +115,20 @@
   t.ok(suspects.isPoison("f"));
   t.end();
 });
+
+// A lookup that many send is running as three servers are lost for other
+// reasons, and is answered well in between. It was refused from then on: the
+// other hosts went on telling of the losses.
+tap.test("losses before a whole answer do not count again", (t) => {
+  const suspects = new core.SuspectTable({ isolateAfter: 2, poisonLimit: 3 });
+  const marks = ["s1", "s2"].map((server) => ({ fingerprint: "f", server }));
+  marks.forEach((mark) => suspects.addForeign(mark, 0));
+  suspects.clear("f");
+  marks.forEach((mark) => suspects.addForeign(mark, 0));
+  suspects.add({ fingerprint: "f", server: "s3" });
+  t.notOk(suspects.isSuspect("f"));
+  suspects.add(marks[0]);
+  suspects.add(marks[1]);
+  t.ok(suspects.isPoison("f"), "lost again since");
+  t.end();
+});
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -14,10 +14,15 @@
 
 interface Suspicion {
   readonly servers: Set<string>;
+  /** Servers that were lost before it was answered whole; their loss had another cause. */
+  readonly absolved: Set<string>;
   /** Until when another host is taken to be trying it again, monotonic ms. */
   heldUntil: number;
 }
 
+/** Fingerprints that are remembered; the oldest give way. */
+const MAX_SUSPICIONS = 10_000;
+
 /** Options of {@link SuspectTable}. */
 export interface SuspectOptions {
   /** Servers lost to a request before it runs apart from others like it. @default 1 */
@@ -43,7 +48,9 @@
 
   /** Adds a mark that this host made. */
   add(mark: events.SuspectMark): void {
-    this.#get(mark.fingerprint).servers.add(mark.server);
+    const suspicion = this.#get(mark.fingerprint);
+    suspicion.absolved.delete(mark.server);
+    suspicion.servers.add(mark.server);
   }
 
   /**
@@ -52,7 +59,8 @@
    */
   addForeign(mark: events.SuspectMark, now: number): void {
     const suspicion = this.#get(mark.fingerprint);
-    if (suspicion.servers.has(mark.server)) return;
+    const { servers, absolved } = suspicion;
+    if (servers.has(mark.server) || absolved.has(mark.server)) return;
     suspicion.servers.add(mark.server);
     if (!this.#holdsForeign) return;
     suspicion.heldUntil = now + constants.SUSPECT_HOLD_MS;
@@ -61,13 +69,33 @@
   #get(fingerprint: string): Suspicion {
     const known = this.#suspicions.get(fingerprint);
     if (known !== undefined) return known;
-    const suspicion = { servers: new Set<string>(), heldUntil: 0 };
+    this.#forgetOldest();
+    const suspicion = {
+      servers: new Set<string>(),
+      absolved: new Set<string>(),
+      heldUntil: 0,
+    };
     this.#suspicions.set(fingerprint, suspicion);
     return suspicion;
   }
 
+  /**
+   * Records that it was answered whole. Other hosts go on telling of its marks
+   * for a while, and requests that are alike, such as lookups, would be refused
+   * for losses that had nothing to do with them.
+   */
   clear(fingerprint: string): void {
-    this.#suspicions.delete(fingerprint);
+    const suspicion = this.#suspicions.get(fingerprint);
+    if (suspicion === undefined) return;
+    suspicion.servers.forEach((server) => suspicion.absolved.add(server));
+    suspicion.servers.clear();
+    suspicion.heldUntil = 0;
+  }
+
+  #forgetOldest(): void {
+    if (this.#suspicions.size < MAX_SUSPICIONS) return;
+    const [oldest] = this.#suspicions.keys();
+    this.#suspicions.delete(oldest);
   }
 
   /** Whether enough servers were lost with it in flight to run it apart. */
