Let one host decide how engines are divided

Change: the host with the control roles decides the part of the engines for short prompts, and changes it only by 8 in 100 or more; relays pass the newest on. Short prompts fill their engines to 0.25 of the slots in place of 0.4: word of a burst is a second or two under way, and engines cost little.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -95,9 +95,9 @@
     return this.#options.dispatcher.countByEngine();
   }
 
-  /** Takes over the demand of all hosts for a model or service. */
-  setDemand(target: string, demand: core.PromptDemand): void {
-    this.#options.dispatcher.setDemand(target, demand);
+  /** Takes over the part of a service's engines that is for short prompts. */
+  setShortShare(target: string, share: number): void {
+    this.#options.dispatcher.setShortShare(target, share);
   }
 
   countOpen(): number {
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -46,6 +46,8 @@
   readonly describe: () => core.HostWord;
   /** Whether this host holds a role, for which it looks at the entries often. */
   readonly hasRole: () => boolean;
+  /** How engines are divided, if this host decides it. */
+  readonly getDivision: () => core.EngineDivision | undefined;
   /** Told what is known of all other hosts. */
   readonly onOthers: (digest: core.HostsDigest) => void;
 }
@@ -125,7 +127,13 @@
 
   /** Sums up this host and its followers, for other relays. */
   getDigest(): core.HostsDigest {
-    return this.#words.sum(this.#options.clock.now());
+    const sum = this.#words.sum(this.#options.clock.now());
+    return { ...sum, ...this.#describeDivision() };
+  }
+
+  #describeDivision(): Pick<core.HostsDigest, "division"> {
+    const division = this.#options.getDivision();
+    return division === undefined ? {} : { division };
   }
 
   async #runRound(): Promise<void> {
@@ -201,7 +209,11 @@
         core.dropOldWork(digest, now - at)
       ),
     ]);
-    return { ...sum, hosts: Math.max(sum.hosts, this.#countPublished() - 1) };
+    return {
+      ...sum,
+      ...this.#describeDivision(),
+      hosts: Math.max(sum.hosts, this.#countPublished() - 1),
+    };
   }
 
   #countPublished(): number {
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -65,6 +65,7 @@
   readonly #planners = new Map<string, core.DomainPlanner>();
   readonly #sent = new Map<string, SentOrder>();
   #holder: store.LeaseHolder | undefined;
+  #division: core.EngineDivision | undefined;
   #round = 0;
   #stops: (() => void)[] = [];
 
@@ -190,9 +191,33 @@
     });
   }
 
+  /** How engines are divided; undefined while this host does not decide it. */
+  getDivision(): core.EngineDivision | undefined {
+    return this.hasRole() ? this.#division : undefined;
+  }
+
+  #divide({ services }: core.RoutingConfiguration): void {
+    const { listWords, getTrueTime } = this.#options;
+    const words = core.listCurrentWords(listWords());
+    const before = this.#division?.shortShares ?? {};
+    const shortShares = Object.fromEntries(
+      services.filter(({ engine }) => engine !== undefined)
+        .map(({ name }) => [
+          name,
+          core.computeShortShare(
+            core.sumDemand(words, name),
+            before[name] ?? core.SHARE_AT_FIRST,
+          ),
+        ]),
+    );
+    this.#division = { at: getTrueTime(), shortShares };
+  }
+
   async #order(): Promise<void> {
     const configuration = this.#options.getConfiguration();
-    if (!this.#isInCharge("orders") || !configuration) return;
+    if (!this.hasRole() || !configuration) return;
+    this.#divide(configuration);
+    if (!this.#isInCharge("orders")) return;
     const orders = configuration.services.flatMap((service) =>
       this.#planService(service)
     );
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -206,6 +206,7 @@
     relay: draft.relay,
     describe: () => describeHost(draft),
     hasRole: () => draft.roles.hasRole(),
+    getDivision: () => draft.roles.getDivision(),
     onOthers: (digest) => applyOthers(draft, digest),
   });
 }
@@ -296,20 +297,14 @@
 
 /** Takes over what is known of all other hosts. */
 function applyOthers(
-  { belief, budget, clock, clocks, dispatch, pools }: Draft,
+  { budget, clock, clocks, dispatch, pools }: Draft,
   others: core.HostsDigest,
 ): void {
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
-  const own = dispatch.countByTarget();
-  belief.getTable()?.configuration.services.forEach(({ name }) => {
-    const { short, long } = others.demand[name] ?? NO_DEMAND;
-    const mine = own[name] ?? NO_DEMAND;
-    dispatch.setDemand(name, {
-      short: short + mine.short,
-      long: long + mine.long,
-    });
-  });
+  Object.entries(others.division?.shortShares ?? {}).forEach(
+    ([service, share]) => dispatch.setShortShare(service, share),
+  );
   dispatch.send({
     kind: "load_shared",
     running: others.running,
@@ -321,8 +316,6 @@
   clocks.updateTrueTime({ others: others.times });
 }
 
-const NO_DEMAND: core.PromptDemand = { short: 0, long: 0 };
-
 /** A server that started again under its identifier is another one: it knows nothing of the first. */
 function getServerName(listed: core.ListedServer): string {
   return `${listed.id}@${listed.bornAt}`;
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -37,9 +37,9 @@
     return { queued: queue.size, running: running.size };
   }
 
-  /** Takes over the demand of all hosts for a model or service. */
-  setDemand(target: string, demand: engineChoice.PromptDemand): void {
-    this.#state.router.setDemand(target, demand);
+  /** Takes over the part of a service's engines that is for short prompts. */
+  setShortShare(target: string, share: number): void {
+    this.#state.router.setShortShare(target, share);
   }
 
   /** Requests running and queued, by model or service and length of prompt. */
--- a/packages/core/engine_choice.ts
+++ b/packages/core/engine_choice.ts
@@ -14,8 +14,8 @@
 
 /** Mean prompt tokens of a class up to which it counts as short: at 64 tokens a ms they hold other streams up for 23 ms, a tenth of the tightest pause of 250 ms. */
 const SHORT_PROMPT_TOKENS = 1_500;
-/** Part of an engine's slots that short prompts are planned to fill. */
-const SHORT_FILL = 0.4;
+/** Part of an engine's slots that short prompts are planned to fill: a class may burst to 2.5 times its load before word of it is round. */
+const SHORT_FILL = 0.25;
 /** Part of an engine's slots that long prompts are planned to fill: their time goes into prompts, not into tokens. */
 const LONG_FILL = 0.15;
 /** Part of an engine's slots at which its part of the engines counts as full. */
@@ -71,25 +71,46 @@
   }
 }
 
+/** Change of the demand's division at which that of the engines follows: each time, subjects lose their engines. */
+const SHARE_STEP = 0.08;
+/** Part of the engines for short prompts before anything is known. */
+export const SHARE_AT_FIRST = 0.4;
+
+/**
+ * Computes the part of a service's engines that is for short prompts. One host
+ * decides it for all: where each went by its own word of the demand, they
+ * disagreed on some engines, which got prompts of both kinds.
+ *
+ * @example
+ * const share = computeShortShare({ short: 40, long: 25 }, SHARE_AT_FIRST);
+ */
+export function computeShortShare(
+  demand: PromptDemand,
+  before: number,
+): number {
+  const short = demand.short / SHORT_FILL;
+  const long = demand.long / LONG_FILL;
+  if (short + long === 0) return before;
+  const share = short / (short + long);
+  return Math.abs(share - before) > SHARE_STEP ? share : before;
+}
+
 /**
  * Returns the names of the engines that are for short prompts: the first ones
- * in the common rank, as many as the demand of both kinds asks for.
+ * in the common rank. A kind that nobody asks for takes none.
  *
  * @example
- * const names = divideEngines(engines, { short: 40, long: 25 });
+ * const names = divideEngines(engines, 0.4);
  */
 export function divideEngines(
   engines: readonly EngineView[],
-  demand: PromptDemand,
+  share: number,
 ): ReadonlySet<string> {
-  const short = demand.short / SHORT_FILL;
-  const long = demand.long / LONG_FILL;
-  const part = short + long === 0 ? 0.5 : short / (short + long);
-  const least = short > 0 ? 1 : 0;
-  const most = engines.length - (long > 0 ? 1 : 0);
+  const least = share > 0 ? 1 : 0;
+  const most = engines.length - (share < 1 ? 1 : 0);
   const count = Math.max(
     least,
-    Math.min(most, Math.round(part * engines.length)),
+    Math.min(most, Math.round(share * engines.length)),
   );
   return new Set(
     rankEngines(engines).slice(0, count).map((engine) => engine.name),
--- a/packages/core/engine_choice_test.ts
+++ b/packages/core/engine_choice_test.ts
@@ -29,13 +29,14 @@
   return core.chooseEngine(wanted, { live: options.usable, ...options })?.name;
 }
 
-const DEMAND = { short: 40, long: 25 };
+/** Part of the engines for short prompts. */
+const SHARE = 0.5;
 const random = utils.createRandom(1);
 
 tap.test("every host divides the engines alike, over failure domains", (t) => {
   const engines = buildEngines(13);
-  const names = core.divideEngines(engines, DEMAND);
-  t.same(core.divideEngines(engines.toReversed(), DEMAND), names);
+  const names = core.divideEngines(engines, SHARE);
+  t.same(core.divideEngines(engines.toReversed(), SHARE), names);
   t.ok(names.size > 2 && names.size < 9, `${names.size} of 13`);
   const domains = engines.filter(({ name }) => names.has(name))
     .map(({ failureDomain }) => failureDomain);
@@ -45,10 +46,12 @@
 
 tap.test("a kind that nobody asks for takes no engine", (t) => {
   const engines = buildEngines(6);
-  t.equal(core.divideEngines(engines, { short: 0, long: 9 }).size, 0);
-  t.equal(core.divideEngines(engines, { short: 9, long: 0 }).size, 6);
+  t.equal(core.divideEngines(engines, 0).size, 0);
+  t.equal(core.divideEngines(engines, 1).size, 6);
+  t.equal(core.divideEngines(engines, 0.01).size, 1);
+  t.equal(core.divideEngines(engines, 0.99).size, 5);
   const usable = buildEngines(1);
-  const shortNames = core.divideEngines(usable, DEMAND);
+  const shortNames = core.divideEngines(usable, SHARE);
   [true, false].forEach((isShort) =>
     t.equal(
       chooseName({ isShort, prefix: "" }, {
@@ -68,7 +71,7 @@
 // prompt waits for it between any two of its tokens, and misses its pauses.
 tap.test("short and long prompts do not meet while there is room", (t) => {
   const engines = buildEngines(13);
-  const shortNames = core.divideEngines(engines, DEMAND);
+  const shortNames = core.divideEngines(engines, SHARE);
   const choose = (wanted: core.EngineRequest, usable = engines) =>
     chooseName(wanted, {
       usable,
@@ -95,7 +98,7 @@
 // A burst of queries fills its engines: the rest must not wait there while
 // other engines have room.
 tap.test("a part that is full gives over to the other one", (t) => {
-  const shortNames = core.divideEngines(buildEngines(13), DEMAND);
+  const shortNames = core.divideEngines(buildEngines(13), SHARE);
   const usable = buildEngines(
     13,
     (index) => ({ load: shortNames.has(`engine-${index}`) ? 30 : 1 }),
@@ -117,7 +120,7 @@
 // not all of its work.
 tap.test("a subject in demand leaves its engine when that is loaded", (t) => {
   const engines = buildEngines(13);
-  const shortNames = core.divideEngines(engines, DEMAND);
+  const shortNames = core.divideEngines(engines, SHARE);
   const wanted = { isShort: false, prefix: "hot" };
   const own = chooseName(wanted, {
     usable: engines,
@@ -228,3 +231,16 @@
   );
   t.end();
 });
+
+// The demand moves up and down with every second. Each time that engines change
+// sides, subjects lose the engine that keeps their prompts.
+tap.test("the division of engines follows only what lasts", (t) => {
+  const first = core.computeShortShare({ short: 50, long: 30 }, 0.5);
+  t.equal(first, 0.5);
+  const more = core.computeShortShare({ short: 90, long: 30 }, first);
+  t.ok(more > 0.6, "a burst of short prompts");
+  t.equal(core.computeShortShare({ short: 85, long: 32 }, more), more);
+  t.equal(core.computeShortShare({ short: 0, long: 0 }, more), more);
+  t.equal(core.computeShortShare({ short: 0, long: 9 }, more), 0);
+  t.end();
+});
--- a/packages/core/host_words.ts
+++ b/packages/core/host_words.ts
@@ -31,6 +31,14 @@
   readonly suspects: readonly events.SuspectMark[];
 }
 
+/** How engines are divided between short and long prompts, as one host decided it. */
+export interface EngineDivision {
+  /** True time of day of the decision, Unix ms; the newest one holds. */
+  readonly at: number;
+  /** Part of the engines that is for short prompts, by service. */
+  readonly shortShares: Readonly<Record<string, number>>;
+}
+
 /** What is known of some hosts together. */
 export interface HostsDigest {
   /** How many they are. */
@@ -40,6 +48,8 @@
   /** True times of day of some of them, Unix ms, as they are now. */
   readonly times: readonly number[];
   readonly suspects: readonly events.SuspectMark[];
+  /** Absent until one was heard of. */
+  readonly division?: EngineDivision;
 }
 
 /** Time for which a host's counts of usage are kept, in ms: three usage windows, in which a window is fixed even by a second holder of the role. */
@@ -127,7 +137,9 @@
     digests.flatMap(({ suspects }) => suspects)
       .map((mark) => [`${mark.fingerprint}/${mark.server}`, mark]),
   );
+  const division = findNewest(digests.flatMap((one) => one.division ?? []));
   return {
+    ...(division && { division }),
     hosts: digests.reduce((sum, { hosts }) => sum + hosts, 0),
     demand: sumDemands(digests.map(({ demand }) => demand)),
     running: sumCounts(digests.map(({ running }) => running)),
@@ -149,6 +161,21 @@
   return { ...digest, times: digest.times.map((time) => time + ageMs) };
 }
 
+/**
+ * Finds the newest of some decisions on the division of engines.
+ *
+ * @example
+ * findNewest([own, heard])?.shortShares;
+ */
+export function findNewest(
+  divisions: readonly EngineDivision[],
+): EngineDivision | undefined {
+  return divisions.reduce<EngineDivision | undefined>(
+    (newest, one) => newest !== undefined && newest.at >= one.at ? newest : one,
+    undefined,
+  );
+}
+
 function sumDemands(demands: readonly ServiceDemands[]): ServiceDemands {
   const total: Record<string, engineChoice.PromptDemand> = {};
   demands.flatMap((demand) => Object.entries(demand))
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -65,7 +65,7 @@
   readonly #affinity: boolean;
   readonly #prompts: engineChoice.PromptLengths;
   readonly #dividesEngines: boolean;
-  readonly #demand = new Map<string, engineChoice.PromptDemand>();
+  readonly #shortShares = new Map<string, number>();
   readonly #prefixes = new lru.LRUCache<string, string>({
     max: constants.MAX_PREFIXES,
   });
@@ -79,9 +79,9 @@
     this.#dividesEngines = options.dividesEngines ?? false;
   }
 
-  /** Takes over the demand of all hosts for a target. */
-  setDemand(target: string, demand: engineChoice.PromptDemand): void {
-    this.#demand.set(target, demand);
+  /** Takes over the part of a target's engines that is for short prompts. */
+  setShortShare(target: string, share: number): void {
+    this.#shortShares.set(target, share);
   }
 
   /** Chooses a server with room, or none. */
@@ -159,7 +159,8 @@
       own: server.running,
       prompting: server.prompting,
     }));
-    const demand = this.#demand.get(wanted.target) ?? { short: 1, long: 1 };
+    const share = this.#shortShares.get(wanted.target) ??
+      engineChoice.SHARE_AT_FIRST;
     const usable = new Set(
       live.filter(isUsable).map((server) => server.info.name),
     );
@@ -169,7 +170,7 @@
     }, {
       live: views,
       usable: views.filter((view) => usable.has(view.name)),
-      shortNames: engineChoice.divideEngines(views, demand),
+      shortNames: engineChoice.divideEngines(views, share),
       failureDomain: this.#failureDomain,
       random: this.#random,
     });
