--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -92,7 +92,13 @@
     this.#stops.splice(0).forEach((stop) => stop());
     this.#takeOwn();
     const answer = await this.#reportToRelay();
-    if (!answer?.publishes) await this.#publish();
+    if (answer?.publishes) return;
+    // There is no time to find out that the store is still away.
+    const silent = this.#options.clock.now() - this.#publishedAt > PUBLISHES_MS;
+    await Promise.all([
+      this.#publish(),
+      ...(silent ? [this.#giveWords()] : []),
+    ]);
   }
 
   /**
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -201,14 +201,15 @@
     const words = core.listCurrentWords(listWords());
     const before = this.#division?.shortShares ?? {};
     const shortShares = Object.fromEntries(
-      services.filter(({ engine }) => engine !== undefined)
-        .map(({ name }) => [
-          name,
-          core.computeShortShare(
-            core.sumDemand(words, name),
-            before[name] ?? core.SHARE_AT_FIRST,
-          ),
-        ]),
+      services.flatMap(({ name, engine }) => {
+        if (engine === undefined) return [];
+        const share = core.computeShortShare({
+          demand: core.sumDemand(words, name),
+          engines: this.#listReady(name).length,
+          slots: engine.slots,
+        }, before[name] ?? core.SHARE_AT_FIRST);
+        return [[name, share]];
+      }),
     );
     this.#division = { at: getTrueTime(), shortShares };
   }
@@ -255,10 +256,14 @@
     ).map((order) => ({ order, bootMs: scaling.bootMs }));
   }
 
-  #countServers(service: string): core.DomainServers[] {
-    const ready = this.#options.listServers().filter((server) =>
+  #listReady(service: string): core.ListedServer[] {
+    return this.#options.listServers().filter((server) =>
       server.service === service && server.state === "ready"
     );
+  }
+
+  #countServers(service: string): core.DomainServers[] {
+    const ready = this.#listReady(service);
     return this.#options.settings.failureDomains.map((failureDomain) => {
       const own = ready.filter((one) => one.failureDomain === failureDomain);
       const spot = own.filter((one) => one.spot).length;
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -14,8 +14,10 @@
 
 /** Time for the balancer to find the host not ready twice, in ms; it asks once a second. */
 const BALANCER_NOTICE_MS = 2_300;
-/** Time before the end of the grace period at which the rest is given up, in ms. */
-const STOP_MARGIN_MS = 400;
+/** Part of the grace period after which what still runs is given up; the rest is for the last counts, which take a call to the store. */
+const GIVE_UP_SHARE = 0.85;
+/** Longest time for those after the requests have ended, in ms; less than the rest of the shortest grace period of some seconds. */
+const CLOSE_MS = 600;
 /** Between two looks at what is still running, in ms. */
 const DRAIN_POLL_MS = 50;
 
@@ -110,7 +112,7 @@
     routedParts.RoutedParts,
   { ingress }: HostServers,
 ): Promise<void> {
-  const until = clock.now() + settings.graceMs - STOP_MARGIN_MS;
+  const until = clock.now() + GIVE_UP_SHARE * settings.graceMs;
   state.draining = true;
   log.info({ open: dispatch.countOpen() }, "Draining.");
   // Requests are still taken until the balancer has seen it.
@@ -134,10 +136,15 @@
   { ingress, readiness, operations }: HostServers,
 ): Promise<void> {
   parts.belief.stop();
-  await Promise.all([
-    parts.roles.stop(),
-    parts.relay.stop(),
-    parts.presence.stop(),
+  // A store that does not answer must not keep the process beyond its grace
+  // period: it would be killed, and a stop that was planned count as a loss.
+  await Promise.race([
+    utils.waitFor(CLOSE_MS),
+    Promise.all([
+      parts.roles.stop(),
+      parts.relay.stop(),
+      parts.presence.stop(),
+    ]),
   ]);
   parts.dispatch.stop();
   ingress.close();
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -13,7 +13,7 @@
  * be had. They cost some five times as much, so they are held for answers that
  * would fail, not for those that would be slow.
  */
-const ORDINARY_UTILISATION = 0.4;
+const ORDINARY_UTILISATION = 0.25;
 /** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
 const KEEP_MS = 20_000;
 /**
--- a/packages/core/engine_choice.ts
+++ b/packages/core/engine_choice.ts
@@ -76,22 +76,38 @@
 /** Part of the engines for short prompts before anything is known. */
 export const SHARE_AT_FIRST = 0.4;
 
+/** Largest part of the engines that short prompts get ahead of long ones. */
+const FIRST_SHARE = 0.5;
+
+/** A service's engines, and what all hosts ask of them. */
+export interface EngineDemand {
+  readonly demand: PromptDemand;
+  readonly engines: number;
+  /** Slots of an engine. */
+  readonly slots: number;
+}
+
 /**
  * Computes the part of a service's engines that is for short prompts. One host
  * decides it for all: where each went by its own word of the demand, they
  * disagreed on some engines, which got prompts of both kinds.
  *
+ * Load pattern: a burst of long prompts beyond what all engines can take. By
+ * the demand alone, short prompts would be left with a tenth of the engines and
+ * fail too, though they need little: they get what they need first, up to half.
+ *
  * @example
- * const share = computeShortShare({ short: 40, long: 25 }, SHARE_AT_FIRST);
+ * const share = computeShortShare({ demand, engines: 20, slots: 16 }, SHARE_AT_FIRST);
  */
 export function computeShortShare(
-  demand: PromptDemand,
+  { demand, engines, slots }: EngineDemand,
   before: number,
 ): number {
-  const short = demand.short / SHORT_FILL;
-  const long = demand.long / LONG_FILL;
-  if (short + long === 0) return before;
-  const share = short / (short + long);
+  const short = demand.short / (SHORT_FILL * slots);
+  const long = demand.long / (LONG_FILL * slots);
+  if (short + long === 0 || engines === 0) return before;
+  const needed = Math.min(FIRST_SHARE, short / engines);
+  const share = Math.max(short / (short + long), needed);
   return Math.abs(share - before) > SHARE_STEP ? share : before;
 }
 
