--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -17,7 +17,7 @@
 /** Part of the grace period after which what still runs is given up; the rest is for the last counts, which take a call to the store. */
 const GIVE_UP_SHARE = 0.85;
 /** Longest time for those after the requests have ended, in ms; less than the rest of the shortest grace period of some seconds. */
-const CLOSE_MS = 600;
+const CLOSE_MS = 900;
 /** Between two looks at what is still running, in ms. */
 const DRAIN_POLL_MS = 50;
 
@@ -42,7 +42,12 @@
     close: () => closeHost(parts, servers),
     drain: async () => {
       await drainHost(parts, servers);
-      await closeHost(parts, servers);
+      // Whatever does not answer must not keep the process beyond its grace
+      // period: it would be killed, and a planned stop count as a loss.
+      await Promise.race([
+        closeHost(parts, servers),
+        utils.waitFor(CLOSE_MS),
+      ]);
     },
   };
 }
@@ -136,15 +141,10 @@
   { ingress, readiness, operations }: HostServers,
 ): Promise<void> {
   parts.belief.stop();
-  // A store that does not answer must not keep the process beyond its grace
-  // period: it would be killed, and a stop that was planned count as a loss.
-  await Promise.race([
-    utils.waitFor(CLOSE_MS),
-    Promise.all([
-      parts.roles.stop(),
-      parts.relay.stop(),
-      parts.presence.stop(),
-    ]),
+  await Promise.all([
+    parts.roles.stop(),
+    parts.relay.stop(),
+    parts.presence.stop(),
   ]);
   parts.dispatch.stop();
   ingress.close();
