--- /dev/null
+++ b/packages/banyangrade/routed/host_updates.ts
@@ -0,0 +1,96 @@
+/** What a host takes over from the store and the other hosts, and what it tells them. */
+import * as core from "@banyangrade/core";
+import type * as routedParts from "./routed_parts.ts";
+
+type Parts = routedParts.RoutedParts;
+
+/**
+ * What this host tells the others.
+ *
+ * @example
+ * presence.describe = () => describeHost(parts);
+ */
+export function describeHost(
+  { settings, incarnation, clock, clocks, counter, dispatch, marks }: Parts,
+): core.HostWord {
+  marks.removeLapsed(clock.now());
+  return {
+    host: settings.host,
+    incarnation,
+    at: clocks.getTrueTime(),
+    demand: dispatch.countByTarget(),
+    running: dispatch.countByEngine(),
+    usage: counter.list(),
+    suspects: marks.list()
+      .map(({ fingerprint, server }) => ({ fingerprint, server })),
+  };
+}
+
+/**
+ * Takes over the list of backend servers.
+ *
+ * @example
+ * applyServers(parts, belief.listServers());
+ */
+export function applyServers(
+  { belief, pools, dispatch }: Parts,
+  listed: readonly core.ListedServer[],
+): void {
+  const limits = new Map(
+    (belief.getTable()?.configuration.services ?? [])
+      .map((one) => [one.name, one.connectionLimit]),
+  );
+  const servers = listed.map((server) => {
+    const name = getServerName(server);
+    const limit = pools.getLimit(name, limits.get(server.service) ?? 0);
+    return toServerInfo(server, { name, limit });
+  });
+  pools.keep(new Set(servers.map((server) => server.name)));
+  dispatch.send({ kind: "servers_changed", servers });
+}
+
+/**
+ * Takes over what is known of all other hosts.
+ *
+ * @example
+ * applyOthers(parts, digest);
+ */
+export function applyOthers(
+  { budget, clock, clocks, dispatch, pools }: Parts,
+  others: core.HostsDigest,
+): void {
+  budget.setHosts(others.hosts + 1);
+  pools.setHosts(others.hosts + 1);
+  Object.entries(others.division?.shortShares ?? {}).forEach(
+    ([service, share]) => dispatch.setShortShare(service, share),
+  );
+  dispatch.send({
+    kind: "load_shared",
+    running: others.running,
+    asOf: clock.now(),
+  });
+  if (others.suspects.length > 0) {
+    dispatch.send({ kind: "suspected", marks: others.suspects });
+  }
+  clocks.updateTrueTime({ others: others.times });
+}
+
+/** A server that started again under its identifier is another one: it knows nothing of the first. */
+function getServerName(listed: core.ListedServer): string {
+  return `${listed.id}@${listed.bornAt}`;
+}
+
+function toServerInfo(
+  listed: core.ListedServer,
+  { name, limit }: { readonly name: string; readonly limit: number },
+): core.ServerInfo {
+  return {
+    name,
+    instance: listed.id,
+    pool: listed.service,
+    url: `http://${listed.address}`,
+    state: listed.state === "ready" ? "live" : "leaving",
+    slots: Math.min(listed.slots, limit),
+    failureDomain: listed.failureDomain,
+  };
+}
--- a/packages/banyangrade/routed/ports.ts
+++ b/packages/banyangrade/routed/ports.ts
@@ -60,14 +60,6 @@
   readonly readinessPath: string;
 }
 
-/** A backend server's own word of its load. */
-export interface ServerReport {
-  readonly running: number;
-  readonly waiting: number;
-  /** Memory in use that cannot be given up, as a share. */
-  readonly memoryUsed: number;
-}
-
 /** An order for the size of a service in one failure domain. */
 export interface DomainOrder {
   readonly service: string;
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -3,6 +3,7 @@
 import * as store from "@banyangrade/store";
 import * as usage from "@banyangrade/usage";
 import * as utils from "@banyangrade/utils";
+import * as ordersRound from "./orders_round.ts";
 import type * as ports from "./ports.ts";
 
 /** Margin of a lease for clock drift and scheduling, in ms. */
@@ -25,8 +26,6 @@
 const FIX_MARGIN_MS = 1_500;
 /** Age up to which the hosts' words count as read, in ms: two rounds. */
 const WORDS_VALID_MS = 2_500;
-/** Time after which an order that shows no effect is sent again, in ms, beyond the time a server takes to start. */
-const REPEAT_MS = 3_000;
 /** All usage windows are one subject. */
 const ALL_DOMAINS = "all";
 
@@ -51,26 +50,21 @@
   readonly isCandidate: () => boolean;
 }
 
-interface SentOrder {
-  readonly order: ports.DomainOrder;
-  readonly at: number;
-  /** Whether as many servers were there since. */
-  reached: boolean;
-}
-
 /** Tries for the roles and does their work. */
 export class RolesTask {
   readonly #options: RolesOptions;
   readonly #collector = new core.WindowCollector();
-  readonly #planners = new Map<string, core.DomainPlanner>();
-  readonly #sent = new Map<string, SentOrder>();
+  readonly #orders: ordersRound.OrdersRound;
   #holder: store.LeaseHolder | undefined;
-  #division: core.EngineDivision | undefined;
   #round = 0;
   #stops: (() => void)[] = [];
 
   constructor(options: RolesOptions) {
     this.#options = options;
+    this.#orders = new ordersRound.OrdersRound({
+      ...options,
+      getLease: () => this.#getLease(),
+    });
   }
 
   start(): void {
@@ -112,7 +106,7 @@
         return this.#options.isCandidate() &&
           this.#round % this.#countRoundsPerTry() === 0;
       },
-      onChange: () => this.#sent.clear(),
+      onChange: () => this.#orders.forgetSent(),
     });
   }
 
@@ -193,128 +187,12 @@
 
   /** How engines are divided; undefined while this host does not decide it. */
   getDivision(): core.EngineDivision | undefined {
-    return this.hasRole() ? this.#division : undefined;
-  }
-
-  #divide({ services }: core.RoutingConfiguration): void {
-    const { listWords, getTrueTime } = this.#options;
-    const words = core.listCurrentWords(listWords());
-    const before = this.#division?.shortShares ?? {};
-    const shortShares = Object.fromEntries(
-      services.flatMap(({ name, engine }) => {
-        if (engine === undefined) return [];
-        const share = core.computeShortShare({
-          demand: core.sumDemand(words, name),
-          engines: this.#listReady(name).length,
-          slots: engine.slots,
-        }, before[name] ?? core.SHARE_AT_FIRST);
-        return [[name, share]];
-      }),
-    );
-    this.#division = { at: getTrueTime(), shortShares };
+    return this.hasRole() ? this.#orders.getDivision() : undefined;
   }
 
   async #order(): Promise<void> {
-    const configuration = this.#options.getConfiguration();
-    if (!this.hasRole() || !configuration) return;
-    this.#divide(configuration);
-    if (!this.#isInCharge("orders")) return;
-    const orders = configuration.services.flatMap((service) =>
-      this.#planService(service)
-    );
-    for (const order of orders) await this.#sendOrder(order);
-  }
-
-  /** Counts the servers that are ready of what an order is for. */
-  #countOrdered({ order }: PlannedOrder): number {
-    const there = this.#countServers(order.service)
-      .find((one) => one.failureDomain === order.failureDomain);
-    return (order.spot ? there?.spot : there?.ordinary) ?? 0;
-  }
-
-  #planService(service: core.RoutedService): PlannedOrder[] {
-    const { scaling, engine, name } = service;
-    if (scaling === undefined) return [];
-    const planner = this.#planners.get(name) ?? new core.DomainPlanner();
-    this.#planners.set(name, planner);
-    const { short, long } = core.sumDemand(
-      core.listCurrentWords(this.#options.listWords()),
-      name,
-    );
-    const planned = planner.plan({
-      bounds: scaling,
-      slots: engine?.slots ?? 1,
-      demand: short + long,
-      servers: this.#countServers(name),
-    }, this.#options.clock.now());
-    return planned.flatMap(({ failureDomain, ordinary, spot }) =>
-      ([[true, spot], [false, ordinary]] as const).flatMap(([isSpot, count]) =>
-        count === undefined
-          ? []
-          : [{ service: name, failureDomain, spot: isSpot, count }]
-      )
-    ).map((order) => ({ order, bootMs: scaling.bootMs }));
+    if (!this.hasRole()) return;
+    this.#orders.divide();
+    if (this.#isInCharge("orders")) await this.#orders.send();
   }
-
-  #listReady(service: string): core.ListedServer[] {
-    return this.#options.listServers().filter((server) =>
-      server.service === service && server.state === "ready"
-    );
-  }
-
-  #countServers(service: string): core.DomainServers[] {
-    const ready = this.#listReady(service);
-    return this.#options.settings.failureDomains.map((failureDomain) => {
-      const own = ready.filter((one) => one.failureDomain === failureDomain);
-      const spot = own.filter((one) => one.spot).length;
-      return { failureDomain, spot, ordinary: own.length - spot };
-    });
-  }
-
-  async #sendOrder(planned: PlannedOrder): Promise<void> {
-    const { platform, clock, log } = this.#options;
-    const { order: wanted } = planned;
-    const key = `${wanted.service}/${wanted.failureDomain}/${wanted.spot}`;
-    const now = clock.now();
-    if (!this.#isDue(planned, { sent: this.#sent.get(key), now })) return;
-    const lease = this.#getLease();
-    // No await between this check and the send: a process that was paused
-    // finds out here that its lease is over.
-    if (lease.kind === "none" || !core.mayAct(lease, now)) return;
-    const order = { ...wanted, fencingToken: lease.token };
-    this.#sent.set(key, { order, at: now, reached: false });
-    const sent = await platform.sendOrder(order);
-    log.info({ ...order, error: sent.err ? sent.val : undefined }, "Ordered.");
-    if (sent.ok) return;
-    // Another holder was seen, or there are no such servers: the same answer.
-    if (sent.val.code === "conflict" && wanted.spot) {
-      this.#planners.get(wanted.service)
-        ?.recordUnavailable(wanted.failureDomain, now);
-    }
-  }
-
-  /**
-   * Whether an order is new, or was sent and has shown no effect, or the servers
-   * that it brought are gone again: after a reclaim no second is lost until the
-   * platform says whether there are more.
-   */
-  #isDue(
-    planned: PlannedOrder,
-    { sent, now }: { readonly sent: SentOrder | undefined; now: number },
-  ): boolean {
-    const { order: wanted, bootMs } = planned;
-    if (sent === undefined || sent.order.count !== wanted.count) return true;
-    const count = this.#countOrdered(planned);
-    const lost = sent.reached && count < wanted.count;
-    sent.reached ||= count >= wanted.count;
-    return lost || count !== wanted.count &&
-        now - sent.at > bootMs + REPEAT_MS;
-  }
-}
-
-/** An order before its fencing token is known. */
-interface PlannedOrder {
-  readonly order: Omit<ports.DomainOrder, "fencingToken">;
-  /** Time that a server takes to start, in ms. */
-  readonly bootMs: number;
 }
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -8,6 +8,7 @@
 import * as dispatchTask from "../dispatch_task.ts";
 import * as metricsModule from "../metrics.ts";
 import * as beliefTask from "./belief_task.ts";
+import * as hostUpdates from "./host_updates.ts";
 import * as hostClocks from "./host_clocks.ts";
 import type * as ingressModule from "./ingress.ts";
 import type * as ports from "./ports.ts";
@@ -189,9 +190,9 @@
           settings.failureDomain,
         ),
       });
-      applyServers(draft, draft.belief.listServers());
+      hostUpdates.applyServers(draft, draft.belief.listServers());
     },
-    onServers: (listed) => applyServers(draft, listed),
+    onServers: (listed) => hostUpdates.applyServers(draft, listed),
   });
 }
 
@@ -204,30 +205,13 @@
     host: settings.host,
     incarnation,
     relay: draft.relay,
-    describe: () => describeHost(draft),
+    describe: () => hostUpdates.describeHost(draft),
     hasRole: () => draft.roles.hasRole(),
     getDivision: () => draft.roles.getDivision(),
-    onOthers: (digest) => applyOthers(draft, digest),
+    onOthers: (digest) => hostUpdates.applyOthers(draft, digest),
   });
 }
 
-/** What this host tells the others. */
-function describeHost(
-  { settings, incarnation, clock, clocks, counter, dispatch, marks }: Draft,
-): core.HostWord {
-  marks.removeLapsed(clock.now());
-  return {
-    host: settings.host,
-    incarnation,
-    at: clocks.getTrueTime(),
-    demand: dispatch.countByTarget(),
-    running: dispatch.countByEngine(),
-    usage: counter.list(),
-    suspects: marks.list()
-      .map(({ fingerprint, server }) => ({ fingerprint, server })),
-  };
-}
-
 function addRoles(draft: Draft): void {
   const { settings, platform, clocks, log, incarnation } = draft;
   draft.roles = new rolesTask.RolesTask({
@@ -276,62 +260,3 @@
   const trueAt = clocks.getTrueTime() - (clock.now() - at);
   counter.record(Math.floor(trueAt / settings.usageWindowMs), customer);
 }
-
-/** Takes over the list of backend servers. */
-function applyServers(
-  { belief, pools, dispatch }: Draft,
-  listed: readonly core.ListedServer[],
-): void {
-  const limits = new Map(
-    (belief.getTable()?.configuration.services ?? [])
-      .map((one) => [one.name, one.connectionLimit]),
-  );
-  const servers = listed.map((server) => {
-    const name = getServerName(server);
-    const limit = pools.getLimit(name, limits.get(server.service) ?? 0);
-    return toServerInfo(server, { name, limit });
-  });
-  pools.keep(new Set(servers.map((server) => server.name)));
-  dispatch.send({ kind: "servers_changed", servers });
-}
-
-/** Takes over what is known of all other hosts. */
-function applyOthers(
-  { budget, clock, clocks, dispatch, pools }: Draft,
-  others: core.HostsDigest,
-): void {
-  budget.setHosts(others.hosts + 1);
-  pools.setHosts(others.hosts + 1);
-  Object.entries(others.division?.shortShares ?? {}).forEach(
-    ([service, share]) => dispatch.setShortShare(service, share),
-  );
-  dispatch.send({
-    kind: "load_shared",
-    running: others.running,
-    asOf: clock.now(),
-  });
-  if (others.suspects.length > 0) {
-    dispatch.send({ kind: "suspected", marks: others.suspects });
-  }
-  clocks.updateTrueTime({ others: others.times });
-}
-
-/** A server that started again under its identifier is another one: it knows nothing of the first. */
-function getServerName(listed: core.ListedServer): string {
-  return `${listed.id}@${listed.bornAt}`;
-}
-
-function toServerInfo(
-  listed: core.ListedServer,
-  { name, limit }: { readonly name: string; readonly limit: number },
-): core.ServerInfo {
-  return {
-    name,
-    instance: listed.id,
-    pool: listed.service,
-    url: `http://${listed.address}`,
-    state: listed.state === "ready" ? "live" : "leaving",
-    slots: Math.min(listed.slots, limit),
-    failureDomain: listed.failureDomain,
-  };
-}
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -4,6 +4,7 @@
  * cost a fraction, and a reclaim takes those of one failure domain only, whose
  * work the others take over until more have started.
  */
+import * as domainSpread from "./domain_spread.ts";
 import type * as routes from "./routes.ts";
 
 /** Load that a reclaimable server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
@@ -129,13 +130,16 @@
     const ranked = open.toSorted((a, b) =>
       getPrice(bounds, a.failureDomain) - getPrice(bounds, b.failureDomain)
     );
-    const shares = spreadEvenly(wanted - sumOf(shut, ({ spot }) => spot), {
-      domains: ranked.map((domain) => ({
-        failureDomain: domain.failureDomain,
-        least: Math.max(0, bounds.minServers - domain.ordinary),
-        most: this.#countRoom(domain, round),
-      })),
-    });
+    const shares = domainSpread.spreadEvenly(
+      wanted - sumOf(shut, ({ spot }) => spot),
+      {
+        domains: ranked.map((domain) => ({
+          failureDomain: domain.failureDomain,
+          least: Math.max(0, bounds.minServers - domain.ordinary),
+          most: this.#countRoom(domain, round),
+        })),
+      },
+    );
     let surplus = sumOf(servers, ({ spot }) => spot) - wanted;
     return new Map(
       ranked.toReversed().map((domain) => {
@@ -192,10 +196,12 @@
     }).toSorted((a, b) =>
       getPrice(bounds, a.failureDomain) - getPrice(bounds, b.failureDomain)
     );
-    const kept = spreadEvenly(enough - spotThere, { domains: there });
+    const kept = domainSpread.spreadEvenly(enough - spotThere, {
+      domains: there,
+    });
     const keptCount = [...kept.values()].reduce((sum, count) => sum + count, 0);
     if (missing <= keptCount) return kept;
-    return spreadEvenly(missing, {
+    return domainSpread.spreadEvenly(missing, {
       domains: there.map(({ failureDomain }) => ({
         failureDomain,
         least: kept.get(failureDomain) ?? 0,
@@ -313,33 +319,3 @@
 function getPrice(bounds: routes.ScalingBounds, failureDomain: string): number {
   return bounds.domainPrices.get(failureDomain) ?? 1;
 }
-
-/** Servers that a failure domain may be given. */
-interface DomainRoom {
-  readonly failureDomain: string;
-  readonly least: number;
-  readonly most: number;
-}
-
-/** Gives each failure domain its least, then one at a time to each in its rank. */
-function spreadEvenly(
-  total: number,
-  { domains }: { readonly domains: readonly DomainRoom[] },
-): ReadonlyMap<string, number> {
-  const counts = new Map(
-    domains.map(({ failureDomain, least }) => [failureDomain, least]),
-  );
-  const sum = domains.reduce((least, domain) => least + domain.least, 0);
-  let left = total - sum;
-  while (left > 0) {
-    const open = domains.filter(({ failureDomain, most }) =>
-      (counts.get(failureDomain) ?? 0) < most
-    );
-    if (open.length === 0) break;
-    open.slice(0, left).forEach(({ failureDomain }) =>
-      counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1)
-    );
-    left -= open.length;
-  }
-  return counts;
-}
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -124,7 +124,11 @@
     retryDelayMs: () => 200,
   });
   const client = trpc.createTRPCClient<Router>({
-    links: [trpc.wsLink<Router>({ client: socket } as never)],
+    // What the link asks for beyond the client depends on the router's
+    // transformer, of which ours have none.
+    links: [
+      trpc.wsLink({ client: socket } as trpc.WebSocketLinkOptions<Router>),
+    ],
   });
   return { client, close: () => void socket.close().catch(() => undefined) };
 }
