Close connections that were given up for good; name what hosts tell a status

Cause: relay_test did not end in two of three runs. tRPC's client, closed at the moment at which it was about to connect again, goes on connecting every 200 ms for ever: each lost relay would have left every follower with one more such client. Words and digests of hosts are statuses and summaries now, as elsewhere.

--- a/packages/banyangrade/routed/host_updates.ts
+++ b/packages/banyangrade/routed/host_updates.ts
@@ -12,7 +12,7 @@
  */
 export function describeHost(
   { settings, incarnation, clock, clocks, counter, dispatch, marks }: Parts,
-): core.HostWord {
+): core.HostStatus {
   marks.removeLapsed(clock.now());
   return {
     host: settings.host,
@@ -53,11 +53,11 @@
  * Takes over what is known of all other hosts.
  *
  * @example
- * applyOthers(parts, digest);
+ * applyOthers(parts, summary);
  */
 export function applyOthers(
   { budget, clock, clocks, dispatch, pools }: Parts,
-  others: core.HostsDigest,
+  others: core.HostsSummary,
 ): void {
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
--- a/packages/banyangrade/routed/orders_round.ts
+++ b/packages/banyangrade/routed/orders_round.ts
@@ -17,8 +17,8 @@
   readonly getTrueTime: () => number;
   readonly getConfiguration: () => core.RoutingConfiguration | undefined;
   readonly listServers: () => readonly core.ListedServer[];
-  /** The published words of all hosts. */
-  readonly listWords: () => readonly core.HostWord[];
+  /** The published statuses of all hosts. */
+  readonly listStatuses: () => readonly core.HostStatus[];
 }
 
 interface SentOrder {
@@ -57,15 +57,15 @@
 
   /** Decides how engines are divided between short and long prompts. */
   divide(): void {
-    const { listWords, getTrueTime, getConfiguration } = this.#options;
+    const { listStatuses, getTrueTime, getConfiguration } = this.#options;
     const services = getConfiguration()?.services ?? [];
-    const words = core.listCurrentWords(listWords());
+    const statuses = core.listCurrentStatuses(listStatuses());
     const before = this.#division?.shortShares ?? {};
     const shortShares = Object.fromEntries(
       services.flatMap(({ name, engine }) => {
         if (engine === undefined) return [];
         const share = core.computeShortShare({
-          demand: core.sumDemand(words, name),
+          demand: core.sumDemand(statuses, name),
           engines: this.#listReady(name).length,
           slots: engine.slots,
         }, before[name] ?? core.SHARE_AT_FIRST);
@@ -95,7 +95,7 @@
     const planner = this.#planners.get(name) ?? new core.DomainPlanner();
     this.#planners.set(name, planner);
     const { short, long } = core.sumDemand(
-      core.listCurrentWords(this.#options.listWords()),
+      core.listCurrentStatuses(this.#options.listStatuses()),
       name,
     );
     const planned = planner.plan({
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -1,6 +1,6 @@
 /**
  * What hosts tell each other: that they live, what they serve and what they
- * counted. A host tells its relay. The relay publishes the words of all its
+ * counted. A host tells its relay. The relay publishes the statuses of all its
  * followers in one entry of the store, under a lease, so that what a host
  * counted outlasts both; and it exchanges sums of them with the other relays.
  */
@@ -26,10 +26,10 @@
 const RENEW_MS = 4_000;
 
 /** What one entry of the store holds. */
-interface PublishedWords {
+interface PublishedStatuses {
   /** How other relays reach the host that published it; absent if it is none. */
   readonly contact?: store.RoleContact;
-  readonly words: readonly core.HostWord[];
+  readonly statuses: readonly core.HostStatus[];
 }
 
 /** Options of {@link PresenceTask}. */
@@ -43,25 +43,25 @@
     relayTask.RelayTask,
     "callRelay" | "callContact" | "getContact" | "closeIdle"
   >;
-  readonly describe: () => core.HostWord;
+  readonly describe: () => core.HostStatus;
   /** Whether this host holds a role, for which it looks at the entries often. */
   readonly hasRole: () => boolean;
   /** How engines are divided, if this host decides it. */
   readonly getDivision: () => core.EngineDivision | undefined;
   /** Told what is known of all other hosts. */
-  readonly onOthers: (digest: core.HostsDigest) => void;
+  readonly onOthers: (summary: core.HostsSummary) => void;
 }
 
 interface Received {
-  readonly digest: core.HostsDigest;
+  readonly summary: core.HostsSummary;
   readonly at: number;
 }
 
 /** Tells of this host, and hears of the others. */
 export class PresenceTask {
   readonly #options: PresenceOptions;
-  /** Own words and those of followers. */
-  readonly #words = new core.HostWords();
+  /** Own statuses and those of followers. */
+  readonly #statuses = new core.HostStatuses();
   /** Other relays by address, and what they last summed up. */
   #contacts: readonly store.RoleContact[] = [];
   readonly #received = new Map<string, Received>();
@@ -70,7 +70,7 @@
   #revision = 0;
   #publishedRound = Number.NEGATIVE_INFINITY;
   #publishedAt = Number.NEGATIVE_INFINITY;
-  #published: readonly core.HostWord[] = [];
+  #published: readonly core.HostStatus[] = [];
   #round = 0;
   #readAt = Number.NEGATIVE_INFINITY;
 
@@ -97,15 +97,15 @@
     const silent = this.#options.clock.now() - this.#publishedAt > PUBLISHES_MS;
     await Promise.all([
       this.#publish(),
-      ...(silent ? [this.#giveWords()] : []),
+      ...(silent ? [this.#forwardStatuses()] : []),
     ]);
   }
 
   /**
-   * The words of all hosts as last published, the newest of each process;
+   * The statuses of all hosts as last published, the newest of each process;
    * those of earlier processes included, whose counts still stand.
    */
-  listPublished(): readonly core.HostWord[] {
+  listPublished(): readonly core.HostStatus[] {
     return this.#published;
   }
 
@@ -114,14 +114,14 @@
     return this.#readAt;
   }
 
-  /** Takes a follower's words, its own first, and says what is known of the others. */
-  takeWords(words: readonly core.HostWord[]): peer.ReportAnswer {
+  /** Takes a follower's statuses, its own first, and says what is known of the others. */
+  takeStatuses(statuses: readonly core.HostStatus[]): peer.ReportAnswer {
     const now = this.#options.clock.now();
-    words.forEach((word, index) =>
-      this.#words.take(word, { now, direct: index === 0 })
+    statuses.forEach((status, index) =>
+      this.#statuses.take(status, { now, direct: index === 0 })
     );
     return {
-      others: this.#sumOthers({ without: words[0]?.host ?? "" }),
+      others: this.#sumOthers({ without: statuses[0]?.host ?? "" }),
       publishes: now - this.#publishedAt <= PUBLISHES_MS,
     };
   }
@@ -132,12 +132,12 @@
   }
 
   /** Sums up this host and its followers, for other relays. */
-  getDigest(): core.HostsDigest {
-    const sum = this.#words.sum(this.#options.clock.now());
+  getSummary(): core.HostsSummary {
+    const sum = this.#statuses.sum(this.#options.clock.now());
     return { ...sum, ...this.#describeDivision() };
   }
 
-  #describeDivision(): Pick<core.HostsDigest, "division"> {
+  #describeDivision(): Pick<core.HostsSummary, "division"> {
     const division = this.#options.getDivision();
     return division === undefined ? {} : { division };
   }
@@ -158,31 +158,31 @@
 
   #takeOwn(): void {
     const { clock, describe } = this.#options;
-    this.#words.take(describe(), { now: clock.now(), direct: true });
+    this.#statuses.take(describe(), { now: clock.now(), direct: true });
   }
 
   /** Tells the relay; undefined if there is none that answers. */
   #reportToRelay(): Promise<peer.ReportAnswer | undefined> {
-    const words = [this.#options.describe()];
+    const statuses = [this.#options.describe()];
     return this.#options.relay.callRelay({
       step: "relay.report",
-      run: (client, signal) => client.report.mutate(words, { signal }),
+      run: (client, signal) => client.report.mutate(statuses, { signal }),
     });
   }
 
   /**
-   * Gives the words to any other relay. The store turns this host away while it
+   * Gives the statuses to any other relay. The store turns this host away while it
    * serves others: what it and its followers counted would be missing from a
    * usage window that is fixed meanwhile.
    */
-  async #giveWords(): Promise<void> {
+  async #forwardStatuses(): Promise<void> {
     const { relay, clock, host } = this.#options;
-    const words = this.#words.list(clock.now())
+    const statuses = this.#statuses.list(clock.now())
       .toSorted((a, b) => Number(b.host === host) - Number(a.host === host));
     for (const contact of this.#contacts) {
       const answer = await relay.callContact(contact, {
-        step: "relay.giveWords",
-        run: (client, signal) => client.report.mutate(words, { signal }),
+        step: "relay.forwardStatuses",
+        run: (client, signal) => client.report.mutate(statuses, { signal }),
       });
       if (answer?.publishes) return;
     }
@@ -192,12 +192,12 @@
   async #askRelays(): Promise<void> {
     const { relay, clock } = this.#options;
     await Promise.all(this.#contacts.map(async (contact) => {
-      const digest = await relay.callContact(contact, {
-        step: "relay.digest",
-        run: (client, signal) => client.digest.query(undefined, { signal }),
+      const summary = await relay.callContact(contact, {
+        step: "relay.summary",
+        run: (client, signal) => client.summary.query(undefined, { signal }),
       });
-      if (digest === undefined) return;
-      this.#received.set(contact.address, { digest, at: clock.now() });
+      if (summary === undefined) return;
+      this.#received.set(contact.address, { summary, at: clock.now() });
     }));
   }
 
@@ -205,14 +205,14 @@
    * Sums up what is known of all hosts but one. Hosts of a failure domain that
    * is out of reach still share what all hosts share, so their number counts on.
    */
-  #sumOthers(options: { readonly without: string }): core.HostsDigest {
+  #sumOthers(options: { readonly without: string }): core.HostsSummary {
     const now = this.#options.clock.now();
-    [...this.#received].filter(([, { at }]) => now - at > core.KEEP_WORD_MS)
+    [...this.#received].filter(([, { at }]) => now - at > core.KEEP_STATUS_MS)
       .forEach(([address]) => this.#received.delete(address));
-    const sum = core.mergeDigests([
-      this.#words.sum(now, options),
-      ...[...this.#received.values()].map(({ digest, at }) =>
-        core.dropOldWork(digest, now - at)
+    const sum = core.mergeSummaries([
+      this.#statuses.sum(now, options),
+      ...[...this.#received.values()].map(({ summary, at }) =>
+        core.dropOldWork(summary, now - at)
       ),
     ]);
     return {
@@ -224,8 +224,8 @@
 
   #countPublished(): number {
     const recent =
-      this.#options.clock.now() - this.#readAt <= core.KEEP_WORD_MS;
-    return recent ? core.listCurrentWords(this.#published).length : 0;
+      this.#options.clock.now() - this.#readAt <= core.KEEP_STATUS_MS;
+    return recent ? core.listCurrentStatuses(this.#published).length : 0;
   }
 
   /** Publishes; once more at once where the entry or its lease had gone. */
@@ -235,21 +235,21 @@
     const sentAt = clock.now();
     let left = PUBLISH_TRIES;
     while (left > 0 && !await this.#tryPublish()) left -= 1;
-    if (this.#publishedAt < sentAt) await this.#giveWords();
+    if (this.#publishedAt < sentAt) await this.#forwardStatuses();
   }
 
   /** Tries once; false if another try may succeed at once. */
   async #tryPublish(): Promise<boolean> {
     const { store: client, host, incarnation, clock, relay } = this.#options;
     if (this.#lease === undefined) {
-      const granted = await client.grantLease(core.KEEP_WORD_MS / 1_000);
+      const granted = await client.grantLease(core.KEEP_STATUS_MS / 1_000);
       if (granted.err) return this.#recordFailure(granted.val);
       this.#lease = granted.val;
     }
     const contact = relay.getContact();
-    const published: PublishedWords = {
+    const published: PublishedStatuses = {
       ...(contact && { contact }),
-      words: this.#words.list(clock.now()),
+      statuses: this.#statuses.list(clock.now()),
     };
     const swapped = await client.swap({
       key: `${PREFIX}${host}/${incarnation}`,
@@ -292,10 +292,10 @@
     const own = `${PREFIX}${this.#options.host}/${this.#options.incarnation}`;
     const published = listed.val.map(({ key, value }) => ({
       key,
-      ...utils.parseJson(value) as PublishedWords | undefined,
+      ...utils.parseJson(value) as PublishedStatuses | undefined,
     }));
     this.#published = keepNewest(
-      published.flatMap(({ words = [] }) => words),
+      published.flatMap(({ statuses = [] }) => statuses),
     );
     this.#contacts = published.flatMap(({ key, contact }) =>
       contact === undefined || key === own ? [] : [contact]
@@ -315,12 +315,12 @@
   }
 }
 
-/** Keeps the newest word of each process: a host that changed its relay stands in two entries. */
-function keepNewest(words: readonly core.HostWord[]): core.HostWord[] {
-  const newest = new Map<string, core.HostWord>();
-  words.forEach((word) => {
-    const key = `${word.host}/${word.incarnation}`;
-    if ((newest.get(key)?.at ?? -Infinity) < word.at) newest.set(key, word);
+/** Keeps the newest status of each process: a host that changed its relay stands in two entries. */
+function keepNewest(statuses: readonly core.HostStatus[]): core.HostStatus[] {
+  const newest = new Map<string, core.HostStatus>();
+  statuses.forEach((status) => {
+    const key = `${status.host}/${status.incarnation}`;
+    if ((newest.get(key)?.at ?? -Infinity) < status.at) newest.set(key, status);
   });
   return [...newest.values()];
 }
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -24,8 +24,8 @@
 const PARTIAL_SHARE = 0.5;
 /** Time before a report is due at which a window is fixed in any case, in ms: a round and the calls. */
 const FIX_MARGIN_MS = 1_500;
-/** Age up to which the hosts' words count as read, in ms: two rounds. */
-const WORDS_VALID_MS = 2_500;
+/** Age up to which the hosts' statuses count as read, in ms: two rounds. */
+const STATUSES_VALID_MS = 2_500;
 /** All usage windows are one subject. */
 const ALL_DOMAINS = "all";
 
@@ -40,10 +40,10 @@
   readonly getTrueTime: () => number;
   readonly getConfiguration: () => core.RoutingConfiguration | undefined;
   readonly listServers: () => readonly core.ListedServer[];
-  /** The published words of all hosts. */
-  readonly listWords: () => readonly core.HostWord[];
+  /** The published statuses of all hosts. */
+  readonly listStatuses: () => readonly core.HostStatus[];
   /** Monotonic time at which they were read. */
-  readonly getWordsAt: () => number;
+  readonly getStatusesAt: () => number;
   /** Hosts that try for the roles. */
   readonly countCandidates: () => number;
   /** Whether this host is one of them. */
@@ -129,10 +129,10 @@
     if (!this.#isInCharge("usage")) return;
     const { platform, clock, log } = this.#options;
     // A host that has just won the role has not read the others' counts yet.
-    const age = clock.now() - this.#options.getWordsAt();
-    if (age > WORDS_VALID_MS) return;
+    const age = clock.now() - this.#options.getStatusesAt();
+    if (age > STATUSES_VALID_MS) return;
     this.#collector.setTables(
-      this.#options.listWords().map((word) => word.usage),
+      this.#options.listStatuses().map((word) => word.usage),
     );
     const round = await usage.reportWindows({
       store: platform.store,
@@ -155,29 +155,29 @@
     }
   }
 
-  /** Counts a window from the words of all hosts, and says which. */
+  /** Counts a window from the statuses of all hosts, and says which. */
   #countWindow(window: number, failureDomain: string): core.FixedWindow {
     const fixed = this.#collector.buildWindow(window, failureDomain);
-    const { listWords, log, getTrueTime, settings } = this.#options;
+    const { listStatuses, log, getTrueTime, settings } = this.#options;
     const end = (window + 1) * settings.usageWindowMs;
-    const words = core.listCurrentWords(listWords());
+    const statuses = core.listCurrentStatuses(listStatuses());
     log.info({
       window,
       requests: Object.values(fixed.figures)
         .reduce((sum, { requests }) => sum + requests, 0),
       sinceEndMs: Math.round(getTrueTime() - end),
-      hosts: words.length,
-      behind: words.filter(({ at }) => at < end).map(({ host }) => host),
+      hosts: statuses.length,
+      behind: statuses.filter(({ at }) => at < end).map(({ host }) => host),
     }, "Window counted.");
     return fixed;
   }
 
   /** Finds the newest window that can be fixed. */
   #findLastClosed(): number {
-    const { settings, getTrueTime, listWords } = this.#options;
+    const { settings, getTrueTime, listStatuses } = this.#options;
     return core.findLastWindow({
       now: getTrueTime(),
-      publishedAt: core.listCurrentWords(listWords()).map(({ at }) => at),
+      publishedAt: core.listCurrentStatuses(listStatuses()).map(({ at }) => at),
       windowMs: settings.usageWindowMs,
       countsMs: COUNTS_MS,
       partialMs: PARTIAL_SHARE * settings.usageDueMs,
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -161,8 +161,8 @@
         if (state.draining) throw new Error("This host is stopping.");
         return draft.feed.answerPoll(message);
       },
-      report: (words) => draft.presence.takeWords(words),
-      getDigest: () => draft.presence.getDigest(),
+      report: (words) => draft.presence.takeStatuses(words),
+      getSummary: () => draft.presence.getSummary(),
     }),
   });
   draft.feed = new relayedFeed.RelayedFeed({
@@ -228,8 +228,8 @@
     getTrueTime: clocks.getTrueTime,
     getConfiguration: () => draft.belief.getTable()?.configuration,
     listServers: () => draft.belief.listServers(),
-    listWords: () => draft.presence.listPublished(),
-    getWordsAt: () => draft.presence.getReadAt(),
+    listStatuses: () => draft.presence.listPublished(),
+    getStatusesAt: () => draft.presence.getReadAt(),
   });
 }
 
--- a/packages/core/host_words.ts
+++ b/packages/core/host_statuses.ts
@@ -1,6 +1,6 @@
 /**
- * What hosts tell each other of themselves, and what follows from the words of
- * many. A word replaces the one before, so a lost one is made good by the next.
+ * What hosts tell each other of themselves, and what follows from the statuses of
+ * many. A status replaces the one before, so a lost one is made good by the next.
  * Counts of work are of use for a few seconds; what a host counted for usage
  * must outlast it.
  */
@@ -17,7 +17,7 @@
 >;
 
 /** What one host tells. */
-export interface HostWord {
+export interface HostStatus {
   readonly host: string;
   readonly incarnation: string;
   /** Its true time of day when it said this, Unix ms. */
@@ -40,7 +40,7 @@
 }
 
 /** What is known of some hosts together. */
-export interface HostsDigest {
+export interface HostsSummary {
   /** How many they are. */
   readonly hosts: number;
   readonly demand: ServiceDemands;
@@ -53,14 +53,14 @@
 }
 
 /** Time for which a host's counts of usage are kept, in ms: three usage windows, in which a window is fixed even by a second holder of the role. */
-export const KEEP_WORD_MS = 15_000;
-/** Age up to which counts of work say what runs, in ms: three words. */
+export const KEEP_STATUS_MS = 15_000;
+/** Age up to which counts of work say what runs, in ms: three statuses. */
 const WORK_VALID_MS = 3_000;
 /** Times of other hosts that are passed on: enough for a median that a few jumped clocks do not move. */
 const MAX_TIMES = 15;
 
-/** A digest of no hosts. */
-export const EMPTY_DIGEST: HostsDigest = {
+/** A summary of no hosts. */
+export const EMPTY_SUMMARY: HostsSummary = {
   hosts: 0,
   demand: {},
   running: {},
@@ -69,58 +69,58 @@
 };
 
 interface Heard {
-  readonly word: HostWord;
+  readonly status: HostStatus;
   /** Monotonic ms. */
   readonly at: number;
   /** Whether the host said it itself. */
   readonly direct: boolean;
 }
 
-/** The words that a host has heard. */
-export class HostWords {
+/** The statuses that a host has heard. */
+export class HostStatuses {
   readonly #heard = new Map<string, Heard>();
 
   /**
-   * Takes over a word, unless it is no newer than what is known of the same
+   * Takes over a status, unless it is no newer than what is known of the same
    * process. One that another host passes on is of unknown age: only what it
-   * counted is of use. Taken for new, the times of words that were passed on
+   * counted is of use. Taken for new, the times of statuses that were passed on
    * during an outage set every host's time of day back by seconds.
    */
   take(
-    word: HostWord,
+    status: HostStatus,
     { now, direct }: { readonly now: number; readonly direct: boolean },
   ): void {
-    const key = `${word.host}/${word.incarnation}`;
+    const key = `${status.host}/${status.incarnation}`;
     const known = this.#heard.get(key);
-    if (known !== undefined && known.word.at >= word.at) return;
-    this.#heard.set(key, { word, at: now, direct });
+    if (known !== undefined && known.status.at >= status.at) return;
+    this.#heard.set(key, { status, at: now, direct });
   }
 
-  /** Lists the words that are kept, those of earlier incarnations included. */
-  list(now: number): HostWord[] {
-    [...this.#heard].filter(([, { at }]) => now - at > KEEP_WORD_MS)
+  /** Lists the statuses that are kept, those of earlier incarnations included. */
+  list(now: number): HostStatus[] {
+    [...this.#heard].filter(([, { at }]) => now - at > KEEP_STATUS_MS)
       .forEach(([key]) => this.#heard.delete(key));
-    return [...this.#heard.values()].map(({ word }) => word);
+    return [...this.#heard.values()].map(({ status }) => status);
   }
 
-  /** Sums the words up, but for those of one host. */
-  sum(now: number, options: { readonly without?: string } = {}): HostsDigest {
+  /** Sums the statuses up, but for those of one host. */
+  sum(now: number, options: { readonly without?: string } = {}): HostsSummary {
     const others = [...this.#heard.values()]
-      .filter(({ word }) => word.host !== options.without);
+      .filter(({ status }) => status.host !== options.without);
     const working = others.filter(({ at, direct }) =>
       direct && now - at <= WORK_VALID_MS
     );
-    return mergeDigests([
+    return mergeSummaries([
       {
-        ...EMPTY_DIGEST,
-        hosts: new Set(others.map(({ word }) => word.host)).size,
-        suspects: others.flatMap(({ word }) => word.suspects),
+        ...EMPTY_SUMMARY,
+        hosts: new Set(others.map(({ status }) => status.host)).size,
+        suspects: others.flatMap(({ status }) => status.suspects),
       },
-      ...working.map(({ word, at }) => ({
-        ...EMPTY_DIGEST,
-        demand: word.demand,
-        running: word.running,
-        times: [word.at + now - at],
+      ...working.map(({ status, at }) => ({
+        ...EMPTY_SUMMARY,
+        demand: status.demand,
+        running: status.running,
+        times: [status.at + now - at],
       })),
     ]);
   }
@@ -130,35 +130,40 @@
  * Merges what is known of several groups of hosts.
  *
  * @example
- * mergeDigests([own, ...others]).hosts;
+ * mergeSummaries([own, ...others]).hosts;
  */
-export function mergeDigests(digests: readonly HostsDigest[]): HostsDigest {
+export function mergeSummaries(
+  summaries: readonly HostsSummary[],
+): HostsSummary {
   const marks = new Map(
-    digests.flatMap(({ suspects }) => suspects)
+    summaries.flatMap(({ suspects }) => suspects)
       .map((mark) => [`${mark.fingerprint}/${mark.server}`, mark]),
   );
-  const division = findNewest(digests.flatMap((one) => one.division ?? []));
+  const division = findNewest(summaries.flatMap((one) => one.division ?? []));
   return {
     ...(division && { division }),
-    hosts: digests.reduce((sum, { hosts }) => sum + hosts, 0),
-    demand: sumDemands(digests.map(({ demand }) => demand)),
-    running: sumCounts(digests.map(({ running }) => running)),
-    times: digests.flatMap(({ times }) => times).slice(0, MAX_TIMES),
+    hosts: summaries.reduce((sum, { hosts }) => sum + hosts, 0),
+    demand: sumDemands(summaries.map(({ demand }) => demand)),
+    running: sumCounts(summaries.map(({ running }) => running)),
+    times: summaries.flatMap(({ times }) => times).slice(0, MAX_TIMES),
     suspects: [...marks.values()],
   };
 }
 
 /**
- * Takes out of a digest what is too old to be true.
+ * Takes out of a summary what is too old to be true.
  *
  * @example
- * dropOldWork(digest, 4_000).running; // {}
+ * dropOldWork(summary, 4_000).running; // {}
  */
-export function dropOldWork(digest: HostsDigest, ageMs: number): HostsDigest {
+export function dropOldWork(
+  summary: HostsSummary,
+  ageMs: number,
+): HostsSummary {
   if (ageMs > WORK_VALID_MS) {
-    return { ...digest, demand: {}, running: {}, times: [] };
+    return { ...summary, demand: {}, running: {}, times: [] };
   }
-  return { ...digest, times: digest.times.map((time) => time + ageMs) };
+  return { ...summary, times: summary.times.map((time) => time + ageMs) };
 }
 
 /**
@@ -195,16 +200,20 @@
 }
 
 /**
- * Keeps the newest word of each host.
+ * Keeps the newest status of each host.
  *
  * @example
- * listCurrentWords(words).length; // hosts
+ * listCurrentStatuses(statuses).length; // hosts
  */
-export function listCurrentWords(words: readonly HostWord[]): HostWord[] {
-  const newest = new Map<string, HostWord>();
-  words.forEach((word) => {
-    const known = newest.get(word.host);
-    if (known === undefined || known.at < word.at) newest.set(word.host, word);
+export function listCurrentStatuses(
+  statuses: readonly HostStatus[],
+): HostStatus[] {
+  const newest = new Map<string, HostStatus>();
+  statuses.forEach((status) => {
+    const known = newest.get(status.host);
+    if (known === undefined || known.at < status.at) {
+      newest.set(status.host, status);
+    }
   });
   return [...newest.values()];
 }
@@ -213,12 +222,12 @@
  * Sums the demand of hosts for a service.
  *
  * @example
- * sumDemand(words, "planner").short; // 41
+ * sumDemand(statuses, "planner").short; // 41
  */
 export function sumDemand(
-  words: readonly HostWord[],
+  statuses: readonly HostStatus[],
   service: string,
 ): engineChoice.PromptDemand {
-  return sumDemands(words.map(({ demand }) => demand))[service] ??
+  return sumDemands(statuses.map(({ demand }) => demand))[service] ??
     { short: 0, long: 0 };
 }
--- a/packages/core/host_words_test.ts
+++ b/packages/core/host_statuses_test.ts
@@ -1,4 +1,4 @@
-/** What follows from the words of many hosts. */
+/** What follows from the statuses of many hosts. */
 import * as tapModule from "tap";
 import * as core from "./mod.ts";
 
@@ -6,8 +6,8 @@
 
 function buildWord(
   host: string,
-  changes: Partial<core.HostWord> = {},
-): core.HostWord {
+  changes: Partial<core.HostStatus> = {},
+): core.HostStatus {
   return {
     host,
     incarnation: "first",
@@ -21,11 +21,11 @@
 }
 
 tap.test("a host is told of all others, not of itself", (t) => {
-  const words = new core.HostWords();
+  const statuses = new core.HostStatuses();
   ["a", "b", "c"].forEach((host) =>
-    words.take(buildWord(host), { now: 0, direct: true })
+    statuses.take(buildWord(host), { now: 0, direct: true })
   );
-  const others = words.sum(500, { without: "a" });
+  const others = statuses.sum(500, { without: "a" });
   t.equal(others.hosts, 2);
   t.same(others.running, { engine: 6 });
   t.same(others.demand, { planner: { short: 4, long: 2 } });
@@ -35,59 +35,61 @@
 
 // A host is cut off for some seconds. Its requests are no load any more, but it
 // shares the retry budget still, and what it counted must be reported.
-tap.test("an old word counts for what is shared, not for load", (t) => {
-  const words = new core.HostWords();
-  words.take(buildWord("a"), { now: 0, direct: true });
-  const later = words.sum(4_000);
+tap.test("an old status counts for what is shared, not for load", (t) => {
+  const statuses = new core.HostStatuses();
+  statuses.take(buildWord("a"), { now: 0, direct: true });
+  const later = statuses.sum(4_000);
   t.equal(later.hosts, 1);
   t.same(later.running, {});
-  t.equal(words.list(4_000).length, 1);
-  t.equal(words.list(16_000).length, 0);
+  t.equal(statuses.list(4_000).length, 1);
+  t.equal(statuses.list(16_000).length, 0);
   t.end();
 });
 
 // A host was killed and started again: the counts of its first life stand, and
-// a word of it that was under way comes after a newer one.
-tap.test("each life of a host has a word, the newest of it", (t) => {
-  const words = new core.HostWords();
-  words.take(buildWord("a", { at: 2_000 }), { now: 0, direct: true });
-  words.take(buildWord("a", { at: 1_500 }), { now: 10, direct: true });
-  words.take(buildWord("a", { incarnation: "second", at: 3_000 }), {
+// a status of it that was under way comes after a newer one.
+tap.test("each life of a host has a status, the newest of it", (t) => {
+  const statuses = new core.HostStatuses();
+  statuses.take(buildWord("a", { at: 2_000 }), { now: 0, direct: true });
+  statuses.take(buildWord("a", { at: 1_500 }), { now: 10, direct: true });
+  statuses.take(buildWord("a", { incarnation: "second", at: 3_000 }), {
     now: 20,
     direct: true,
   });
-  t.same(words.list(30).map(({ at }) => at), [2_000, 3_000]);
-  t.equal(words.sum(30).hosts, 1);
-  t.same(core.listCurrentWords(words.list(30)).map(({ at }) => at), [3_000]);
+  t.same(statuses.list(30).map(({ at }) => at), [2_000, 3_000]);
+  t.equal(statuses.sum(30).hosts, 1);
+  t.same(core.listCurrentStatuses(statuses.list(30)).map(({ at }) => at), [
+    3_000,
+  ]);
   t.end();
 });
 
-// The store is away, and a host that cannot publish passes its followers' words
+// The store is away, and a host that cannot publish passes its followers' statuses
 // on, each second the same ones. Every host's time of day went back by seconds,
 // and requests were counted in the wrong usage windows.
-tap.test("a word that is passed on says nothing of time or load", (t) => {
-  const words = new core.HostWords();
-  words.take(buildWord("a"), { now: 0, direct: true });
-  words.take(buildWord("a"), { now: 2_000, direct: false });
-  words.take(buildWord("b"), { now: 2_000, direct: false });
-  const sum = words.sum(2_500);
+tap.test("a status that is passed on says nothing of time or load", (t) => {
+  const statuses = new core.HostStatuses();
+  statuses.take(buildWord("a"), { now: 0, direct: true });
+  statuses.take(buildWord("a"), { now: 2_000, direct: false });
+  statuses.take(buildWord("b"), { now: 2_000, direct: false });
+  const sum = statuses.sum(2_500);
   t.same(sum.times, [3_500]);
   t.same(sum.running, { engine: 3 });
   t.equal(sum.hosts, 2);
-  t.equal(words.list(2_500).length, 2);
+  t.equal(statuses.list(2_500).length, 2);
   t.end();
 });
 
-tap.test("digests merge, and lose what is too old", (t) => {
+tap.test("summaries merge, and lose what is too old", (t) => {
   const mark = { fingerprint: "f", server: "s" };
-  const one: core.HostsDigest = {
+  const one: core.HostsSummary = {
     hosts: 3,
     demand: { planner: { short: 1, long: 1 } },
     running: { engine: 1 },
     times: [5_000],
     suspects: [mark],
   };
-  const merged = core.mergeDigests([one, core.dropOldWork(one, 1_000)]);
+  const merged = core.mergeSummaries([one, core.dropOldWork(one, 1_000)]);
   t.equal(merged.hosts, 6);
   t.same(merged.running, { engine: 2 });
   t.same(merged.times, [5_000, 6_000]);
--- a/packages/core/membership.ts
+++ b/packages/core/membership.ts
@@ -121,7 +121,7 @@
   }
 
   /** Digest of the view; hosts whose digests differ for long exchange everything. */
-  getDigest(): string {
+  getSummary(): string {
     const view = this.listActive().map((member) =>
       `${member.name}:${member.incarnation}`
     );
--- a/packages/core/membership_test.ts
+++ b/packages/core/membership_test.ts
@@ -119,7 +119,7 @@
     );
     this.hosts[from].recordAnswer(name);
     // As the overlay does for views that differ.
-    if (this.hosts[from].getDigest() === this.hosts[to].getDigest()) return;
+    if (this.hosts[from].getSummary() === this.hosts[to].getSummary()) return;
     this.hosts[from].merge(this.hosts[to].listAll(), this.now);
   }
 }
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -9,7 +9,7 @@
 export * from "./engine_choice.ts";
 export * from "./events.ts";
 export * from "./freshness.ts";
-export * from "./host_words.ts";
+export * from "./host_statuses.ts";
 export * from "./keys.ts";
 export * from "./lease.ts";
 export * from "./membership.ts";
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -13,6 +13,14 @@
 
 type AnyRouter = trpcServer.AnyRouter;
 
+/**
+ * When a connection that was given up is closed once more, in ms. The library
+ * may be about to connect again at the moment it is closed, and then goes on
+ * for ever: it shows as a process that does not end, and as connections to
+ * hosts that are gone. It takes up to 200 ms to notice each time.
+ */
+const CLOSE_AGAIN_MS = [250, 1_000];
+
 interface Connection<Router extends AnyRouter> {
   readonly client: trpc.TRPCClient<Router>;
   readonly close: () => void;
@@ -54,8 +62,8 @@
   ): Promise<utils.Result<Answer, utils.StepError>> {
     const { address: peer, step } = to;
     this.#sent += 1;
+    const connection = this.#connect(peer);
     try {
-      const connection = this.#connect(peer);
       return utils.Ok(
         await withTimeout(
           timeoutMs,
@@ -63,11 +71,16 @@
         ),
       );
     } catch (thrown) {
-      this.#drop(peer);
+      if (this.#connections.get(peer) === connection) this.#drop(peer);
       const message = utils.readMessage(thrown);
       return utils.Err(
         utils.createStepError("unknown_outcome", { step, peer, message }),
       );
+    } finally {
+      // A call that was just beginning as another one gave the connection up
+      // makes the library open it again, and try for ever to reach a host that
+      // may be gone: it shows as a process that does not end.
+      if (this.#connections.get(peer) !== connection) connection.close();
     }
   }
 
@@ -130,7 +143,14 @@
       trpc.wsLink({ client: socket } as trpc.WebSocketLinkOptions<Router>),
     ],
   });
-  return { client, close: () => void socket.close().catch(() => undefined) };
+  const close = () => void socket.close().catch(() => undefined);
+  return {
+    client,
+    close: () => {
+      close();
+      CLOSE_AGAIN_MS.forEach((ms) => setTimeout(close, ms));
+    },
+  };
 }
 
 /** The library gives a socket no options, so they are bound to its class. */
--- a/packages/peer/overlay.ts
+++ b/packages/peer/overlay.ts
@@ -242,7 +242,7 @@
     answer: protocol.Beat,
   ): Promise<void> {
     if (answer.failureDomain !== this.#options.failureDomain) return;
-    const same = answer.view === this.members.getDigest();
+    const same = answer.view === this.members.getSummary();
     const count = same ? 0 : (this.#differing.get(target.name) ?? 0) + 1;
     this.#differing.set(target.name, count >= DIFFERENT_VIEWS ? 0 : count);
     if (count < DIFFERENT_VIEWS && this.members.listActive().length > 1) return;
@@ -259,7 +259,7 @@
       failureDomain: this.#options.failureDomain,
       revision: this.#options.getRevision(),
       confirmedAt: this.#confirmedAt,
-      view: this.members.getDigest(),
+      view: this.members.getSummary(),
       news: this.members.takeNews(),
       marks: this.#marks.list().slice(-MARKS_LIMIT),
       withdrawn: [...this.#withdrawn].slice(-MARKS_LIMIT),
--- a/packages/peer/relay_protocol.ts
+++ b/packages/peer/relay_protocol.ts
@@ -33,8 +33,8 @@
 /** What a relay says to a follower's word. */
 export interface ReportAnswer {
   /** What is known of all other hosts. */
-  readonly others: core.HostsDigest;
-  /** Whether the relay's words reach the store; else the follower's own may. */
+  readonly others: core.HostsSummary;
+  /** Whether the relay's statuses reach the store; else the follower's own may. */
   readonly publishes: boolean;
 }
 
@@ -42,10 +42,10 @@
 export interface RelayHandlers {
   readonly readAll: (prefix: string) => RelayedSnapshot;
   readonly pollChanges: (message: PollMessage) => Promise<RelayedChanges>;
-  /** Takes words; the first one is the caller's own. */
-  readonly report: (words: readonly core.HostWord[]) => ReportAnswer;
+  /** Takes statuses; the first one is the caller's own. */
+  readonly report: (statuses: readonly core.HostStatus[]) => ReportAnswer;
   /** Sums up the relay's own followers, for other relays. */
-  readonly getDigest: () => core.HostsDigest;
+  readonly getSummary: () => core.HostsSummary;
 }
 
 /**
@@ -60,9 +60,9 @@
       .query(({ input }) => handlers.readAll(input)),
     pollChanges: procedure.input(accept<PollMessage>())
       .query(({ input }) => handlers.pollChanges(input)),
-    report: procedure.input(accept<readonly core.HostWord[]>())
+    report: procedure.input(accept<readonly core.HostStatus[]>())
       .mutation(({ input }) => handlers.report(input)),
-    digest: procedure.query(() => handlers.getDigest()),
+    summary: procedure.query(() => handlers.getSummary()),
   });
 }
 
