Answer a stream that has nothing left with its server's own head

A caller whose connection had broken behind the last event came back with that event's identifier; its server ended at once, without an event, and the head goes out with the first event: what the caller got was an empty 200 of our own. Ruled out: a crossed answer (the server's run ended well, 20 ms before). Change: such a stream is answered with the server's head.

--- a/packages/banyangrade/routed/routed_exchange.ts
+++ b/packages/banyangrade/routed/routed_exchange.ts
@@ -178,7 +178,10 @@
       case "aborted":
         return;
       case "streamed":
-        incoming.answer.end();
+        // A stream that is resumed behind its last event brings none, and its
+        // head has not been sent with one.
+        if (incoming.answer.isBegun()) incoming.answer.end();
+        else incoming.answer.send({ ...outcome.head, body: "" });
         return this.#finish(effect, outcome.events);
       case "whole":
         this.#context.countUsage(request.customer, sentAt);
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -70,7 +70,12 @@
 /** How an attempt ended. */
 export type ForwardOutcome =
   | { readonly kind: "whole"; readonly answer: ForwardedAnswer }
-  | { readonly kind: "streamed"; readonly events: number }
+  | {
+    readonly kind: "streamed";
+    readonly events: number;
+    /** Head of the answer, for a stream that brought no event. */
+    readonly head: Omit<ForwardedAnswer, "body">;
+  }
   | {
     readonly kind: "failed";
     readonly failure: core.AttemptFailure;
@@ -246,5 +251,5 @@
     const reason = "The stream ended within an event.";
     return { kind: "failed", failure: "connection_lost", reason };
   }
-  return { kind: "streamed", events };
+  return { kind: "streamed", events, head };
 }
