Order servers by the prompts that wait to be read; let ordinary ones give way

Servers were planned by the slots in use.

Ruled out: the division of engines alone.

Hosts tell how many requests with unread prompts they have on average; servers are planned for 0.7 of them each, or for a fifth of their slots, whichever is more; reclaimable ones for a failure domain's more, since at a reclaim no others are to be had. Ordinary servers are kept by the need of the last 6 s instead of 20 s, and give their places to reclaimable ones one by one, where the load allows it. No order is for less than no server.

--- a/packages/banyangrade/routed/orders_round.ts
+++ b/packages/banyangrade/routed/orders_round.ts
@@ -94,7 +94,7 @@
     if (scaling === undefined) return [];
     const planner = this.#planners.get(name) ?? new core.DomainPlanner();
     this.#planners.set(name, planner);
-    const { short, long } = core.sumDemand(
+    const { short, long, reading } = core.sumDemand(
       core.listCurrentStatuses(this.#options.listStatuses()),
       name,
     );
@@ -102,6 +102,7 @@
       bounds: scaling,
       slots: engine?.slots ?? 1,
       demand: short + long,
+      reading,
       servers: this.#countServers(name),
     }, this.#options.clock.now());
     return planned.flatMap(({ failureDomain, ordinary, spot }) =>
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -48,9 +48,10 @@
     const counts: Record<string, engineChoice.PromptDemand> = {};
     const add = (target: string, className: string, count: number) => {
       const { short, long } = counts[target] ?? { short: 0, long: 0 };
+      const reading = this.#state.reading.get(target);
       counts[target] = prompts.isShort(className)
-        ? { short: short + count, long }
-        : { short, long: long + count };
+        ? { short: short + count, long, reading }
+        : { short, long: long + count, reading };
     };
     running.list().forEach(({ request: { target, className } }) =>
       add(target, className, 1)
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -9,14 +9,14 @@
 
 /** Load that a reclaimable server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
 const TARGET_UTILISATION = 0.2;
-/**
- * Load at which ordinary servers are ordered where no reclaimable ones are to
- * be had. They cost some five times as much, so they are held for answers that
- * would fail, not for those that would be slow.
- */
-const ORDINARY_UTILISATION = 0.25;
+/** Requests with unread prompts that a server is planned for: one that reads about half of the time has as many. */
+const TARGET_READING = 0.7;
+/** Part of the planned servers below which ordinary ones are ordered: their price is held for answers that would fail, not for those that would be slow. */
+const ORDINARY_SHARE = 0.8;
 /** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
 const KEEP_MS = 20_000;
+/** The same for ordinary servers, in ms: a start and some rounds. */
+const KEEP_ORDINARY_MS = 6_000;
 /**
  * Servers at the beginning for each one that was there: the demand of a burst
  * is not known before it comes, and a server takes some seconds to start.
@@ -50,14 +50,16 @@
   readonly slots: number;
   /** Requests running and queued, over all hosts. */
   readonly demand: number;
+  /** Those of them whose prompts are not read yet, on average. */
+  readonly reading: number;
   /** Servers that are ready, by failure domain. */
   readonly servers: readonly DomainServers[];
 }
 
 interface Needed {
   readonly at: number;
-  /** Demand in servers whose slots are all in use. */
-  readonly fullServers: number;
+  /** Servers for the load of that moment. */
+  readonly servers: number;
 }
 
 interface Ordered {
@@ -162,8 +164,8 @@
 
   /** Counts the reclaimable servers that a failure domain has room for beside the ordinary ones. */
   #countRoom(domain: DomainServers, round: Round): number {
-    return round.bounds.maxServers -
-      this.#countComing(domain, { kind: "ordinary", round });
+    const ordinary = this.#countComing(domain, { kind: "ordinary", round });
+    return Math.max(0, round.bounds.maxServers - ordinary);
   }
 
   /**
@@ -184,8 +186,10 @@
       ({ failureDomain, spot: there }) => spot.get(failureDomain) ?? there,
     );
     const missing = spotPlanned < least ? least - spotThere : 0;
+    const freed = this.#planSwaps(round, spot);
     const there = servers.map((domain) => {
-      const most = this.#countComing(domain, { kind: "ordinary", round });
+      const most = this.#countComing(domain, { kind: "ordinary", round }) -
+        (freed.get(domain.failureDomain) ?? 0);
       const lacking = Math.max(0, bounds.minServers - domain.spot);
       return {
         failureDomain: domain.failureDomain,
@@ -214,6 +218,29 @@
     });
   }
 
+  /**
+   * Plans which ordinary servers give their places to reclaimable ones. A failure
+   * domain that is full of ordinary servers has no room for others: without this
+   * it would keep them for good. No more go than the load of the moment can miss.
+   */
+  #planSwaps(
+    round: Round,
+    spot: ReadonlyMap<string, number>,
+  ): ReadonlyMap<string, number> {
+    const { servers, wanted, least } = round;
+    const there = sumOf(servers, (domain) => domain.ordinary + domain.spot);
+    const planned = [...spot.values()].reduce((sum, count) => sum + count, 0);
+    let left = Math.min(there - least, wanted - planned);
+    const full = servers.filter((domain) =>
+      this.#hasSpot(domain, round) && this.#countRoom(domain, round) === 0
+    );
+    return new Map(full.flatMap(({ failureDomain }) => {
+      if (left <= 0) return [];
+      left -= 1;
+      return [[failureDomain, 1] as const];
+    }));
+  }
+
   #hasSpot(
     { failureDomain }: DomainServers,
     { bounds, now }: Round,
@@ -267,24 +294,35 @@
 
   /** Computes what is wanted by the most that was needed of late. */
   #computeNeeds(
-    { slots, demand }: ServiceDemand,
+    { slots, demand, reading, servers }: ServiceDemand,
     now: number,
   ): Pick<Round, "wanted" | "enough" | "least"> {
     // A planner that has just begun does not know what was needed of late: it
     // keeps what is there, and some more.
     if (demand > 0) this.#firstAt ??= now;
     const begun = now - (this.#firstAt ?? now) < KEEP_MS;
+    const load = Math.max(
+      demand / slots / TARGET_UTILISATION,
+      reading / TARGET_READING,
+    );
     this.#needed = [
       ...this.#needed.filter((needed) => now - needed.at < KEEP_MS),
-      { at: now, fullServers: demand / slots },
+      { at: now, servers: load },
     ];
-    const most = Math.max(...this.#needed.map((needed) => needed.fullServers));
-    const planned = Math.ceil(most / TARGET_UTILISATION);
+    const planned = findMost(this.#needed);
+    const recent = findMost(
+      this.#needed.filter(({ at }) => now - at < KEEP_ORDINARY_MS),
+    );
     const atFirst = begun ? this.#atFirst : 0;
     return {
-      wanted: Math.max(planned, Math.ceil(FIRST_FACTOR * atFirst)),
-      enough: Math.max(planned, atFirst),
-      least: Math.ceil(most / ORDINARY_UTILISATION),
+      wanted: Math.ceil(
+        Math.max(
+          computeSpare(servers.length) * planned,
+          FIRST_FACTOR * atFirst,
+        ),
+      ),
+      enough: Math.max(Math.ceil(recent), atFirst),
+      least: Math.ceil(ORDINARY_SHARE * recent),
     };
   }
 }
@@ -315,6 +353,19 @@
   return servers.find((one) => one.failureDomain === failureDomain)?.spot ?? 0;
 }
 
+function findMost(needed: readonly Needed[]): number {
+  return Math.max(...needed.map(({ servers }) => servers));
+}
+
+/**
+ * Factor by which reclaimable servers exceed the load, so that those of one
+ * failure domain can be reclaimed and the others carry on: more are often not to
+ * be had at that moment, and ordinary ones take seconds to start.
+ */
+function computeSpare(failureDomains: number): number {
+  return failureDomains > 1 ? failureDomains / (failureDomains - 1) : 1;
+}
+
 /** Price of a server against that of the others of its kind. */
 function getPrice(bounds: routes.ScalingBounds, failureDomain: string): number {
   return bounds.domainPrices.get(failureDomain) ?? 1;
--- a/packages/core/engine_choice.ts
+++ b/packages/core/engine_choice.ts
@@ -48,6 +48,8 @@
 export interface PromptDemand {
   readonly short: number;
   readonly long: number;
+  /** Requests whose prompt is not read yet, on average. */
+  readonly reading: number;
 }
 
 /** What is placed. */
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -11,6 +11,7 @@
 import * as preemption from "./preemption.ts";
 import * as quarantine from "./quarantine.ts";
 import * as queue from "./queue.ts";
+import * as reading from "./reading.ts";
 import * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
@@ -58,6 +59,8 @@
   readonly credits: fairness.ShareCredits;
   readonly suspects: quarantine.SuspectTable;
   readonly prompts: engineChoice.PromptLengths;
+  /** Requests whose prompts are not read yet. */
+  readonly reading: reading.ReadingAverages;
   readonly router: router.Router;
 }
 
@@ -87,6 +90,7 @@
     credits: new fairness.ShareCredits(),
     suspects: new quarantine.SuspectTable(options.suspects),
     prompts,
+    reading: new reading.ReadingAverages(),
     router: new router.Router({ table, prompts, ...options }),
   };
 }
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -59,6 +59,8 @@
 /** Times of other hosts that are passed on: enough for a median that a few jumped clocks do not move. */
 const MAX_TIMES = 15;
 
+const NO_DEMAND: engineChoice.PromptDemand = { short: 0, long: 0, reading: 0 };
+
 /** A summary of no hosts. */
 export const EMPTY_SUMMARY: HostsSummary = {
   hosts: 0,
@@ -184,9 +186,13 @@
 function sumDemands(demands: readonly ServiceDemands[]): ServiceDemands {
   const total: Record<string, engineChoice.PromptDemand> = {};
   demands.flatMap((demand) => Object.entries(demand))
-    .forEach(([service, { short, long }]) => {
-      const sum = total[service] ?? { short: 0, long: 0 };
-      total[service] = { short: sum.short + short, long: sum.long + long };
+    .forEach(([service, { short, long, reading }]) => {
+      const sum = total[service] ?? NO_DEMAND;
+      total[service] = {
+        short: sum.short + short,
+        long: sum.long + long,
+        reading: sum.reading + reading,
+      };
     });
   return total;
 }
@@ -229,5 +235,5 @@
   service: string,
 ): engineChoice.PromptDemand {
   return sumDemands(statuses.map(({ demand }) => demand))[service] ??
-    { short: 0, long: 0 };
+    NO_DEMAND;
 }
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -17,6 +17,7 @@
 export * from "./overflow.ts";
 export * from "./partition.ts";
 export * from "./quarantine.ts";
+export * from "./reading.ts";
 export * from "./refusals.ts";
 export * from "./request.ts";
 export * from "./retry.ts";
--- a/packages/core/yielding.ts
+++ b/packages/core/yielding.ts
@@ -16,12 +16,27 @@
  * tickState(state);
  */
 export function tickState(state: hostState.HostState): void {
+  state.reading.record(countReading(state), state.now);
   starting.dispatchQueue(state);
   preemptForLate(state);
   expireOverdue(state);
   putLateBehind(state);
 }
 
+/** Counts the requests whose prompt is not read yet, by target. */
+function countReading(state: hostState.HostState): Map<string, number> {
+  const counts = new Map<string, number>();
+  const add = (target: string, count: number) =>
+    counts.set(target, (counts.get(target) ?? 0) + count);
+  state.running.list()
+    .filter(({ request: { kind }, tokens }) =>
+      kind === "generate" && tokens === 0
+    )
+    .forEach(({ request: { target } }) => add(target, 1));
+  state.queue.listWaiting().forEach(({ target, size }) => add(target, size));
+  return counts;
+}
+
 /** Puts requests that missed their target behind those of their tier that can meet it. */
 function putLateBehind(state: hostState.HostState): void {
   state.queue.removeOverdue((entry) =>
