Place long prompts by unread tokens; divide engines only where streams suffer

Engines were divided between short and long prompts by the requests that run, against constant parts of their slots.

Hosts count the pauses of streams beside their own unread long prompts, and how many exceed the tightest pause of a class with short prompts. The host in charge mixes all engines below 2 in 100, divides them again above 5, and else goes by what was. Hosts tell each other the unread prompt tokens by engine; a subject's engine is left by these, not by requests. The part of the engines for long prompts follows from the requests with unread prompts.

Those of the division's share now name requests with unread prompts, since the share follows from them, with the same bounds; the subject that leaves its engine does so by tokens. New: a replay of a burst of long prompts at seven hosts whose word of each other is a second old, mixing by pauses, orders that are refused or get no answer.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -85,7 +85,7 @@
     }
   }
 
-  /** Requests running and queued, by model or service and length of prompt. */
+  /** What this host asks of each model or service. */
   countByTarget(): Record<string, core.PromptDemand> {
     return this.#options.dispatcher.countByTarget();
   }
@@ -95,9 +95,14 @@
     return this.#options.dispatcher.countByEngine();
   }
 
-  /** Takes over the part of a service's engines that is for short prompts. */
-  setShortShare(target: string, share: number): void {
-    this.#options.dispatcher.setShortShare(target, share);
+  /** Prompt tokens that each engine has not yet read. */
+  countPrompting(): Record<string, number> {
+    return this.#options.dispatcher.countPrompting();
+  }
+
+  /** Takes over how a service's engines are divided. */
+  setDivision(target: string, division: core.EngineDivision): void {
+    this.#options.dispatcher.setDivision(target, division);
   }
 
   countOpen(): number {
--- a/packages/banyangrade/routed/host_updates.ts
+++ b/packages/banyangrade/routed/host_updates.ts
@@ -20,6 +20,7 @@
     at: clocks.getTrueTime(),
     demand: dispatch.countByTarget(),
     running: dispatch.countByEngine(),
+    prompting: dispatch.countPrompting(),
     usage: counter.list(),
     suspects: marks.list()
       .map(({ fingerprint, server }) => ({ fingerprint, server })),
@@ -61,12 +62,13 @@
 ): void {
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
-  Object.entries(others.division?.shortShares ?? {}).forEach(
-    ([service, share]) => dispatch.setShortShare(service, share),
+  Object.entries(others.divisions?.byService ?? {}).forEach(
+    ([service, division]) => dispatch.setDivision(service, division),
   );
   dispatch.send({
     kind: "load_shared",
     running: others.running,
+    prompting: others.prompting,
     asOf: clock.now(),
   });
   if (others.suspects.length > 0) {
--- a/packages/banyangrade/routed/orders_round.ts
+++ b/packages/banyangrade/routed/orders_round.ts
@@ -33,6 +33,8 @@
   readonly order: Omit<ports.DomainOrder, "fencingToken">;
   /** Time that a server takes to start, in ms. */
   readonly bootMs: number;
+  /** What it was decided by. */
+  readonly demand: core.PromptDemand;
 }
 
 /** Plans and sends orders, round by round. */
@@ -40,7 +42,9 @@
   readonly #options: OrdersRoundOptions;
   readonly #planners = new Map<string, core.DomainPlanner>();
   readonly #sent = new Map<string, SentOrder>();
-  #division: core.EngineDivision | undefined;
+  /** Orders that have no answer yet. */
+  readonly #calling = new Set<string>();
+  #divisions: core.DecidedDivisions | undefined;
 
   constructor(options: OrdersRoundOptions) {
     this.#options = options;
@@ -51,8 +55,8 @@
     this.#sent.clear();
   }
 
-  getDivision(): core.EngineDivision | undefined {
-    return this.#division;
+  getDivisions(): core.DecidedDivisions | undefined {
+    return this.#divisions;
   }
 
   /** Decides how engines are divided between short and long prompts. */
@@ -60,26 +64,51 @@
     const { listStatuses, getTrueTime, getConfiguration } = this.#options;
     const services = getConfiguration()?.services ?? [];
     const statuses = core.listCurrentStatuses(listStatuses());
-    const before = this.#division?.shortShares ?? {};
-    const shortShares = Object.fromEntries(
+    const before = this.#divisions?.byService ?? {};
+    const byService = Object.fromEntries(
       services.flatMap(({ name, engine }) => {
         if (engine === undefined) return [];
-        const share = core.computeShortShare({
+        const known = before[name] ?? core.DIVISION_AT_FIRST;
+        const division = core.decideDivision({
           demand: core.sumDemand(statuses, name),
           engines: this.#listReady(name).length,
           slots: engine.slots,
-        }, before[name] ?? core.SHARE_AT_FIRST);
-        return [[name, share]];
+        }, known);
+        return [[name, division]];
       }),
     );
-    this.#division = { at: getTrueTime(), shortShares };
+    this.#divisions = { at: getTrueTime(), byService };
+    this.#recordChanges(before, byService);
   }
 
-  /** Sends the orders that are due. */
-  async send(): Promise<void> {
+  #recordChanges(
+    before: core.DecidedDivisions["byService"],
+    now: core.DecidedDivisions["byService"],
+  ): void {
+    Object.entries(now)
+      .filter(([service, { kind }]) => before[service]?.kind !== kind)
+      .forEach(([service, division]) => {
+        const demand = core.sumDemand(
+          core.listCurrentStatuses(this.#options.listStatuses()),
+          service,
+        );
+        this.#options.log.info(
+          { service, division, demand },
+          "Engines divided.",
+        );
+      });
+  }
+
+  /** Sends the orders that are due, all at once: one that gets no answer must not hold up the others. */
+  send(): void {
     const services = this.#options.getConfiguration()?.services ?? [];
-    const orders = services.flatMap((service) => this.#planService(service));
-    for (const order of orders) await this.#sendOrder(order);
+    services.forEach((service) => this.#sendService(service));
+  }
+
+  #sendService(service: core.RoutedService): void {
+    this.#planService(service).forEach((planned) =>
+      void this.#sendOrder(planned, service)
+    );
   }
 
   /** Counts the servers that are ready of what an order is for. */
@@ -94,15 +123,15 @@
     if (scaling === undefined) return [];
     const planner = this.#planners.get(name) ?? new core.DomainPlanner();
     this.#planners.set(name, planner);
-    const { short, long, reading } = core.sumDemand(
+    const demand = core.sumDemand(
       core.listCurrentStatuses(this.#options.listStatuses()),
       name,
     );
     const planned = planner.plan({
       bounds: scaling,
       slots: engine?.slots ?? 1,
-      demand: short + long,
-      reading,
+      demand: demand.short + demand.long,
+      reading: demand.reading,
       servers: this.#countServers(name),
     }, this.#options.clock.now());
     return planned.flatMap(({ failureDomain, ordinary, spot }) =>
@@ -111,7 +140,7 @@
           ? []
           : [{ service: name, failureDomain, spot: isSpot, count }]
       )
-    ).map((order) => ({ order, bootMs: scaling.bootMs }));
+    ).map((order) => ({ order, bootMs: scaling.bootMs, demand }));
   }
 
   #listReady(service: string): core.ListedServer[] {
@@ -129,26 +158,33 @@
     });
   }
 
-  async #sendOrder(planned: PlannedOrder): Promise<void> {
+  async #sendOrder(
+    planned: PlannedOrder,
+    service: core.RoutedService,
+  ): Promise<void> {
     const { platform, clock, log } = this.#options;
     const { order: wanted } = planned;
     const key = `${wanted.service}/${wanted.failureDomain}/${wanted.spot}`;
     const now = clock.now();
-    if (!this.#isDue(planned, { sent: this.#sent.get(key), now })) return;
+    const due = this.#isDue(planned, { sent: this.#sent.get(key), now });
+    if (!due || this.#calling.has(key)) return;
     const lease = this.#options.getLease();
     // No await between this check and the send: a process that was paused
     // finds out here that its lease is over.
     if (lease.kind === "none" || !core.mayAct(lease, now)) return;
     const order = { ...wanted, fencingToken: lease.token };
     this.#sent.set(key, { order, at: now, reached: false });
+    this.#calling.add(key);
     const sent = await platform.sendOrder(order);
-    log.info({ ...order, error: sent.err ? sent.val : undefined }, "Ordered.");
-    if (sent.ok) return;
-    // Another holder was seen, or there are no such servers: the same answer.
-    if (sent.val.code === "conflict" && wanted.spot) {
-      this.#planners.get(wanted.service)
-        ?.recordUnavailable(wanted.failureDomain, now);
-    }
+    this.#calling.delete(key);
+    const error = sent.err ? sent.val : undefined;
+    log.info({ ...order, demand: planned.demand, error }, "Ordered.");
+    if (sent.ok || !wanted.spot || !isUnmet(sent.val.code)) return;
+    this.#sent.delete(key);
+    this.#planners.get(wanted.service)
+      ?.recordUnavailable(wanted.failureDomain, now);
+    // Others are needed in their place, and take some seconds to start.
+    this.#sendService(service);
   }
 
   /**
@@ -169,3 +205,11 @@
         now - sent.at > bootMs + REPEAT_MS;
   }
 }
+
+/**
+ * Whether servers that were ordered are not to be counted on: another holder was
+ * seen or there are none, which is the same answer, or there was none in time.
+ */
+function isUnmet(code: utils.FailureCode): boolean {
+  return code === "conflict" || code === "unknown_outcome";
+}
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -47,7 +47,7 @@
   /** Whether this host holds a role, for which it looks at the entries often. */
   readonly hasRole: () => boolean;
   /** How engines are divided, if this host decides it. */
-  readonly getDivision: () => core.EngineDivision | undefined;
+  readonly getDivisions: () => core.DecidedDivisions | undefined;
   /** Told what is known of all other hosts. */
   readonly onOthers: (summary: core.HostsSummary) => void;
 }
@@ -134,12 +134,12 @@
   /** Sums up this host and its followers, for other relays. */
   getSummary(): core.HostsSummary {
     const sum = this.#statuses.sum(this.#options.clock.now());
-    return { ...sum, ...this.#describeDivision() };
+    return { ...sum, ...this.#describeDivisions() };
   }
 
-  #describeDivision(): Pick<core.HostsSummary, "division"> {
-    const division = this.#options.getDivision();
-    return division === undefined ? {} : { division };
+  #describeDivisions(): Pick<core.HostsSummary, "divisions"> {
+    const divisions = this.#options.getDivisions();
+    return divisions === undefined ? {} : { divisions };
   }
 
   async #runRound(): Promise<void> {
@@ -217,7 +217,7 @@
     ]);
     return {
       ...sum,
-      ...this.#describeDivision(),
+      ...this.#describeDivisions(),
       hosts: Math.max(sum.hosts, this.#countPublished() - 1),
     };
   }
--- a/packages/banyangrade/routed/roles_task.ts
+++ b/packages/banyangrade/routed/roles_task.ts
@@ -186,13 +186,13 @@
   }
 
   /** How engines are divided; undefined while this host does not decide it. */
-  getDivision(): core.EngineDivision | undefined {
-    return this.hasRole() ? this.#orders.getDivision() : undefined;
+  getDivisions(): core.DecidedDivisions | undefined {
+    return this.hasRole() ? this.#orders.getDivisions() : undefined;
   }
 
-  async #order(): Promise<void> {
+  #order(): void {
     if (!this.hasRole()) return;
     this.#orders.divide();
-    if (this.#isInCharge("orders")) await this.#orders.send();
+    if (this.#isInCharge("orders")) this.#orders.send();
   }
 }
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -135,7 +135,7 @@
       preempts: false,
       leastRetryMs: routedExchange.LEAST_RETRY_MS,
       suspects: SUSPECTS,
-      dividesEngines: true,
+      comparesPrompts: true,
       isConnected: (server) => draft.pools.hasFree(server),
     }),
     onSuspect: ({ mark }) =>
@@ -208,7 +208,7 @@
     relay: draft.relay,
     describe: () => hostUpdates.describeHost(draft),
     hasRole: () => draft.roles.hasRole(),
-    getDivision: () => draft.roles.getDivision(),
+    getDivisions: () => draft.roles.getDivisions(),
     onOthers: (digest) => hostUpdates.applyOthers(draft, digest),
   });
 }
--- a/packages/core/attempts.ts
+++ b/packages/core/attempts.ts
@@ -15,6 +15,8 @@
   readonly offset: number;
   /** Tokens of this attempt so far. */
   tokens: number;
+  /** When its last tokens came; undefined before the first. */
+  lastAt?: number;
   /** Tokens and moment at which the time between tokens was last measured. */
   measured: { readonly tokens: number; readonly at: number };
   /** The request was in flight before as a server was lost. */
@@ -50,12 +52,19 @@
 
   /**
    * Records tokens of the current attempt; those of an earlier one are dropped.
-   * Returns the attempt, and whether they are its first.
+   * Returns the attempt, whether they are its first, and the pause before them
+   * in ms, where there was one.
    */
   recordProgress(
     event: { requestId: string; attempt: number; tokens: number },
     now: number,
-  ): { readonly current: Attempt; readonly first: boolean } | undefined {
+  ):
+    | {
+      readonly current: Attempt;
+      readonly first: boolean;
+      readonly pauseMs: number | undefined;
+    }
+    | undefined {
     const current = this.#attempts.get(event.requestId);
     if (current === undefined || current.attempt !== event.attempt) {
       return undefined;
@@ -63,7 +72,10 @@
     const first = current.tokens === 0 && event.tokens > 0;
     if (first) current.measured = { tokens: event.tokens, at: now };
     current.tokens = Math.max(current.tokens, event.tokens);
-    return { current, first };
+    const { lastAt } = current;
+    current.lastAt = now;
+    const pauseMs = lastAt === undefined ? undefined : now - lastAt;
+    return { current, first, pauseMs };
   }
 
   /** Removes the attempt if it is the current one; a late end changes nothing. */
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -4,7 +4,7 @@
  * the daemon, the fuzzer and the bench run the same code.
  */
 import * as ending from "./ending.ts";
-import type * as engineChoice from "./engine_choice.ts";
+import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
 import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
@@ -37,21 +37,24 @@
     return { queued: queue.size, running: running.size };
   }
 
-  /** Takes over the part of a service's engines that is for short prompts. */
-  setShortShare(target: string, share: number): void {
-    this.#state.router.setShortShare(target, share);
+  /** Takes over how a service's engines are divided. */
+  setDivision(target: string, division: engineDivision.EngineDivision): void {
+    this.#state.router.setDivision(target, division);
   }
 
-  /** Requests running and queued, by model or service and length of prompt. */
-  countByTarget(): Record<string, engineChoice.PromptDemand> {
-    const { queue, running, prompts } = this.#state;
-    const counts: Record<string, engineChoice.PromptDemand> = {};
+  /** What this host asks of each model or service. */
+  countByTarget(): Record<string, engineDivision.PromptDemand> {
+    const { queue, running, prompts, reading, pauses, now } = this.#state;
+    const counts: Record<string, engineDivision.PromptDemand> = {};
     const add = (target: string, className: string, count: number) => {
       const { short, long } = counts[target] ?? { short: 0, long: 0 };
-      const reading = this.#state.reading.get(target);
-      counts[target] = prompts.isShort(className)
-        ? { short: short + count, long, reading }
-        : { short, long: long + count, reading };
+      const isShort = prompts.isShort(className);
+      counts[target] = {
+        short: short + (isShort ? count : 0),
+        long: long + (isShort ? 0 : count),
+        reading: reading.get(target),
+        pauses: pauses.get(target, now),
+      };
     };
     running.list().forEach(({ request: { target, className } }) =>
       add(target, className, 1)
@@ -64,11 +67,21 @@
 
   /** Requests running at each engine, for the other hosts. */
   countByEngine(): Record<string, number> {
-    const { table } = this.#state;
+    return this.#listByEngine(({ running }) => running);
+  }
+
+  /** Prompt tokens that each engine has not yet read, for the other hosts. */
+  countPrompting(): Record<string, number> {
+    return this.#listByEngine(({ prompting }) => prompting);
+  }
+
+  #listByEngine(
+    read: (server: serverState.ServerState) => number,
+  ): Record<string, number> {
     return Object.fromEntries(
-      table.listServers()
-        .filter(({ pool, running }) => pool.serves === "engine" && running > 0)
-        .map(({ info, running }) => [info.name, running]),
+      this.#state.table.listServers()
+        .filter((server) => server.pool.serves === "engine" && read(server) > 0)
+        .map((server) => [server.info.name, read(server)]),
     );
   }
 
@@ -124,7 +137,7 @@
         state.table.get(event.report.server)?.pool.targets ?? [],
       );
     case "load_shared":
-      state.table.recordAllElsewhere(event.running, event.asOf);
+      state.table.recordAllElsewhere(event, event.asOf);
       return starting.dispatchQueue(state);
     case "servers_changed":
       state.table.setServers(event.servers);
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -9,8 +9,8 @@
 
 /** Load that a reclaimable server is planned for, as a share of its slots: prompts of some and tokens of others share its time, so tokens come late long before the slots are full. */
 const TARGET_UTILISATION = 0.2;
-/** Requests with unread prompts that a server is planned for: one that reads about half of the time has as many. */
-const TARGET_READING = 0.7;
+/** Requests with unread prompts that a server is planned for: one that reads some six tenths of the time has as many. */
+const TARGET_READING = 1;
 /** Part of the planned servers below which ordinary ones are ordered: their price is held for answers that would fail, not for those that would be slow. */
 const ORDINARY_SHARE = 0.8;
 /** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
@@ -294,7 +294,7 @@
 
   /** Computes what is wanted by the most that was needed of late. */
   #computeNeeds(
-    { slots, demand, reading, servers }: ServiceDemand,
+    { slots, demand, reading }: ServiceDemand,
     now: number,
   ): Pick<Round, "wanted" | "enough" | "least"> {
     // A planner that has just begun does not know what was needed of late: it
@@ -315,12 +315,7 @@
     );
     const atFirst = begun ? this.#atFirst : 0;
     return {
-      wanted: Math.ceil(
-        Math.max(
-          computeSpare(servers.length) * planned,
-          FIRST_FACTOR * atFirst,
-        ),
-      ),
+      wanted: Math.ceil(Math.max(planned, FIRST_FACTOR * atFirst)),
       enough: Math.max(Math.ceil(recent), atFirst),
       least: Math.ceil(ORDINARY_SHARE * recent),
     };
@@ -357,15 +352,6 @@
   return Math.max(...needed.map(({ servers }) => servers));
 }
 
-/**
- * Factor by which reclaimable servers exceed the load, so that those of one
- * failure domain can be reclaimed and the others carry on: more are often not to
- * be had at that moment, and ordinary ones take seconds to start.
- */
-function computeSpare(failureDomains: number): number {
-  return failureDomains > 1 ? failureDomains / (failureDomains - 1) : 1;
-}
-
 /** Price of a server against that of the others of its kind. */
 function getPrice(bounds: routes.ScalingBounds, failureDomain: string): number {
   return bounds.domainPrices.get(failureDomain) ?? 1;
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -8,6 +8,9 @@
 import * as serverState from "./server_state.ts";
 import * as starting from "./starting.ts";
 
+/** Unread prompt tokens of an engine from which on it reads long prompts. */
+const LONG_PROMPT_TOKENS = 2_000;
+
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
   events.DispatchEvent,
   { kind: Kind }
@@ -52,12 +55,32 @@
   const progress = state.running.recordProgress(event, state.now);
   if (progress === undefined) return;
   if (progress.first) endPrompt(state, progress.current);
+  recordPause(state, progress);
   recordSpeed(state, {
     attempt: progress.current,
     least: constants.SPEED_SAMPLE_TOKENS,
   });
 }
 
+/**
+ * Learns how long streams pause while their engine reads long prompts: this
+ * host's own, since word of the others' is older than the pause.
+ */
+function recordPause(
+  state: hostState.HostState,
+  { current, pauseMs }: {
+    readonly current: attempts.Attempt;
+    readonly pauseMs: number | undefined;
+  },
+): void {
+  const server = state.table.get(current.server);
+  if (server === undefined || pauseMs === undefined) return;
+  if (server.prompting < LONG_PROMPT_TOKENS) return;
+  const { target } = current.request;
+  const isLong = pauseMs > state.prompts.getTightestMs(target);
+  state.pauses.record(target, isLong, state.now);
+}
+
 /**
  * Learns how fast a server is while its streams run: an engine that has become
  * slow would otherwise be given work until its first answers are whole.
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -137,6 +137,8 @@
     /** What all other hosts run, by server; none is left out. */
     readonly kind: "load_shared";
     readonly running: Readonly<Record<string, number>>;
+    /** Prompt tokens of all other hosts that each has not yet read. */
+    readonly prompting: Readonly<Record<string, number>>;
     readonly asOf: number;
   }
   | {
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -8,6 +8,7 @@
 import type * as events from "./events.ts";
 import * as fairness from "./fairness.ts";
 import * as lengths from "./lengths.ts";
+import * as pauses from "./pauses.ts";
 import * as preemption from "./preemption.ts";
 import * as quarantine from "./quarantine.ts";
 import * as queue from "./queue.ts";
@@ -31,8 +32,8 @@
   readonly preempts?: boolean;
   /** Shortest time to come back that a refusal gives, in ms. @default constants.RETRY_AFTER_MIN_MS */
   readonly leastRetryMs?: number;
-  /** Whether hosts divide engines between short and long prompts. @default false */
-  readonly dividesEngines?: boolean;
+  /** Whether engines are chosen by their unread prompts, for hosts without grants. @default false */
+  readonly comparesPrompts?: boolean;
   readonly suspects?: quarantine.SuspectOptions;
   /** Whether this host has a connection to a server that nothing uses. @default none */
   readonly isConnected?: (server: string) => boolean;
@@ -61,6 +62,8 @@
   readonly prompts: engineChoice.PromptLengths;
   /** Requests whose prompts are not read yet. */
   readonly reading: reading.ReadingAverages;
+  /** Pauses of streams beside long prompts. */
+  readonly pauses: pauses.PauseCounter;
   readonly router: router.Router;
 }
 
@@ -91,6 +94,7 @@
     suspects: new quarantine.SuspectTable(options.suspects),
     prompts,
     reading: new reading.ReadingAverages(),
+    pauses: new pauses.PauseCounter(),
     router: new router.Router({ table, prompts, ...options }),
   };
 }
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -4,8 +4,9 @@
  * Counts of work are of use for a few seconds; what a host counted for usage
  * must outlast it.
  */
-import type * as engineChoice from "./engine_choice.ts";
+import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
+import * as pauses from "./pauses.ts";
 import type * as windowCounts from "./window_counts.ts";
 
 /** Requests by server. */
@@ -13,7 +14,7 @@
 
 /** Demand by service. */
 export type ServiceDemands = Readonly<
-  Record<string, engineChoice.PromptDemand>
+  Record<string, engineDivision.PromptDemand>
 >;
 
 /** What one host tells. */
@@ -26,17 +27,18 @@
   readonly demand: ServiceDemands;
   /** Requests running at each engine. */
   readonly running: ServerCounts;
+  /** Prompt tokens that each engine has not yet read. */
+  readonly prompting: ServerCounts;
   readonly usage: windowCounts.WindowTable;
   /** Servers lost of late, and the requests that they ran. */
   readonly suspects: readonly events.SuspectMark[];
 }
 
 /** How engines are divided between short and long prompts, as one host decided it. */
-export interface EngineDivision {
+export interface DecidedDivisions {
   /** True time of day of the decision, Unix ms; the newest one holds. */
   readonly at: number;
-  /** Part of the engines that is for short prompts, by service. */
-  readonly shortShares: Readonly<Record<string, number>>;
+  readonly byService: Readonly<Record<string, engineDivision.EngineDivision>>;
 }
 
 /** What is known of some hosts together. */
@@ -45,11 +47,12 @@
   readonly hosts: number;
   readonly demand: ServiceDemands;
   readonly running: ServerCounts;
+  readonly prompting: ServerCounts;
   /** True times of day of some of them, Unix ms, as they are now. */
   readonly times: readonly number[];
   readonly suspects: readonly events.SuspectMark[];
   /** Absent until one was heard of. */
-  readonly division?: EngineDivision;
+  readonly divisions?: DecidedDivisions;
 }
 
 /** Time for which a host's counts of usage are kept, in ms: three usage windows, in which a window is fixed even by a second holder of the role. */
@@ -59,13 +62,19 @@
 /** Times of other hosts that are passed on: enough for a median that a few jumped clocks do not move. */
 const MAX_TIMES = 15;
 
-const NO_DEMAND: engineChoice.PromptDemand = { short: 0, long: 0, reading: 0 };
+const NO_DEMAND: engineDivision.PromptDemand = {
+  short: 0,
+  long: 0,
+  reading: 0,
+  pauses: pauses.NO_PAUSES,
+};
 
 /** A summary of no hosts. */
 export const EMPTY_SUMMARY: HostsSummary = {
   hosts: 0,
   demand: {},
   running: {},
+  prompting: {},
   times: [],
   suspects: [],
 };
@@ -122,6 +131,7 @@
         ...EMPTY_SUMMARY,
         demand: status.demand,
         running: status.running,
+        prompting: status.prompting,
         times: [status.at + now - at],
       })),
     ]);
@@ -141,12 +151,13 @@
     summaries.flatMap(({ suspects }) => suspects)
       .map((mark) => [`${mark.fingerprint}/${mark.server}`, mark]),
   );
-  const division = findNewest(summaries.flatMap((one) => one.division ?? []));
+  const divisions = findNewest(summaries.flatMap((one) => one.divisions ?? []));
   return {
-    ...(division && { division }),
+    ...(divisions && { divisions }),
     hosts: summaries.reduce((sum, { hosts }) => sum + hosts, 0),
     demand: sumDemands(summaries.map(({ demand }) => demand)),
     running: sumCounts(summaries.map(({ running }) => running)),
+    prompting: sumCounts(summaries.map(({ prompting }) => prompting)),
     times: summaries.flatMap(({ times }) => times).slice(0, MAX_TIMES),
     suspects: [...marks.values()],
   };
@@ -163,40 +174,57 @@
   ageMs: number,
 ): HostsSummary {
   if (ageMs > WORK_VALID_MS) {
-    return { ...summary, demand: {}, running: {}, times: [] };
+    return { ...EMPTY_SUMMARY, ...keepLasting(summary) };
   }
   return { ...summary, times: summary.times.map((time) => time + ageMs) };
 }
 
+/** What of a summary does not grow old with the work. */
+function keepLasting(
+  { hosts, suspects, divisions }: HostsSummary,
+): Partial<HostsSummary> {
+  return { hosts, suspects, ...(divisions && { divisions }) };
+}
+
 /**
  * Finds the newest of some decisions on the division of engines.
  *
  * @example
- * findNewest([own, heard])?.shortShares;
+ * findNewest([own, heard])?.byService;
  */
 export function findNewest(
-  divisions: readonly EngineDivision[],
-): EngineDivision | undefined {
-  return divisions.reduce<EngineDivision | undefined>(
+  divisions: readonly DecidedDivisions[],
+): DecidedDivisions | undefined {
+  return divisions.reduce<DecidedDivisions | undefined>(
     (newest, one) => newest !== undefined && newest.at >= one.at ? newest : one,
     undefined,
   );
 }
 
 function sumDemands(demands: readonly ServiceDemands[]): ServiceDemands {
-  const total: Record<string, engineChoice.PromptDemand> = {};
+  const total: Record<string, engineDivision.PromptDemand> = {};
   demands.flatMap((demand) => Object.entries(demand))
-    .forEach(([service, { short, long, reading }]) => {
-      const sum = total[service] ?? NO_DEMAND;
-      total[service] = {
-        short: sum.short + short,
-        long: sum.long + long,
-        reading: sum.reading + reading,
-      };
+    .forEach(([service, demand]) => {
+      total[service] = addDemand(total[service] ?? NO_DEMAND, demand);
     });
   return total;
 }
 
+function addDemand(
+  one: engineDivision.PromptDemand,
+  other: engineDivision.PromptDemand,
+): engineDivision.PromptDemand {
+  return {
+    short: one.short + other.short,
+    long: one.long + other.long,
+    reading: one.reading + other.reading,
+    pauses: {
+      seen: one.pauses.seen + other.pauses.seen,
+      long: one.pauses.long + other.pauses.long,
+    },
+  };
+}
+
 function sumCounts(counts: readonly ServerCounts[]): ServerCounts {
   const total: Record<string, number> = {};
   counts.flatMap((one) => Object.entries(one)).forEach(([server, count]) => {
@@ -233,7 +261,7 @@
 export function sumDemand(
   statuses: readonly HostStatus[],
   service: string,
-): engineChoice.PromptDemand {
+): engineDivision.PromptDemand {
   return sumDemands(statuses.map(({ demand }) => demand))[service] ??
     NO_DEMAND;
 }
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -24,7 +24,7 @@
   }
   if (shedLoad(state, wanted)) return;
   if (wanted.kind === "generate") {
-    state.prompts.record(wanted.className, wanted.promptTokens);
+    state.prompts.record(wanted);
   }
   state.budget.recordFirst(wanted.target, state.now);
   state.queue.add({
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -8,6 +8,7 @@
 import type * as utils from "@banyangrade/utils";
 import * as constants from "./constants.ts";
 import * as engineChoice from "./engine_choice.ts";
+import * as engineDivision from "./engine_division.ts";
 import type * as request from "./request.ts";
 import * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
@@ -24,8 +25,8 @@
   /** Whether prefix affinity is used. @default true */
   readonly affinity?: boolean;
   readonly prompts: engineChoice.PromptLengths;
-  /** Whether hosts divide engines between short and long prompts. @default false */
-  readonly dividesEngines?: boolean;
+  /** Whether engines are chosen by their unread prompts, for hosts without grants. @default false */
+  readonly comparesPrompts?: boolean;
   /** Whether this host has a connection to a server that nothing uses. @default none */
   readonly isConnected?: (server: string) => boolean;
 }
@@ -66,9 +67,9 @@
   readonly #failureDomain: string;
   readonly #affinity: boolean;
   readonly #prompts: engineChoice.PromptLengths;
-  readonly #dividesEngines: boolean;
+  readonly #comparesPrompts: boolean;
   readonly #isConnected: (server: string) => boolean;
-  readonly #shortShares = new Map<string, number>();
+  readonly #divisions = new Map<string, engineDivision.EngineDivision>();
   readonly #prefixes = new lru.LRUCache<string, string>({
     max: constants.MAX_PREFIXES,
   });
@@ -79,13 +80,13 @@
     this.#failureDomain = options.failureDomain;
     this.#affinity = options.affinity ?? true;
     this.#prompts = options.prompts;
-    this.#dividesEngines = options.dividesEngines ?? false;
+    this.#comparesPrompts = options.comparesPrompts ?? false;
     this.#isConnected = options.isConnected ?? (() => false);
   }
 
-  /** Takes over the part of a target's engines that is for short prompts. */
-  setShortShare(target: string, share: number): void {
-    this.#shortShares.set(target, share);
+  /** Takes over how a target's engines are divided. */
+  setDivision(target: string, division: engineDivision.EngineDivision): void {
+    this.#divisions.set(target, division);
   }
 
   /** Chooses a server with room, or none. */
@@ -100,8 +101,8 @@
     const isUsable = (server: serverState.ServerState) =>
       pools.has(server.info.pool) && server.info.name !== options.avoid &&
       isFit(server, options);
-    if (this.#dividesEngines && wanted.kind === "generate") {
-      const choice = this.#chooseDivided(wanted, { options, isUsable });
+    if (this.#comparesPrompts && wanted.kind === "generate") {
+      const choice = this.#chooseByPrompts(wanted, { options, isUsable });
       if (choice !== undefined) return choice;
     }
     const server = this.#chooseUsable(wanted, { options, isUsable }) ??
@@ -121,7 +122,7 @@
     },
   ): serverState.ServerState | undefined {
     const { now } = options;
-    if (this.#dividesEngines && wanted.kind === "generate") return undefined;
+    if (this.#comparesPrompts && wanted.kind === "generate") return undefined;
     const all = this.#table.listFor(wanted.target);
     const home = this.#table.listHomeFor(wanted.target);
     // A server whose tokens come too slowly for the class misses its target for
@@ -144,8 +145,8 @@
       this.#chooseByLoad(all, { wanted, now, isUsable });
   }
 
-  /** Chooses among engines that hosts divide; see {@link engineChoice}. */
-  #chooseDivided(
+  /** Chooses an engine by unread prompts; see {@link engineChoice}. */
+  #chooseByPrompts(
     wanted: request.Request,
     { options, isUsable }: {
       readonly options: RouteOptions;
@@ -161,21 +162,23 @@
       slots: serverState.getSlots(server),
       load: serverState.estimateLoad(server, now),
       own: server.running,
-      prompting: server.prompting,
+      prompting: serverState.estimatePrompting(server, now),
+      ownPrompting: server.prompting,
       connected: this.#isConnected(server.info.name),
     }));
-    const share = this.#shortShares.get(wanted.target) ??
-      engineChoice.SHARE_AT_FIRST;
+    const division = this.#divisions.get(wanted.target) ??
+      engineDivision.DIVISION_AT_FIRST;
     const usable = new Set(
       live.filter(isUsable).map((server) => server.info.name),
     );
     const choice = engineChoice.chooseEngine({
       isShort: this.#prompts.isShort(wanted.className),
       prefix: wanted.prefix,
+      promptTokens: wanted.promptTokens,
     }, {
       live: views,
       usable: views.filter((view) => usable.has(view.name)),
-      shortNames: engineChoice.divideEngines(views, share),
+      shortNames: engineDivision.listShortNames(views, division),
       failureDomain: this.#failureDomain,
       random: this.#random,
     });
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -15,8 +15,12 @@
   prompting: number;
   /** Slots of it that this host prefers over those of other servers. */
   homeSlots: number;
-  /** What other hosts run on it, as the capacity leader told at `at`. */
-  elsewhere?: { readonly running: number; readonly at: number };
+  /** What other hosts run on it, and the prompt tokens of theirs that it has not yet read, as was told at `at`. */
+  elsewhere?: {
+    readonly running: number;
+    readonly prompting: number;
+    readonly at: number;
+  };
   /** Suspect requests among them. */
   suspects: number;
   /** Last load report, the time it arrived and what this host had running then. */
@@ -75,6 +79,19 @@
   return Math.max(server.running, reported + since);
 }
 
+/**
+ * Estimates the prompt tokens that a server has not yet read, of all hosts.
+ *
+ * @example
+ * const tokens = estimatePrompting(server, now);
+ */
+export function estimatePrompting(server: ServerState, now: number): number {
+  const { elsewhere, prompting } = server;
+  const known = elsewhere !== undefined &&
+    now - elsewhere.at < constants.GRANT_VALID_MS;
+  return prompting + (known ? elsewhere.prompting : 0);
+}
+
 /**
  * Returns the slots of a server: its own where it names them, else its pool's.
  *
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -123,18 +123,25 @@
   recordElsewhere(counts: readonly events.ServerCount[], at: number): void {
     counts.forEach(({ server, running }) => {
       const known = this.#servers.get(server);
-      if (known !== undefined) known.elsewhere = { running, at };
+      if (known !== undefined) known.elsewhere = { running, prompting: 0, at };
     });
   }
 
   /** Records what all other hosts together ran at time `at`; plain services' calls are over before word of them. */
   recordAllElsewhere(
-    running: Readonly<Record<string, number>>,
+    { running, prompting }: {
+      readonly running: Readonly<Record<string, number>>;
+      readonly prompting: Readonly<Record<string, number>>;
+    },
     at: number,
   ): void {
     this.#servers.forEach((server, name) => {
       if (server.pool.serves === "service") return;
-      server.elsewhere = { running: running[name] ?? 0, at };
+      server.elsewhere = {
+        running: running[name] ?? 0,
+        prompting: prompting[name] ?? 0,
+        at,
+      };
     });
   }
 
