Count the work of a host's latest process only

A host that was killed and started again stood twice in the load that hosts share, for 3 s: with what its earlier process had run, and with its own. Engines that were idle looked full, and requests were refused. The new test failed before this change and passes with it.

Ruled out: statuses passed on by other hosts, which say nothing of load already. Usage counts of earlier processes are kept as before.

--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -118,8 +118,8 @@
   sum(now: number, options: { readonly without?: string } = {}): HostsSummary {
     const others = [...this.#heard.values()]
       .filter(({ status }) => status.host !== options.without);
-    const working = others.filter(({ at, direct }) =>
-      direct && now - at <= WORK_VALID_MS
+    const working = keepLatestLives(
+      others.filter(({ at, direct }) => direct && now - at <= WORK_VALID_MS),
     );
     return mergeSummaries([
       {
@@ -138,6 +138,18 @@
   }
 }
 
+/** Keeps what was heard last of each host: the work of an earlier process has ended with it. */
+function keepLatestLives(heard: readonly Heard[]): Heard[] {
+  const latest = new Map<string, Heard>();
+  heard.forEach((one) => {
+    const known = latest.get(one.status.host);
+    if (known === undefined || known.at <= one.at) {
+      latest.set(one.status.host, one);
+    }
+  });
+  return [...latest.values()];
+}
+
 /**
  * Merges what is known of several groups of hosts.
  *
--- a/packages/core/host_statuses_test.ts
+++ b/packages/core/host_statuses_test.ts
@@ -87,6 +87,23 @@
   t.end();
 });
 
+// Guards against requests that are refused while engines are idle: the work of a process that was killed counted beside that of its successor.
+tap.test("the work of an earlier process counts no more", (t) => {
+  const statuses = new core.HostStatuses();
+  statuses.take(buildWord("a"), { now: 0, direct: true });
+  const successor = {
+    incarnation: "second",
+    running: { engine: 1 },
+    prompting: {},
+  };
+  statuses.take(buildWord("a", successor), { now: 900, direct: true });
+  const sum = statuses.sum(1_000);
+  t.same(sum.running, { engine: 1 });
+  t.equal(sum.demand.planner.short, 2);
+  t.equal(statuses.list(1_000).length, 2, "what it counted is kept");
+  t.end();
+});
+
 tap.test("summaries merge, and lose what is too old", (t) => {
   const mark = { fingerprint: "f", server: "s" };
   const one: core.HostsSummary = {
