Split what servers are needed from their orders, and progress from endings

The load's history and the servers for it are server_needs.ts now; what is learned while an attempt runs is progress.ts. No decision changes.

--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -9,6 +9,7 @@
 import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
 import * as intake from "./intake.ts";
+import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
 import type * as serverState from "./server_state.ts";
 import * as overflow from "./overflow.ts";
@@ -125,7 +126,7 @@
     case "cancelled":
       return ending.cancelRequest(state, event.requestId);
     case "progressed":
-      return ending.recordProgress(state, event);
+      return progress.recordProgress(state, event);
     case "finished":
       return ending.finishAttempt(state, event);
     case "failed":
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -6,30 +6,8 @@
  */
 import * as domainSpread from "./domain_spread.ts";
 import type * as routes from "./routes.ts";
+import * as serverNeeds from "./server_needs.ts";
 
-/** What a server is planned for: a share of its slots, and requests with unread prompts. */
-interface PlannedLoad {
-  readonly utilisation: number;
-  readonly reading: number;
-}
-
-/**
- * Load of a reclaimable server. Prompts of some and tokens of others share its
- * time, so tokens come late long before the slots are full; one that reads some
- * six tenths of the time has one request with an unread prompt.
- */
-const SPOT_LOAD: PlannedLoad = { utilisation: 0.2, reading: 1 };
-/** Load of an ordinary server where no reclaimable ones are to be had: their price is held for answers that would fail, not for those that would be slow. */
-const ORDINARY_LOAD: PlannedLoad = { utilisation: 0.25, reading: 2 };
-/** The most that was needed within this time is kept, in ms: a burst that comes back within it finds its servers. */
-const KEEP_MS = 20_000;
-/** The same for ordinary servers, in ms: a start and some rounds. */
-const KEEP_ORDINARY_MS = 6_000;
-/**
- * Servers at the beginning for each one that was there: the demand of a burst
- * is not known before it comes, and a server takes some seconds to start.
- */
-const FIRST_FACTOR = 1.5;
 /** Time for which no reclaimable servers are asked for where there were none, in ms. */
 const UNAVAILABLE_MS = 3_000;
 
@@ -53,24 +31,12 @@
 }
 
 /** What is known of a service. */
-export interface ServiceDemand {
+export interface ServiceDemand extends serverNeeds.ServiceLoad {
   readonly bounds: routes.ScalingBounds;
-  readonly slots: number;
-  /** Requests running and queued, over all hosts. */
-  readonly demand: number;
-  /** Those of them whose prompts are not read yet, on average. */
-  readonly reading: number;
   /** Servers that are ready, by failure domain. */
   readonly servers: readonly DomainServers[];
 }
 
-interface Needed {
-  readonly at: number;
-  /** Servers for the load of that moment, if they are all of a kind. */
-  readonly spot: number;
-  readonly ordinary: number;
-}
-
 interface Ordered {
   readonly count: number;
   readonly at: number;
@@ -79,20 +45,13 @@
 type Kind = "ordinary" | "spot";
 
 /** One look at a service. */
-interface Round extends ServiceDemand {
+interface Round extends ServiceDemand, serverNeeds.Needs {
   readonly now: number;
-  /** Servers that are wanted while reclaimable ones are to be had. */
-  readonly wanted: number;
-  /** Servers for which ordinary ones that are there stay. */
-  readonly enough: number;
-  /** Servers without which answers would fail. */
-  readonly least: number;
 }
 
 /** Plans the servers of one service, round by round. */
 export class DomainPlanner {
-  #needed: readonly Needed[] = [];
-  #firstAt: number | undefined;
+  readonly #needs = new serverNeeds.ServerNeeds();
   /** Servers that there were when their number first stood still. */
   #atFirst = 0;
   /** Ordinary servers in the last round, -1 before the first, and since when there are as many. */
@@ -117,7 +76,7 @@
     const round: Round = {
       ...service,
       now,
-      ...this.#computeNeeds(service, now),
+      ...this.#needs.compute(service, { now, atFirst: this.#atFirst }),
     };
     const spot = this.#planSpot(round);
     const ordinary = this.#planOrdinary(round, spot);
@@ -319,34 +278,6 @@
     if (ordinary + spot > 0 && stands) this.#atFirst = Math.max(ordinary, spot);
     return this.#atFirst > 0;
   }
-
-  /** Computes what is wanted by the most that was needed of late. */
-  #computeNeeds(
-    service: ServiceDemand,
-    now: number,
-  ): Pick<Round, "wanted" | "enough" | "least"> {
-    // A planner that has just begun does not know what was needed of late: it
-    // keeps what is there, and some more.
-    if (service.demand > 0) this.#firstAt ??= now;
-    const begun = now - (this.#firstAt ?? now) < KEEP_MS;
-    this.#needed = [
-      ...this.#needed.filter((needed) => now - needed.at < KEEP_MS),
-      {
-        at: now,
-        spot: countServers(service, SPOT_LOAD),
-        ordinary: countServers(service, ORDINARY_LOAD),
-      },
-    ];
-    const recent = this.#needed.filter(({ at }) => now - at < KEEP_ORDINARY_MS);
-    const atFirst = begun ? this.#atFirst : 0;
-    const spot = Math.max(...this.#needed.map((needed) => needed.spot));
-    const least = Math.max(...recent.map((needed) => needed.ordinary));
-    return {
-      wanted: Math.max(spot, Math.ceil(FIRST_FACTOR * atFirst)),
-      enough: Math.max(least, atFirst),
-      least,
-    };
-  }
 }
 
 function sumOf(
@@ -360,16 +291,6 @@
   return servers.find((one) => one.failureDomain === failureDomain)?.spot ?? 0;
 }
 
-/** Counts the servers that carry a load. */
-function countServers(
-  { demand, slots, reading }: ServiceDemand,
-  load: PlannedLoad,
-): number {
-  return Math.ceil(
-    Math.max(demand / slots / load.utilisation, reading / load.reading),
-  );
-}
-
 /** Price of a server against that of the others of its kind. */
 function getPrice(bounds: routes.ScalingBounds, failureDomain: string): number {
   return bounds.domainPrices.get(failureDomain) ?? 1;
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -1,16 +1,13 @@
 /** Ends of attempts: whole answers, failures and what follows from them. */
 import * as attempts from "./attempts.ts";
-import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
 import * as hostState from "./host_state.ts";
+import * as progress from "./progress.ts";
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
 import * as serverState from "./server_state.ts";
 import * as starting from "./starting.ts";
 
-/** Unread prompt tokens of an engine from which on it reads long prompts. */
-const LONG_PROMPT_TOKENS = 2_000;
-
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
   events.DispatchEvent,
   { kind: Kind }
@@ -38,77 +35,10 @@
   state.table.recordEnd(ended);
   const server = state.table.get(ended.server);
   if (server !== undefined && ended.suspect) server.suspects -= 1;
-  if (ended.tokens === 0) endPrompt(state, ended);
+  if (ended.tokens === 0) progress.endPrompt(state, ended);
   return ended;
 }
 
-/**
- * Records tokens that an attempt has brought.
- *
- * @example
- * recordProgress(state, event);
- */
-export function recordProgress(
-  state: hostState.HostState,
-  event: EventOf<"progressed">,
-): void {
-  const progress = state.running.recordProgress(event, state.now);
-  if (progress === undefined) return;
-  if (progress.first) endPrompt(state, progress.current);
-  recordPause(state, progress);
-  recordSpeed(state, {
-    attempt: progress.current,
-    least: constants.SPEED_SAMPLE_TOKENS,
-  });
-}
-
-/**
- * Learns how long streams pause while their engine reads long prompts: this
- * host's own, since word of the others' is older than the pause.
- */
-function recordPause(
-  state: hostState.HostState,
-  { current, pauseMs }: {
-    readonly current: attempts.Attempt;
-    readonly pauseMs: number | undefined;
-  },
-): void {
-  const server = state.table.get(current.server);
-  if (server === undefined || pauseMs === undefined) return;
-  if (server.prompting < LONG_PROMPT_TOKENS) return;
-  const { target } = current.request;
-  const isLong = pauseMs > state.prompts.getTightestMs(target);
-  state.pauses.record(target, isLong, state.now);
-}
-
-/**
- * Learns how fast a server is while its streams run: an engine that has become
- * slow would otherwise be given work until its first answers are whole.
- */
-function recordSpeed(
-  state: hostState.HostState,
-  { attempt, least }: {
-    readonly attempt: attempts.Attempt;
-    readonly least: number;
-  },
-): void {
-  const server = state.table.get(attempt.server);
-  const tokenMs = attempts.measureTokenMs(attempt, { now: state.now, least });
-  if (server === undefined || tokenMs === undefined) return;
-  state.table.recordSpeed(server, tokenMs);
-}
-
-/** A server has taken an attempt's prompt in, or will not. */
-function endPrompt(
-  state: hostState.HostState,
-  attempt: attempts.Attempt,
-): void {
-  const server = state.table.get(attempt.server);
-  if (server === undefined) return;
-  const left = server.prompting - attempt.request.promptTokens;
-  server.prompting = Math.max(0, left);
-}
-
 /**
  * Records a whole answer and learns from it.
  *
@@ -128,7 +58,7 @@
   });
   const server = state.table.get(ended.server);
   if (server !== undefined) serverState.recordSuccess(server);
-  recordSpeed(state, { attempt: ended, least: 1 });
+  progress.recordSpeed(state, { attempt: ended, least: 1 });
   dispatchFreed(state, ended);
 }
 
