--- a/packages/banyangrade/orders_round_test.ts
+++ b/packages/banyangrade/orders_round_test.ts
@@ -147,3 +147,28 @@
   t.equal(first.length, 1, "nor is it sent twice meanwhile");
   t.end();
 });
+
+// Guards against servers that are called off while an order for them, whose answer was lost, is carried out late.
+tap.test("an order whose answer is lost is not taken for refused", async (t) => {
+  const lost = utils.Err(utils.createStepError("unknown_outcome", {
+    step: "orders.send",
+    peer: "platform",
+    message: "No answer.",
+  }));
+  let isLost = false;
+  const round = startRound(() =>
+    Promise.resolve(isLost ? lost : utils.Ok(undefined))
+  );
+  await round.sendAt(0);
+  await round.sendAt(2_500);
+  await round.sendAt(3_000);
+  round.reclaim("b");
+  isLost = true;
+  const before = round.sent.length;
+  await round.sendAt(3_500);
+  await round.sendAt(4_500);
+  const after = round.sent.slice(before);
+  t.ok(after.some(({ spot, failureDomain }) => spot && failureDomain === "b"));
+  t.notOk(after.some(({ spot, count }) => !spot && count > 0), "by others");
+  t.end();
+});
--- a/packages/banyangrade/routed/orders_round.ts
+++ b/packages/banyangrade/routed/orders_round.ts
@@ -179,7 +179,9 @@
     this.#calling.delete(key);
     const error = sent.err ? sent.val : undefined;
     log.info({ ...order, demand: planned.demand, error }, "Ordered.");
-    if (sent.ok || !wanted.spot || !isUnmet(sent.val.code)) return;
+    // Another holder was seen, or there are no such servers: the same answer.
+    // An order without an answer may be carried out late, and is no refusal.
+    if (sent.ok || !wanted.spot || sent.val.code !== "conflict") return;
     this.#sent.delete(key);
     this.#planners.get(wanted.service)
       ?.recordUnavailable(wanted.failureDomain, now);
@@ -205,11 +207,3 @@
         now - sent.at > bootMs + REPEAT_MS;
   }
 }
-
-/**
- * Whether servers that were ordered are not to be counted on: another holder was
- * seen or there are none, which is the same answer, or there was none in time.
- */
-function isUnmet(code: utils.FailureCode): boolean {
-  return code === "conflict" || code === "unknown_outcome";
-}
