--- a/packages/service/client.ts
+++ b/packages/service/client.ts
@@ -46,8 +46,9 @@
   call: ServiceCall,
 ): Promise<ServiceOutcome> {
   try {
-    const answer = await undici.request(call.server.url + call.path, {
-      dispatcher: agent,
+    const answer = await agent.request({
+      origin: call.server.url,
+      path: call.path,
       method: call.method as undici.Dispatcher.HttpMethod,
       headers: {
         ...call.headers,
--- a/packages/utils/json_client.ts
+++ b/packages/utils/json_client.ts
@@ -4,6 +4,8 @@
 import * as errors from "./errors.ts";
 import * as result from "./result.ts";
 
+const agent = new undici.Agent();
+
 /** One call. */
 export interface JsonCall {
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
@@ -27,7 +29,10 @@
 ): Promise<result.Result<Answer, errors.StepError>> {
   const { step, peer } = call;
   try {
-    const answer = await undici.request(call.url, {
+    const url = new URL(call.url);
+    const answer = await agent.request({
+      origin: url.origin,
+      path: `${url.pathname}${url.search}`,
       method: call.method,
       headers: { "content-type": "application/json", ...call.headers },
       body: call.body === undefined ? null : JSON.stringify(call.body),
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -25,22 +25,50 @@
   await bundle({ entry: "packages/banyangrade/main.ts", outfile: BUNDLE });
 }
 
+/** What to bundle, and how. */
+export interface BundleOptions {
+  /** Path from the root. */
+  readonly entry: string;
+  readonly minify?: boolean;
+  /** Files, from the root, that take the place of modules by their exact names. */
+  readonly replacements?: Readonly<Record<string, string>>;
+  /** Names that are replaced by constants. */
+  readonly define?: Record<string, string>;
+}
+
 /**
  * Bundles one entry file with all that it imports.
  *
  * @example
- * await bundle({ entry: "platform/main.ts", outfile: "target/banyangrade.cjs" });
+ * await bundle({ entry: "platform/main.ts", outfile: "dist/host.cjs" });
  */
 export async function bundle(
-  { entry, outfile, minify = false }: {
-    readonly entry: string;
-    readonly outfile: string;
-    readonly minify?: boolean;
-  },
+  { outfile, ...options }: BundleOptions & { readonly outfile: string },
 ): Promise<void> {
-  await esbuild.build({
+  fs.mkdirSync(path.dirname(outfile), { recursive: true });
+  fs.writeFileSync(outfile, (await bundleText(options)).text);
+}
+
+/** A bundle. */
+export interface Bundled {
+  readonly text: string;
+  /** Files that are in it, from the folder of the process. */
+  readonly files: readonly string[];
+}
+
+/**
+ * Bundles one entry file and returns the text.
+ *
+ * @example
+ * const { text } = await bundleText({ entry: "platform/main.ts", minify: true });
+ */
+export async function bundleText(
+  { entry, minify = false, replacements = {}, define = {} }: BundleOptions,
+): Promise<Bundled> {
+  const { outputFiles, metafile } = await esbuild.build({
     entryPoints: [path.join(ROOT, entry)],
-    outfile,
+    write: false,
+    metafile: true,
     bundle: true,
     minify,
     platform: "node",
@@ -49,7 +77,29 @@
     mainFields: ["module", "main"],
     minifySyntax: true,
     logLevel: "warning",
+    define,
+    plugins: [swapModules(replacements)],
   });
+  const [{ inputs }] = Object.values(metafile.outputs);
+  const files = Object.entries(inputs)
+    .filter(([, { bytesInOutput }]) => bytesInOutput > 0)
+    .map(([file]) => file);
+  return { text: outputFiles[0].text, files };
+}
+
+function swapModules(
+  replacements: Readonly<Record<string, string>>,
+): esbuild.Plugin {
+  return {
+    name: "replacements",
+    setup: ({ onResolve }) =>
+      Object.entries(replacements).forEach(([module, file]) =>
+        onResolve(
+          { filter: new RegExp(`^${module}$`) },
+          () => ({ path: path.join(ROOT, file) }),
+        )
+      ),
+  };
 }
 
 function buildBinary(): void {
