Look at the time only where it decides something

Cause: hosts woke fifty times a second while a stream ran, five times for servers whose entries are missing though none was, and a relay five times for each follower's call that waits.

Change: the dispatcher looks every 20 ms while requests wait and every 100 ms while they only run; the list of servers is looked at again while entries are missing; a relay's waiting call is looked at when its last word grows too old.

--- a/packages/banyangrade/constants.ts
+++ b/packages/banyangrade/constants.ts
@@ -1,7 +1,9 @@
 /** Times of the daemon's tasks, in ms unless named otherwise. */
 
-/** Between two looks at queues and deadlines. */
+/** Between two looks at queues and deadlines while requests wait. */
 export const TICK_MS = 20;
+/** The same while requests run and none waits: for the averages that are told. */
+export const RUNNING_TICK_MS = 100;
 /** The same while no request is open. */
 export const IDLE_TICK_MS = 250;
 /** Between two demands to the capacity leader. */
--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -30,6 +30,8 @@
   readonly #open = new Map<string, OpenRequest>();
   readonly #events: core.DispatchEvent[] = [];
   #ticking: NodeJS.Timeout | undefined;
+  /** When the next look at the time is due, monotonic ms. */
+  #tickAt = Number.POSITIVE_INFINITY;
   #stopped = false;
   #busy = false;
 
@@ -38,20 +40,34 @@
     this.#tick();
   }
 
-  /** Looks at the time often while requests are open, else seldom. */
   #tick(): void {
     if (this.#stopped) return;
+    this.#tickAt = Number.POSITIVE_INFINITY;
     this.send({ kind: "ticked" });
-    const ms = this.#open.size > 0 ? constants.TICK_MS : constants.IDLE_TICK_MS;
+  }
+
+  /** Time until the next look: time decides about requests that wait; what runs and what rests has no use for it. */
+  #getTickMs(): number {
+    if (this.#options.dispatcher.countOpen().queued > 0) {
+      return constants.TICK_MS;
+    }
+    return this.#open.size > 0
+      ? constants.RUNNING_TICK_MS
+      : constants.IDLE_TICK_MS;
+  }
+
+  /** Has the next look come in time for what is open now. */
+  #scheduleTick(): void {
+    const ms = this.#getTickMs();
+    const at = this.#options.clock.now() + ms;
+    if (this.#stopped || this.#tickAt <= at) return;
+    clearTimeout(this.#ticking);
+    this.#tickAt = at;
     this.#ticking = setTimeout(() => this.#tick(), ms);
   }
 
   /** Opens a request; its effects go to `handlers` until it is closed. */
   open(request: core.Request, handlers: OpenRequest): void {
-    if (this.#open.size === 0) {
-      clearTimeout(this.#ticking);
-      this.#ticking = setTimeout(() => this.#tick(), constants.TICK_MS);
-    }
     this.#open.set(request.id, handlers);
     this.send({ kind: "arrived", request });
   }
@@ -82,6 +98,7 @@
       }
     } finally {
       this.#busy = false;
+      this.#scheduleTick();
     }
   }
 
--- a/packages/banyangrade/routed/belief_task.ts
+++ b/packages/banyangrade/routed/belief_task.ts
@@ -60,6 +60,7 @@
   #table: core.RouteTable | undefined;
   #revision = 0;
   #listed = false;
+  #expiry: NodeJS.Timeout | undefined;
   #reachable = true;
 
   constructor(options: BeliefOptions) {
@@ -70,7 +71,6 @@
   /** Starts following both prefixes. */
   start(): void {
     const { platform, feed, clock } = this.#options;
-    const expiry = setInterval(() => this.#expire(), EXPIRE_MS);
     this.#stops.push(
       store.watchPrefix({
         feed,
@@ -93,7 +93,7 @@
           ),
         onEvent: (event) => this.#takeServers(event),
       }),
-      () => clearInterval(expiry),
+      () => clearTimeout(this.#expiry),
     );
   }
 
@@ -176,6 +176,11 @@
   }
 
   #takeServers(event: store.FeedEvent): void {
+    this.#applyServers(event);
+    this.#scheduleExpiry();
+  }
+
+  #applyServers(event: store.FeedEvent): void {
     const now = this.#options.clock.now();
     switch (event.kind) {
       case "failed":
@@ -218,9 +223,17 @@
   }
 
   #expire(): void {
+    this.#expiry = undefined;
     if (this.#list.expire(this.#options.clock.now())) {
       this.#tellServers("did not return");
     }
+    this.#scheduleExpiry();
+  }
+
+  /** Has the list looked at again while entries are missing. */
+  #scheduleExpiry(): void {
+    if (this.#expiry !== undefined || !this.#list.hasMissing()) return;
+    this.#expiry = setTimeout(() => this.#expire(), EXPIRE_MS).unref();
   }
 
   #tellServers(reason: string): void {
--- a/packages/banyangrade/routed/relayed_feed.ts
+++ b/packages/banyangrade/routed/relayed_feed.ts
@@ -16,8 +16,6 @@
  * 1.1 s later, while a change has to be in force after 2 s.
  */
 const FRESH_MS = 1_900;
-/** Between two looks at that age while a call waits, in ms. */
-const LOOK_MS = 200;
 /** Time for which the store is not asked again where neither it nor the relay had word, in ms. A follower hears of the store's return from its relay, which asks on; without the pause every host asks five times a second, and each call is paid for. */
 const STORE_PAUSE_MS = 1_500;
 
@@ -154,10 +152,15 @@
 
   /** Whether this host has recent word from the store, of any prefix. */
   #isFresh(): boolean {
+    return this.#getFreshMs() >= 0;
+  }
+
+  /** Time for which its last word stays recent, in ms. */
+  #getFreshMs(): number {
     const provedAt = Math.max(
       ...[...this.#followed.values()].map(({ cache }) => cache.provedAt),
     );
-    return this.#options.clock.now() - provedAt <= FRESH_MS;
+    return provedAt + FRESH_MS - this.#options.clock.now();
   }
 
   #setAll(
@@ -197,7 +200,7 @@
     return followed;
   }
 
-  /** Waits until something holds, which a change or the passing of time can bring. */
+  /** Waits until something holds, which a change or the age of the last word can bring. */
   async #waitUntil(
     prefix: string,
     { holds, waitMs }: {
@@ -210,15 +213,20 @@
     await new Promise<void>((resolve) => {
       const end = () => {
         clearTimeout(timer);
-        clearInterval(looks);
+        clearTimeout(looking);
         wakes.delete(wake);
         resolve();
       };
       const wake = () => {
         if (holds()) end();
       };
+      const look = () => {
+        if (holds()) return end();
+        looking = setTimeout(look, Math.max(0, this.#getFreshMs()) + 1);
+      };
       const timer = setTimeout(end, waitMs);
-      const looks = setInterval(wake, LOOK_MS);
+      let looking: NodeJS.Timeout;
+      look();
       wakes.add(wake);
     });
   }
--- a/packages/core/server_list.ts
+++ b/packages/core/server_list.ts
@@ -98,6 +98,12 @@
     return gone.length > 0;
   }
 
+  /** Whether an entry is missing whose server is still in use. */
+  hasMissing(): boolean {
+    return [...this.#held.values()]
+      .some(({ missingSince }) => missingSince !== undefined);
+  }
+
   list(): ListedServer[] {
     return [...this.#held.values()].map((held) => held.server);
   }
