Order again at once what is lost while it starts, or has no answer

Load pattern: a burst of 2.3 times the long prompts, a reclaim in it, and a platform that leaves orders without an answer and carries some out late. An order for ordinary servers had no answer at 14.0; at 19.0, as reclaimable ones were tried again, it was called off, at 20.0 placed once more.

Change: an order is due again as soon as fewer servers of its kind are ready than were since it was sent, and if it got no answer; what an order without an answer asked for counts as coming from then on, and is not called off. Ruled out: the division, which stood at its first value all the while; the subjects (busiest engine to mean 1.14).

Three tests, which failed before.

--- a/packages/banyangrade/orders_round_test.ts
+++ b/packages/banyangrade/orders_round_test.ts
@@ -37,11 +37,17 @@
 }
 
 /** A round over two failure domains with some reclaimable servers each, of which the second loses its own. */
-function startRound(answer: (order: ports.DomainOrder) => Promise<Answer>) {
+function startRound(
+  answer: (order: ports.DomainOrder) => Promise<Answer>,
+  { serversEach = 8 }: { readonly serversEach?: number } = {},
+) {
   const sent: ports.DomainOrder[] = [];
   let now = 0;
   let servers = DOMAINS.flatMap((domain) =>
-    [1, 2, 3, 4, 5, 6, 7, 8].map((index) => buildServer(domain, index))
+    Array.from(
+      { length: serversEach },
+      (_, index) => buildServer(domain, index + 1),
+    )
   );
   const status: core.HostStatus = {
     host: "host",
@@ -172,3 +178,47 @@
   t.notOk(after.some(({ spot, count }) => !spot && count > 0), "by others");
   t.end();
 });
+
+// Guards against seconds without servers or an order for any: a reclaim took those that had just been ordered, before all of them had started.
+tap.test("what is lost while more start is ordered again at once", async (t) => {
+  const round = startRound(() => Promise.resolve(utils.Ok(undefined)), {
+    serversEach: 3,
+  });
+  await round.sendAt(0);
+  await round.sendAt(2_500);
+  await round.sendAt(3_000);
+  round.reclaim("b");
+  const before = round.sent.length;
+  await round.sendAt(3_500);
+  const after = round.sent.slice(before);
+  t.ok(after.some(({ spot, failureDomain }) => spot && failureDomain === "b"));
+  const again = round.sent.length;
+  await round.sendAt(4_000);
+  t.equal(round.sent.length, again, "once");
+  t.end();
+});
+
+// Guards against a burst without servers where the one order for them was lost.
+tap.test("an order whose answer is lost is sent once more", async (t) => {
+  const lost = utils.Err(utils.createStepError("unknown_outcome", {
+    step: "orders.send",
+    peer: "platform",
+    message: "No answer.",
+  }));
+  let answers: Answer = lost;
+  const round = startRound(() => Promise.resolve(answers), { serversEach: 3 });
+  await round.sendAt(0);
+  await round.sendAt(2_500);
+  const before = round.sent.length;
+  answers = utils.Ok(undefined);
+  await round.sendAt(3_500);
+  const repeated = round.sent.slice(before);
+  t.same(
+    repeated.filter(({ spot }) => spot).map((order) => order.failureDomain),
+    DOMAINS,
+  );
+  const again = round.sent.length;
+  await round.sendAt(4_500);
+  t.equal(round.sent.length, again, "until there is an answer");
+  t.end();
+});
--- a/packages/banyangrade/routed/orders_round.ts
+++ b/packages/banyangrade/routed/orders_round.ts
@@ -24,8 +24,10 @@
 interface SentOrder {
   readonly order: ports.DomainOrder;
   readonly at: number;
-  /** Whether as many servers were there since. */
-  reached: boolean;
+  /** Most servers of the kind that were ready since. */
+  most: number;
+  /** Set where its answer was lost: it may be carried out late, or never. */
+  unanswered: boolean;
 }
 
 /** An order before its fencing token is known. */
@@ -166,44 +168,54 @@
     const { order: wanted } = planned;
     const key = `${wanted.service}/${wanted.failureDomain}/${wanted.spot}`;
     const now = clock.now();
-    const due = this.#isDue(planned, { sent: this.#sent.get(key), now });
+    const count = this.#countOrdered(planned);
+    const due = isDue(planned, { sent: this.#sent.get(key), now, count });
     if (!due || this.#calling.has(key)) return;
     const lease = this.#options.getLease();
     // No await between this check and the send: a process that was paused
     // finds out here that its lease is over.
     if (lease.kind === "none" || !core.mayAct(lease, now)) return;
     const order = { ...wanted, fencingToken: lease.token };
-    this.#sent.set(key, { order, at: now, reached: false });
+    const record = { order, at: now, most: count, unanswered: false };
+    this.#sent.set(key, record);
     this.#calling.add(key);
     const sent = await platform.sendOrder(order);
     this.#calling.delete(key);
     const error = sent.err ? sent.val : undefined;
     log.info({ ...order, demand: planned.demand, error }, "Ordered.");
+    if (sent.ok) return;
+    const planner = this.#planners.get(wanted.service);
+    if (sent.val.code === "unknown_outcome") {
+      record.unanswered = true;
+      planner?.recordUnanswered(wanted, clock.now());
+    }
     // Another holder was seen, or there are no such servers: the same answer.
-    // An order without an answer may be carried out late, and is no refusal.
-    if (sent.ok || !wanted.spot || sent.val.code !== "conflict") return;
+    if (!wanted.spot || sent.val.code !== "conflict") return;
     this.#sent.delete(key);
-    this.#planners.get(wanted.service)
-      ?.recordUnavailable(wanted.failureDomain, now);
+    planner?.recordUnavailable(wanted.failureDomain, now);
     // Others are needed in their place, and take some seconds to start.
     this.#sendService(service);
   }
+}
 
-  /**
-   * Whether an order is new, or was sent and has shown no effect, or the servers
-   * that it brought are gone again: after a reclaim no second is lost until the
-   * platform says whether there are more.
-   */
-  #isDue(
-    planned: PlannedOrder,
-    { sent, now }: { readonly sent: SentOrder | undefined; now: number },
-  ): boolean {
-    const { order: wanted, bootMs } = planned;
-    if (sent === undefined || sent.order.count !== wanted.count) return true;
-    const count = this.#countOrdered(planned);
-    const lost = sent.reached && count < wanted.count;
-    sent.reached ||= count >= wanted.count;
-    return lost || count !== wanted.count &&
-        now - sent.at > bootMs + REPEAT_MS;
-  }
+/**
+ * Whether an order is new, got no answer, or was sent and has shown no effect;
+ * or servers are gone that were there since. After a reclaim no second is lost
+ * until the platform says whether there are more: it may take the servers that
+ * were still starting as well, so fewer than were ordered had been seen.
+ */
+function isDue(
+  { order: wanted, bootMs }: PlannedOrder,
+  { sent, now, count }: {
+    readonly sent: SentOrder | undefined;
+    readonly now: number;
+    /** Servers of the kind that are ready. */
+    readonly count: number;
+  },
+): boolean {
+  if (sent === undefined || sent.order.count !== wanted.count) return true;
+  const lost = count < Math.min(sent.most, wanted.count);
+  sent.most = Math.max(sent.most, count);
+  const isLate = now - sent.at > bootMs + REPEAT_MS;
+  return lost || count !== wanted.count && (sent.unanswered || isLate);
 }
--- a/packages/core/domain_orders.ts
+++ b/packages/core/domain_orders.ts
@@ -68,6 +68,25 @@
     this.#ordered.delete(`${failureDomain}/spot`);
   }
 
+  /**
+   * Records that the answer to an order was lost. What it asked for may still
+   * start, its time counted from now: taken for what never comes, it was called
+   * off as reclaimable servers were tried again, and the burst had neither.
+   */
+  recordUnanswered(
+    { failureDomain, spot }: {
+      readonly failureDomain: string;
+      readonly spot: boolean;
+    },
+    now: number,
+  ): void {
+    const key = `${failureDomain}/${spot ? "spot" : "ordinary"}`;
+    const ordered = this.#ordered.get(key);
+    if (ordered !== undefined) {
+      this.#ordered.set(key, { ...ordered, at: now });
+    }
+  }
+
   /** Plans the next orders; none is sent away before it is known what is there. */
   plan(service: ServiceDemand, now: number): DomainCounts[] {
     if (!this.#hasSettled(service.servers, now)) {
--- a/packages/core/domain_orders_test.ts
+++ b/packages/core/domain_orders_test.ts
@@ -211,6 +211,24 @@
   t.end();
 });
 
+// Guards against orders that swing while the platform carries them out late: as
+// cheap servers were tried again, ordinary ones that were due were called off.
+tap.test("servers whose order has no answer yet are not called off", (t) => {
+  const planner = startPlanner({ spot: 1 });
+  const servers = { ordinary: 0, spot: 0 };
+  planner.plan(buildDemand(900, servers), 0);
+  DOMAINS.forEach((domain) => planner.recordUnavailable(domain, 100));
+  const ordered = planner.plan(buildDemand(900, servers), 1_000);
+  t.equal(sum(ordered, "ordinary"), 28);
+  DOMAINS.forEach((failureDomain) =>
+    planner.recordUnanswered({ failureDomain, spot: false }, 3_000)
+  );
+  // Later than they would have started, had the order been carried out at once.
+  const retried = planner.plan(buildDemand(900, servers), 7_500);
+  t.equal(sum(retried, "ordinary"), 28);
+  t.end();
+});
+
 // All machines start at once. The host that wins the role plans while servers
 // are still registering; it must not send those away that it does not see yet.
 // Cheap ones are ordered for those that it sees, since every second in which
