Let hosts that start find their relay before they try for its place

Cause: as all hosts start, each reads who the relay is, sees nobody, and takes a lease of its own for the same place; reads configuration and servers from the store; and publishes its status, since its relay has not yet.

Change: who sees nobody waits for a random part of 0.3 s and looks again; who loses the race takes the winner as its relay at once; a host reads its first configuration once it knows whether there is a relay; and does not publish in its first round if the relay answers. The time in which a lease is renewed and taken over is as before.

A test with 33 hosts, which took 33 leases before.

--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -147,7 +147,9 @@
     this.#round += 1;
     this.#takeOwn();
     const answer = await this.#reportToRelay();
-    if (!answer?.publishes) await this.#publish();
+    // A relay that has just started publishes a moment later.
+    const isEarly = answer !== undefined && this.#round === 1;
+    if (!answer?.publishes && !isEarly) await this.#publish();
     const looks = answer === undefined && this.#round % ROUNDS_PER_LOOK === 1;
     if (looks || hasRole()) await this.#readPublished();
     if (answer !== undefined) return this.#options.onOthers(answer.others);
--- a/packages/banyangrade/routed/relay_task.ts
+++ b/packages/banyangrade/routed/relay_task.ts
@@ -1,7 +1,6 @@
 /**
- * One host of each failure domain, the relay, follows the store for the others.
- * With sixty hosts that each follow it by themselves, calls to the store were
- * the largest cost of the fleet after its servers: 2.9 calls a second and host.
+ * One host of each failure domain, the relay, follows the store for the others,
+ * whose calls would grow with the fleet.
  *
  * The relay is whoever holds a lease. The others find it by the lease's record,
  * and go to the store themselves while there is none that answers, so that a
@@ -15,6 +14,10 @@
 const LEASE_MS = 3_000;
 /** Margin of the lease for clock drift and scheduling, in ms. */
 const LEASE_MARGIN_MS = 400;
+/** Longest wait at the start for word of who the relay is, in ms: a slow call of the store. */
+const FIRST_LOOK_MS = 200;
+/** Time over which hosts that start together spread their tries for the lease, in ms: many calls of the store long, and half of what a process takes to start. */
+const TRIES_SPREAD_MS = 300;
 /** Time for which a relay that did not answer is not asked again, in ms: until its lease has ended if it is gone. */
 const AVOID_MS = 2_500;
 /** Time after which a relay does not answer, in ms beyond what it was to wait: hundreds of times the way there. */
@@ -26,6 +29,7 @@
   /** Counts suspensions, so that a lease does not outlast one. */
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
+  readonly random: utils.Random;
   readonly host: string;
   readonly incarnation: string;
   readonly failureDomain: string;
@@ -61,7 +65,7 @@
   }
 
   async start(): Promise<void> {
-    const { address, clock, host, incarnation, log } = this.#options;
+    const { address, clock, host, incarnation, log, random } = this.#options;
     if (address === undefined) return;
     this.#server = await peer.startPeerServer({
       ...utils.splitAddress(address),
@@ -76,6 +80,7 @@
       host,
       incarnation,
       terms: { ttlMs: LEASE_MS, marginMs: LEASE_MARGIN_MS },
+      getPauseMs: () => random.below(TRIES_SPREAD_MS),
       // A relay serves whoever asks; two of them do no harm.
       flightMs: 0,
       contact: { address, secret: this.#secret },
@@ -83,6 +88,8 @@
       onOther: (record) => this.#setRelay(record),
       onChange: () => undefined,
     });
+    // A host that starts by itself then has everything from the relay.
+    await Promise.race([this.#holder.looked, utils.waitFor(FIRST_LOOK_MS)]);
   }
 
   /** Gives the lease back; followers are answered until {@link close}. */
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -145,11 +145,12 @@
 }
 
 function addRelay(draft: Draft): void {
-  const { settings, platform, clocks, log, incarnation, state } = draft;
+  const { settings, platform, clocks, log, random, incarnation, state } = draft;
   draft.relay = new relayTask.RelayTask({
     store: platform.store,
     clock: clocks.lease,
     log: utils.createPartLogger(log, "relay"),
+    random,
     host: settings.host,
     incarnation,
     failureDomain: settings.failureDomain,
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -34,6 +34,12 @@
   readonly flightMs: number;
   /** Whether this host should try for the role; few should, each try is a call. */
   readonly isCandidate: () => boolean;
+  /**
+   * Time to wait in ms before a role that nobody holds is tried for. Hosts that
+   * start together would all try at once, with four calls each for one winner.
+   * @default 0
+   */
+  readonly getPauseMs?: () => number;
   /** Told when the role is won or lost. */
   readonly onChange: (lease: core.LeaseState) => void;
   /** How this host is reached as the holder. */
@@ -46,6 +52,8 @@
 export interface LeaseHolder {
   /** The lease as believed now; ask at the moment of acting. */
   readonly getLease: () => core.LeaseState;
+  /** Resolves once it has been looked up for the first time who holds the role. */
+  readonly looked: Promise<void>;
   /** Gives the role back, so that a successor need not wait for the lease's end. */
   readonly release: () => Promise<void>;
 }
@@ -61,6 +69,10 @@
   let lease: core.LeaseState = { kind: "none" };
   let lapsed: core.LeaseState = { kind: "none" };
   let released = false;
+  let markLooked = () => {};
+  const looked = new Promise<void>((resolve) => {
+    markLooked = resolve;
+  });
 
   function setLease(next: core.LeaseState): void {
     const changed = next.kind !== lease.kind;
@@ -73,7 +85,11 @@
 
   async function work(): Promise<void> {
     const before = lease.kind === "held" ? lease : lapsed;
-    const next = await advanceLease(before, options);
+    const next = await advanceLease(before, {
+      ...options,
+      onPause: markLooked,
+    });
+    markLooked();
     lapsed = next.kind === "held" ? next : { kind: "none" };
     if (!released && !core.isLeaseHeld(next, options.clock.now())) {
       setLease({ kind: "none" });
@@ -87,6 +103,7 @@
   const first = setTimeout(() => void work(), 0);
   return {
     getLease: () => lease,
+    looked,
     release: async () => {
       released = true;
       stop();
@@ -99,7 +116,11 @@
 }
 
 /** What one step towards a lease needs. */
-export type AdvanceOptions = Omit<LeaseHolderOptions, "log" | "onChange">;
+export interface AdvanceOptions
+  extends Omit<LeaseHolderOptions, "log" | "onChange"> {
+  /** Told that nobody holds the role and a pause begins. */
+  readonly onPause?: () => void;
+}
 
 /**
  * Takes one step: renews the lease if it is held, else tries for it. A lease
@@ -134,12 +155,10 @@
 async function acquire(
   options: AdvanceOptions,
 ): Promise<core.LeaseState> {
-  const sentAt = options.clock.now();
   const key = getRoleKey(options.role);
-  const current = await options.store.get(key);
+  const { sentAt, current } = await readRole(key, options);
   if (current.err) return { kind: "none" };
-  const holder = current.val &&
-    utils.parseJson(current.val.value) as RoleRecord | undefined;
+  const holder = parseRole(current.val);
   if (current.val !== undefined && !isOwnPast(holder, options)) {
     if (holder !== undefined) options.onOther?.(holder);
     return { kind: "none" };
@@ -159,6 +178,10 @@
     lease: granted.val,
   });
   if (swapped.err || swapped.val.kind === "lost") {
+    const winner = swapped.ok && swapped.val.kind === "lost"
+      ? parseRole(swapped.val.current)
+      : undefined;
+    if (winner !== undefined) options.onOther?.(winner);
     await options.store.revokeLease(granted.val);
     return { kind: "none" };
   }
@@ -171,6 +194,39 @@
   }, options.terms);
 }
 
+function parseRole(
+  entry: client.StoreEntry | undefined,
+): RoleRecord | undefined {
+  return entry && utils.parseJson(entry.value) as RoleRecord | undefined;
+}
+
+interface ReadRole {
+  /** When the read was sent. */
+  readonly sentAt: number;
+  readonly current: utils.Result<
+    client.StoreEntry | undefined,
+    utils.StepError
+  >;
+}
+
+/** Reads who holds a role; where nobody does, once more after a pause. */
+async function readRole(
+  key: string,
+  options: AdvanceOptions,
+): Promise<ReadRole> {
+  const read = async (): Promise<ReadRole> => ({
+    sentAt: options.clock.now(),
+    current: await options.store.get(key),
+  });
+  const first = await read();
+  const isFree = first.current.ok && first.current.val === undefined;
+  const pauseMs = isFree ? options.getPauseMs?.() ?? 0 : 0;
+  if (pauseMs === 0) return first;
+  options.onPause?.();
+  await utils.waitFor(pauseMs);
+  return await read();
+}
+
 /**
  * Whether a role is held by this host's earlier process, which has ended: its
  * lease would keep the role empty, for longer still if the store was away.
--- a/packages/store/lease_holder_test.ts
+++ b/packages/store/lease_holder_test.ts
@@ -55,3 +55,73 @@
   t.equal(late.kind, "none", "the end of the old lease does not end the role");
   t.end();
 });
+
+interface Gate {
+  readonly promise: Promise<void>;
+  readonly resolve: () => void;
+}
+
+function openGate(): Gate {
+  let resolve = () => {};
+  const promise = new Promise<void>((pass) => {
+    resolve = pass;
+  });
+  return { promise, resolve };
+}
+
+// Guards against a storm of calls as all hosts start: each tried to take the role, and one won.
+tap.test("hosts that start together do not all try for a role", async (t) => {
+  const store = await fake.startFakeStore({});
+  const storeClient = client.createStoreClient({ url: store.url });
+  t.teardown(async () => {
+    await storeClient.close();
+    await store.close();
+  });
+  let granted = 0;
+  const found: string[] = [];
+  const startTry = (
+    index: number,
+    get: client.KeyValueClient["get"],
+  ): Promise<core.LeaseState> =>
+    leaseHolder.advanceLease({ kind: "none" }, {
+      store: {
+        ...storeClient,
+        get,
+        grantLease: (seconds) => {
+          granted += 1;
+          return storeClient.grantLease(seconds);
+        },
+      },
+      clock: utils.SYSTEM_CLOCK,
+      role: "relay/a",
+      host: `host-${index}`,
+      incarnation: "1",
+      terms: TERMS,
+      flightMs: 0,
+      isCandidate: () => true,
+      getPauseMs: () => 1,
+      onOther: ({ host }) => found.push(host),
+    });
+  // All others have seen that nobody holds it before the one with the shortest pause tries.
+  const reads = Array.from({ length: 32 }, () => openGate());
+  const winning = openGate();
+  const others = reads.map((firstRead, index) => {
+    let isFirst = true;
+    return startTry(index + 1, async (key) => {
+      if (!isFirst) await winning.promise;
+      isFirst = false;
+      const current = await storeClient.get(key);
+      firstRead.resolve();
+      return current;
+    });
+  });
+  await Promise.all(reads.map(({ promise }) => promise));
+  const winner = await startTry(0, storeClient.get);
+  winning.resolve();
+  t.equal(winner.kind, "held");
+  const leases = await Promise.all(others);
+  t.ok(leases.every(({ kind }) => kind === "none"));
+  t.equal(granted, 1);
+  t.equal(found.length, 32, "the others know it at once");
+  t.end();
+});
