--- a/packages/core/domain_orders_test.ts
+++ b/packages/core/domain_orders_test.ts
@@ -42,6 +42,17 @@
   return planner;
 }
 
+/** A burst in which all cheap servers have been reclaimed; at 1,000 ms ordinary ones were ordered, as many as the bounds allow. */
+function startDryBurst(t: tapModule.Test) {
+  const planner = startPlanner({ spot: 1 });
+  const servers = { ordinary: 0, spot: 0 };
+  planner.plan(buildDemand(900, servers), 0);
+  DOMAINS.forEach((domain) => planner.recordUnavailable(domain, 100));
+  const ordered = planner.plan(buildDemand(900, servers), 1_000);
+  t.equal(sum(ordered, "ordinary"), 28);
+  return { planner, servers };
+}
+
 const sum = (
   counts: readonly core.DomainCounts[],
   kind: "ordinary" | "spot",
@@ -196,12 +207,7 @@
 // for as many as a failure domain may have. Each time cheap ones were tried
 // again, the ordinary ones on their way were called off, and none came.
 tap.test("ordinary servers on their way are not called off", (t) => {
-  const planner = startPlanner({ spot: 1 });
-  const servers = { ordinary: 0, spot: 0 };
-  planner.plan(buildDemand(900, servers), 0);
-  DOMAINS.forEach((domain) => planner.recordUnavailable(domain, 100));
-  const ordered = planner.plan(buildDemand(900, servers), 1_000);
-  t.equal(sum(ordered, "ordinary"), 28);
+  const { planner, servers } = startDryBurst(t);
   // Cheap ones may be there again, and are tried.
   const retried = planner.plan(buildDemand(900, servers), 4_500);
   t.equal(sum(retried, "ordinary"), 28);
@@ -214,12 +220,7 @@
 // Guards against orders that swing while the platform carries them out late: as
 // cheap servers were tried again, ordinary ones that were due were called off.
 tap.test("servers whose order has no answer yet are not called off", (t) => {
-  const planner = startPlanner({ spot: 1 });
-  const servers = { ordinary: 0, spot: 0 };
-  planner.plan(buildDemand(900, servers), 0);
-  DOMAINS.forEach((domain) => planner.recordUnavailable(domain, 100));
-  const ordered = planner.plan(buildDemand(900, servers), 1_000);
-  t.equal(sum(ordered, "ordinary"), 28);
+  const { planner, servers } = startDryBurst(t);
   DOMAINS.forEach((failureDomain) =>
     planner.recordUnanswered({ failureDomain, spot: false }, 3_000)
   );
