--- /dev/null
+++ b/scripts/play_sites.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Plays the standard days of all sites of regression_sites.txt, or of those whose
+# paths hold a word:
+#
+#   scripts/play_sites.sh BENCH SYSTEM OUT [WORD]
+#
+# SYSTEM is the users' system folder. Goes on where it stopped, as play_days.sh does.
+set -uo pipefail
+bench=$1 system=$2 out=$3 word=${4:-}
+here=$(dirname "$0")
+
+grep -v '^#' "$here/regression_sites.txt" | grep -F -- "$word" |
+  while read -r site jobs; do
+    days=$(awk '/^\[\[day\]\]/ { day = 1 } day && /^name = / { gsub(/"/, "", $3); print $3; day = 0 }' "$system/$site")
+    "$here/play_days.sh" "$bench" "$system/$site" "$out/$(basename "$site" .toml)" \
+      "$(xargs <<<"$days")" own "$jobs" </dev/null
+  done
