Give a failure domain up once two of its servers are silent

Load pattern: a failure domain is cut off for six seconds while its servers carry their part of the load.

Two servers of another failure domain that give no sign of life within 2 s, with none there answering since, have all of it ejected for 2 s, but for services that have no server elsewhere; the first failures after that eject it again. The host's own domain is never given up so. Attempts that run there are left to end by themselves.

--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -57,7 +57,10 @@
     serviceMs: state.now - ended.startedAt,
   });
   const server = state.table.get(ended.server);
-  if (server !== undefined) serverState.recordSuccess(server);
+  if (server !== undefined) {
+    serverState.recordSuccess(server);
+    progress.recordHeard(state, server);
+  }
   progress.recordSpeed(state, { attempt: ended, least: 1 });
   dispatchFreed(state, ended);
 }
@@ -75,14 +78,49 @@
   const ended = endAttempt(state, event);
   if (ended === undefined) return;
   const server = state.table.get(ended.server);
-  if (server !== undefined && event.failure !== "refused") {
-    state.table.recordFailure(server, { ...event, now: state.now });
-  }
+  if (server !== undefined) recordFailure(state, { server, event });
   if (event.failure === "connection_lost") markSuspect(state, ended);
   decideRetry(state, { event, ended });
   dispatchFreed(state, ended);
 }
 
+function recordFailure(
+  state: hostState.HostState,
+  { server, event: { failure } }: {
+    readonly server: serverState.ServerState;
+    readonly event: EventOf<"failed">;
+  },
+): void {
+  const { now } = state;
+  if (failure !== "refused") {
+    state.table.recordFailure(server, { failure, now });
+  }
+  switch (failure) {
+    case "not_sent":
+    case "timeout":
+      return recordSilent(state, server);
+    case "refused":
+    case "server_error":
+    case "crossed":
+      return progress.recordHeard(state, server);
+    case "connection_lost":
+      return;
+  }
+}
+
+/** Gives up a failure domain that has fallen silent; never the host's own, whose servers are all that it reaches if it is the one that is cut off. */
+function recordSilent(
+  state: hostState.HostState,
+  { info: { name, failureDomain } }: serverState.ServerState,
+): void {
+  if (failureDomain === undefined) return;
+  if (failureDomain === state.failureDomain) return;
+  const { now } = state;
+  if (state.silences.recordSilent({ name, failureDomain }, now)) {
+    state.table.abandonDomain(failureDomain, now);
+  }
+}
+
 /** Starts work for what the server of an ended attempt offers. */
 function dispatchFreed(
   state: hostState.HostState,
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -4,6 +4,7 @@
 import * as attempts from "./attempts.ts";
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
+import * as domainSilence from "./domain_silence.ts";
 import * as engineChoice from "./engine_choice.ts";
 import type * as events from "./events.ts";
 import * as fairness from "./fairness.ts";
@@ -64,6 +65,8 @@
   readonly reading: reading.ReadingAverages;
   /** Pauses of streams beside long prompts. */
   readonly pauses: pauses.PauseCounter;
+  /** Servers of other failure domains that give no sign of life. */
+  readonly silences: domainSilence.DomainSilences;
   readonly router: router.Router;
 }
 
@@ -95,6 +98,7 @@
     prompts,
     reading: new reading.ReadingAverages(),
     pauses: new pauses.PauseCounter(),
+    silences: new domainSilence.DomainSilences(),
     router: new router.Router({ table, prompts, ...options }),
   };
 }
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -6,6 +6,7 @@
 export * from "./config_log.ts";
 export * from "./dispatcher.ts";
 export * from "./domain_orders.ts";
+export * from "./domain_silence.ts";
 export * from "./engine_choice.ts";
 export * from "./engine_division.ts";
 export * from "./events.ts";
--- a/packages/core/progress.ts
+++ b/packages/core/progress.ts
@@ -3,6 +3,7 @@
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
 import type * as hostState from "./host_state.ts";
+import type * as serverState from "./server_state.ts";
 
 /** Unread prompt tokens of an engine from which on it reads long prompts. */
 const LONG_PROMPT_TOKENS = 2_000;
@@ -19,6 +20,8 @@
 ): void {
   const made = state.running.recordProgress(event, state.now);
   if (made === undefined) return;
+  const server = state.table.get(made.current.server);
+  if (server !== undefined) recordHeard(state, server);
   if (made.first) endPrompt(state, made.current);
   recordPause(state, made);
   recordSpeed(state, {
@@ -27,6 +30,19 @@
   });
 }
 
+/**
+ * Records that a server gave a sign of life.
+ *
+ * @example
+ * recordHeard(state, server);
+ */
+export function recordHeard(
+  state: hostState.HostState,
+  { info: { failureDomain } }: serverState.ServerState,
+): void {
+  if (failureDomain !== undefined) state.silences.recordHeard(failureDomain);
+}
+
 /**
  * Learns how long streams pause while their engine reads long prompts: this
  * host's own, since word of the others' is older than the pause.
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -118,6 +118,16 @@
   return Math.max(1, Math.floor(getSlots(server) * share));
 }
 
+/**
+ * Whether the server is in use: neither leaving nor ejected.
+ *
+ * @example
+ * servers.filter((server) => isInUse(server, now));
+ */
+export function isInUse(server: ServerState, now: number): boolean {
+  return server.info.state === "live" && now >= server.ejectedUntil;
+}
+
 /**
  * Whether the server may be given one more request: it is not leaving, not
  * ejected, and holds less than what keeps it busy.
@@ -126,8 +136,7 @@
  * servers.filter((server) => hasRoom(server, now));
  */
 export function hasRoom(server: ServerState, now: number): boolean {
-  return server.info.state === "live" &&
-    now >= server.ejectedUntil &&
+  return isInUse(server, now) &&
     // What the other hosts run there takes none of this host's connections.
     server.running < (server.info.ownLimit ?? Number.POSITIVE_INFINITY) &&
     estimateLoad(server, now) < getCapacity(server, now);
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -282,6 +282,29 @@
     server.admittedAt = now + ms;
   }
 
+  /**
+   * Ejects the servers of a failure domain, but for those of a pool that has no
+   * others in use.
+   */
+  abandonDomain(failureDomain: string, now: number): void {
+    const isInside = ({ info }: serverState.ServerState) =>
+      info.failureDomain === failureDomain;
+    const outside = new Set(
+      this.listServers()
+        .filter((server) =>
+          !isInside(server) && serverState.isInUse(server, now)
+        )
+        .map(({ info }) => info.pool),
+    );
+    this.listServers()
+      .filter((server) => isInside(server) && outside.has(server.info.pool))
+      .forEach((server) => {
+        const until = Math.max(server.ejectedUntil, now + constants.EJECT_MS);
+        server.ejectedUntil = until;
+        server.admittedAt = until;
+      });
+  }
+
   /** Takes over a load report. */
   recordReport(report: events.LoadReport): void {
     const server = this.#servers.get(report.server);
