Spare cold servers by turns that no host has to tell the others of

Ruled out: a seat for few hosts leased by relays (its figures would not be better than the turns', which need no word at all); a strict part of the rate for each host (20 a second for 78 hosts is none).

Change: core/cold_starts.ts holds until when each server is cold, by its own entry; missing word, a new incarnation, and the return of an emptied failure domain count as cold, and so does a server that took no connection. core/cold_turns.ts gives each host turns at random moments, its part of a quarter of what all cold servers of the pool (of the smaller part, where engines are divided) bear together; turns that are not used are lost. Bounds come from the settings and the configuration; without them nothing changes.

--- a/packages/banyangrade/orders_round_test.ts
+++ b/packages/banyangrade/orders_round_test.ts
@@ -33,6 +33,8 @@
     slots: 32,
     state: "ready",
     spot: true,
+    coldMs: 0,
+    revision: 1,
   };
 }
 
--- a/packages/banyangrade/routed/host_updates.ts
+++ b/packages/banyangrade/routed/host_updates.ts
@@ -34,23 +34,44 @@
  * applyServers(parts, belief.listServers());
  */
 export function applyServers(
-  { belief, pools, dispatch }: Parts,
+  { belief, pools, dispatch, coldStarts, clock }: Parts,
   listed: readonly core.ListedServer[],
 ): void {
-  const limits = new Map(
+  const services = new Map(
     (belief.getTable()?.configuration.services ?? [])
-      .map((one) => [one.name, one.connectionLimit]),
+      .map((one) => [one.name, one]),
   );
+  coldStarts.setAll(listed.map(toColdWord), clock.now());
   const servers = listed.map((server) => {
     const name = getServerName(server);
-    const limit = pools.getLimit(name, limits.get(server.service) ?? 0);
+    const service = services.get(server.service);
+    const limit = pools.getLimit(name, service?.connectionLimit ?? 0);
+    const startMs = service?.coldStart?.startMs ?? 0;
+    const coldMs = coldStarts.getLeftMs(name, { startMs, now: clock.now() });
     const isEvacuated = belief.isEvacuated(server.failureDomain);
-    return toServerInfo(server, { name, limit, isEvacuated });
+    return toServerInfo(server, { name, limit, isEvacuated, coldMs });
   });
   pools.keep(new Set(servers.map((server) => server.name)));
   dispatch.send({ kind: "servers_changed", servers });
 }
 
+/**
+ * Takes over which failure domains are emptied. The servers of one that is used
+ * again may have become cold since they last said that they are not.
+ *
+ * @example
+ * applyEvacuations(parts, ["rosenheim"]);
+ */
+export function applyEvacuations(
+  parts: Parts,
+  changed: readonly string[],
+): void {
+  const { belief, coldStarts, clock } = parts;
+  changed.filter((failureDomain) => !belief.isEvacuated(failureDomain))
+    .forEach((one) => coldStarts.recordReturn(one, clock.now()));
+  applyServers(parts, belief.listServers());
+}
+
 /**
  * Takes over what is known of all other hosts.
  *
@@ -70,6 +91,7 @@
     kind: "load_shared",
     running: others.running,
     prompting: others.prompting,
+    hosts: others.hosts + 1,
     asOf: clock.now(),
   });
   if (others.suspects.length > 0) {
@@ -85,10 +107,11 @@
 
 function toServerInfo(
   listed: core.ListedServer,
-  { name, limit, isEvacuated }: {
+  { name, limit, isEvacuated, coldMs }: {
     readonly name: string;
     readonly limit: number;
     readonly isEvacuated: boolean;
+    readonly coldMs: number;
   },
 ): core.ServerInfo {
   return {
@@ -100,5 +123,15 @@
     slots: listed.slots,
     ownLimit: limit,
     failureDomain: listed.failureDomain,
+    coldMs,
+  };
+}
+
+function toColdWord(listed: core.ListedServer): core.ColdWord {
+  return {
+    name: getServerName(listed),
+    failureDomain: listed.failureDomain,
+    coldMs: listed.coldMs,
+    revision: listed.revision,
   };
 }
--- a/packages/banyangrade/routed/ports.ts
+++ b/packages/banyangrade/routed/ports.ts
@@ -111,6 +111,8 @@
   readonly retries: core.RetryBound;
   /** Time after which a withdrawn key must not start anything. */
   readonly withdrawMs: number;
+  /** Bound on what a cold server may get; undefined where there is none. */
+  readonly coldBound: core.ColdBound | undefined;
   /** Time within which a leaving server must get no more work. */
   readonly leaveMs: number;
   readonly leaseMs: number;
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -42,6 +42,7 @@
   readonly dispatch: dispatchTask.DispatchTask;
   /** Servers lost of late, and the requests that they ran. */
   readonly marks: core.MarkSet;
+  readonly coldStarts: core.ColdStarts;
   readonly relay: relayTask.RelayTask;
   readonly feed: relayedFeed.RelayedFeed;
   readonly belief: beliefTask.BeliefTask;
@@ -120,6 +121,7 @@
       hosts: HOSTS_AT_FIRST,
     }),
     marks: new core.MarkSet(),
+    coldStarts: new core.ColdStarts(),
   };
 }
 
@@ -189,14 +191,13 @@
         kind: "configured",
         configuration: core.toDispatchConfiguration(
           configuration,
-          settings.failureDomain,
+          settings,
         ),
       });
       hostUpdates.applyServers(draft, draft.belief.listServers());
     },
     onServers: (listed) => hostUpdates.applyServers(draft, listed),
-    onEvacuations: () =>
-      hostUpdates.applyServers(draft, draft.belief.listServers()),
+    onEvacuations: (changed) => hostUpdates.applyEvacuations(draft, changed),
   });
 }
 
--- a/packages/core/config.ts
+++ b/packages/core/config.ts
@@ -1,5 +1,7 @@
 /** The operators' configuration as typed parts, each with a stable identifier. */
 
+import type * as coldStarts from "./cold_starts.ts";
+
 /** A service class: who goes first and what latency is promised. */
 export interface ClassPart {
   readonly kind: "class";
@@ -62,6 +64,8 @@
   /** Bounds for the autoscaler. */
   readonly minServers: number;
   readonly maxServers: number;
+  /** How its servers must be spared after a start. @default they need not be */
+  readonly coldStart?: coldStarts.ColdStart;
 }
 
 /** A plain service and which of its calls may be repeated. */
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -139,9 +139,10 @@
       );
     case "load_shared":
       state.table.recordAllElsewhere(event, event.asOf);
+      state.coldTurns.setHosts(event.hosts);
       return starting.dispatchQueue(state);
     case "servers_changed":
-      state.table.setServers(event.servers);
+      state.table.setServers(event.servers, state.now);
       return starting.dispatchQueue(state);
     case "hosts_changed":
       return state.table.setHosts(event.hosts);
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -31,6 +31,8 @@
   readonly failureDomain?: string;
   /** The identity that it is asked to confirm, where it can. */
   readonly instance?: string;
+  /** Time for which it is taken to stay cold, in ms. @default 0 */
+  readonly coldMs?: number;
 }
 
 /** What an engine says of its own load; arrives with a lag. */
@@ -139,6 +141,8 @@
     readonly running: Readonly<Record<string, number>>;
     /** Prompt tokens of all other hosts that each has not yet read. */
     readonly prompting: Readonly<Record<string, number>>;
+    /** How many hosts there are, this one included. */
+    readonly hosts: number;
     readonly asOf: number;
   }
   | {
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -2,6 +2,7 @@
 import type * as utils from "@banyangrade/utils";
 import type * as admission from "./admission.ts";
 import * as attempts from "./attempts.ts";
+import * as coldTurns from "./cold_turns.ts";
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import * as domainSilence from "./domain_silence.ts";
@@ -67,6 +68,8 @@
   readonly pauses: pauses.PauseCounter;
   /** Servers of other failure domains that give no sign of life. */
   readonly silences: domainSilence.DomainSilences;
+  /** When this host may give cold servers a request. */
+  readonly coldTurns: coldTurns.ColdTurns;
   readonly router: router.Router;
 }
 
@@ -79,6 +82,7 @@
 export function createHostState(options: HostStateOptions): HostState {
   const table = new servers.ServerTable(options);
   const prompts = new engineChoice.PromptLengths();
+  const turns = new coldTurns.ColdTurns(options);
   return {
     now: 0,
     effects: [],
@@ -99,7 +103,8 @@
     reading: new reading.ReadingAverages(),
     pauses: new pauses.PauseCounter(),
     silences: new domainSilence.DomainSilences(),
-    router: new router.Router({ table, prompts, ...options }),
+    coldTurns: turns,
+    router: new router.Router({ table, prompts, coldTurns: turns, ...options }),
   };
 }
 
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -6,6 +6,7 @@
  */
 import * as lru from "lru-cache";
 import type * as utils from "@banyangrade/utils";
+import type * as coldTurns from "./cold_turns.ts";
 import * as constants from "./constants.ts";
 import * as engineChoice from "./engine_choice.ts";
 import * as engineDivision from "./engine_division.ts";
@@ -25,6 +26,7 @@
   /** Whether prefix affinity is used. @default true */
   readonly affinity?: boolean;
   readonly prompts: engineChoice.PromptLengths;
+  readonly coldTurns: coldTurns.ColdTurns;
   /** Whether engines are chosen by their unread prompts, for hosts without grants. @default false */
   readonly comparesPrompts?: boolean;
   /** Whether this host has a connection to a server that nothing uses. @default none */
@@ -67,6 +69,7 @@
   readonly #failureDomain: string;
   readonly #affinity: boolean;
   readonly #prompts: engineChoice.PromptLengths;
+  readonly #coldTurns: coldTurns.ColdTurns;
   readonly #comparesPrompts: boolean;
   readonly #isConnected: (server: string) => boolean;
   readonly #divisions = new Map<string, engineDivision.EngineDivision>();
@@ -80,6 +83,7 @@
     this.#failureDomain = options.failureDomain;
     this.#affinity = options.affinity ?? true;
     this.#prompts = options.prompts;
+    this.#coldTurns = options.coldTurns;
     this.#comparesPrompts = options.comparesPrompts ?? false;
     this.#isConnected = options.isConnected ?? (() => false);
   }
@@ -98,15 +102,18 @@
     // Under load most classes have used up their grants; then no server need
     // be looked at.
     if (pools.size === 0) return undefined;
+    const turns = this.#findColdTurns(pools, options.now);
+    const isOpen = (server: serverState.ServerState) =>
+      pools.has(server.info.pool) && isFit(server, options) &&
+      (!serverState.isCold(server, options.now) || turns.has(server.info.pool));
     const isUsable = (server: serverState.ServerState) =>
-      pools.has(server.info.pool) && server.info.name !== options.avoid &&
-      isFit(server, options);
+      server.info.name !== options.avoid && isOpen(server);
     if (this.#comparesPrompts && wanted.kind === "generate") {
       const choice = this.#chooseByPrompts(wanted, { options, isUsable });
       if (choice !== undefined) return choice;
     }
     const server = this.#chooseUsable(wanted, { options, isUsable }) ??
-      this.#chooseAvoided(pools, options);
+      this.#chooseAvoided(isOpen, options);
     if (server === undefined) return undefined;
     if (wanted.prefix !== "") {
       this.#prefixes.set(this.#getPrefixKey(wanted), server.info.name);
@@ -154,8 +161,7 @@
     },
   ): RouteChoice | undefined {
     const { now } = options;
-    const live = this.#table.listFor(wanted.target)
-      .filter(({ info }) => info.state === "live");
+    const live = this.#listLive(wanted.target);
     const views = live.map((server) => ({
       name: server.info.name,
       failureDomain: server.info.failureDomain,
@@ -166,8 +172,6 @@
       ownPrompting: server.prompting,
       connected: this.#isConnected(server.info.name),
     }));
-    const division = this.#divisions.get(wanted.target) ??
-      engineDivision.DIVISION_AT_FIRST;
     const usable = new Set(
       live.filter(isUsable).map((server) => server.info.name),
     );
@@ -178,7 +182,7 @@
     }, {
       live: views,
       usable: views.filter((view) => usable.has(view.name)),
-      shortNames: engineDivision.listShortNames(views, division),
+      shortNames: this.#listShortNames(wanted.target, live),
       failureDomain: this.#failureDomain,
       random: this.#random,
     });
@@ -189,6 +193,27 @@
     return answers ? { server, source } : { server };
   }
 
+  #listLive(target: string): serverState.ServerState[] {
+    return this.#table.listFor(target)
+      .filter(({ info }) => info.state === "live");
+  }
+
+  /** Names of the engines for short prompts, where engines are divided. */
+  #listShortNames(
+    target: string,
+    live: readonly serverState.ServerState[],
+  ): ReadonlySet<string> | undefined {
+    const division = this.#divisions.get(target) ??
+      engineDivision.DIVISION_AT_FIRST;
+    return engineDivision.listShortNames(
+      live.map(({ info: { name, failureDomain } }) => ({
+        name,
+        failureDomain,
+      })),
+      division,
+    );
+  }
+
   /** Finds the pools that the request may use and whose grants have room. */
   #findUsablePools(
     wanted: request.Request,
@@ -279,13 +304,50 @@
 
   /** Falls back to the server that failed before, where no other one is usable. */
   #chooseAvoided(
-    pools: ReadonlySet<string>,
+    isOpen: (server: serverState.ServerState) => boolean,
     options: RouteOptions,
   ): serverState.ServerState | undefined {
     const server = options.avoid && this.#table.get(options.avoid);
     if (!server || options.suspect) return undefined;
-    const usable = pools.has(server.info.pool) && isFit(server, options);
-    return usable ? server : undefined;
+    return isOpen(server) ? server : undefined;
+  }
+
+  /** Finds the pools at whose cold servers it is this host's turn. */
+  #findColdTurns(
+    pools: ReadonlySet<string>,
+    now: number,
+  ): ReadonlySet<string> {
+    const sparing = this.#table.listPools().filter(({ part }) =>
+      part.coldStart !== undefined && pools.has(part.name)
+    );
+    const open = sparing.filter(({ part: { name, coldStart, targets } }) =>
+      this.#coldTurns.has({
+        name,
+        servers: this.#countCold(name, { target: targets[0], now }),
+        perSecond: coldStart?.perSecond ?? 0,
+      }, now)
+    );
+    return new Set(open.map(({ part }) => part.name));
+  }
+
+  /**
+   * Counts the cold servers among which a turn is drawn: where engines are
+   * divided, those of the part that has fewer.
+   */
+  #countCold(
+    pool: string,
+    { target, now }: { readonly target: string; readonly now: number },
+  ): number {
+    const live = this.#listLive(target);
+    const cold = live.filter((server) =>
+      server.info.pool === pool && serverState.isInUse(server, now) &&
+      serverState.isCold(server, now)
+    );
+    if (cold.length === 0 || !this.#comparesPrompts) return cold.length;
+    const shortNames = this.#listShortNames(target, live);
+    const short = cold.filter(({ info }) => shortNames?.has(info.name)).length;
+    const long = cold.length - short;
+    return short > 0 && long > 0 ? Math.min(short, long) : cold.length;
   }
 }
 
--- a/packages/core/routes.ts
+++ b/packages/core/routes.ts
@@ -67,6 +67,21 @@
   readonly domainPrices: ReadonlyMap<string, number>;
 }
 
+/** What the operators say of a service's servers that have just started. */
+export interface ServiceColdStart {
+  /** Time for which they are cold, in ms. */
+  readonly startMs: number;
+  /** Requests a second that a cold one bears. */
+  readonly perSecond: number;
+}
+
+/** Bound on what a cold server may get in any second, against what it bears. */
+export interface ColdBound {
+  readonly factor: number;
+  /** In requests. */
+  readonly slack: number;
+}
+
 /** A service that routes lead to. */
 export interface RoutedService {
   readonly name: string;
@@ -74,6 +89,8 @@
   readonly connectionLimit: number;
   /** Only for model engines. */
   readonly engine?: EngineLimits;
+  /** Only where servers are cold after a start. */
+  readonly coldStart?: ServiceColdStart;
   /** Only where servers may be ordered. */
   readonly scaling?: ScalingBounds;
 }
@@ -244,16 +261,23 @@
   }
 }
 
+/** Where a host stands, and the bounds that hold there. */
+export interface DispatchSite {
+  readonly failureDomain: string;
+  /** Undefined where cold servers need not be spared. */
+  readonly coldBound?: ColdBound;
+}
+
 /**
  * Builds what the dispatcher works by: a class for each route and a pool for
  * each service, which reaches over all failure domains.
  *
  * @example
- * dispatch.send({ kind: "configured", configuration: toDispatchConfiguration(routing, "rosenheim") });
+ * dispatch.send({ kind: "configured", configuration: toDispatchConfiguration(routing, { failureDomain: "rosenheim" }) });
  */
 export function toDispatchConfiguration(
   routing: RoutingConfiguration,
-  failureDomain: string,
+  { failureDomain, coldBound }: DispatchSite,
 ): config.Configuration {
   const classes = routing.routes.map((route): config.ClassPart => ({
     kind: "class",
@@ -276,6 +300,13 @@
     checksFencing: true,
     minServers: service.scaling?.minServers ?? 0,
     maxServers: service.scaling?.maxServers ?? 0,
+    ...(coldBound && service.coldStart && {
+      coldStart: {
+        startMs: service.coldStart.startMs,
+        perSecond: coldBound.factor * service.coldStart.perSecond +
+          coldBound.slack,
+      },
+    }),
   }));
   return {
     ...config.EMPTY_CONFIGURATION,
--- a/packages/core/routing_test.ts
+++ b/packages/core/routing_test.ts
@@ -143,6 +143,7 @@
   dispatcher.handle({ kind: "servers_changed", servers: [engine] }, 0);
   dispatcher.handle({
     kind: "load_shared",
+    hosts: 2,
     prompting: {},
     running: { e1: 6 },
     asOf: 0,
@@ -151,6 +152,7 @@
   t.equal(startAll(dispatcher, requests).length, 6, "its own limit");
   dispatcher.handle({
     kind: "load_shared",
+    hosts: 2,
     prompting: {},
     running: { e1: 13 },
     asOf: 0,
@@ -159,6 +161,7 @@
   full.handle({ kind: "servers_changed", servers: [engine] }, 0);
   full.handle({
     kind: "load_shared",
+    hosts: 2,
     prompting: {},
     running: { e1: 13 },
     asOf: 0,
--- a/packages/core/server_list.ts
+++ b/packages/core/server_list.ts
@@ -20,6 +20,10 @@
   readonly bornAt: number;
   /** Whether it may be reclaimed at short notice. */
   readonly spot: boolean;
+  /** How much longer it is cold as of its entry, in ms; undefined if that does not say. */
+  readonly coldMs: number | undefined;
+  /** Revision of its entry. */
+  readonly revision: number;
 }
 
 /** Time after the store's return in which lapsed entries come back, in ms; the platform promises about 2 s. */
--- a/packages/core/server_list_test.ts
+++ b/packages/core/server_list_test.ts
@@ -18,6 +18,8 @@
     state: "ready",
     bornAt: 1,
     spot: false,
+    coldMs: 0,
+    revision: 1,
     ...changes,
   };
 }
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -30,6 +30,8 @@
   ejectedUntil: number;
   /** When it last came into use, for the slow start. */
   admittedAt: number;
+  /** Until when it is taken for cold, monotonic ms. */
+  coldUntil: number;
   /** Moving average of the time between tokens, in ms; 0 before the first sample. */
   tokenMs: number;
 }
@@ -128,6 +130,28 @@
   return server.info.state === "live" && now >= server.ejectedUntil;
 }
 
+/**
+ * Whether a server is taken for cold, and its pool bounds what cold ones get.
+ *
+ * @example
+ * const turns = isCold(server, now) ? coldTurns : undefined;
+ */
+export function isCold(server: ServerState, now: number): boolean {
+  return now < server.coldUntil && server.pool.coldStart !== undefined;
+}
+
+/**
+ * Records that a server took no connection: it may have ended, and what comes
+ * back under its name has just started.
+ *
+ * @example
+ * recordAbsent(server);
+ */
+export function recordAbsent(server: ServerState): void {
+  const startMs = server.pool.coldStart?.startMs ?? 0;
+  server.coldUntil = Math.max(server.coldUntil, server.ejectedUntil + startMs);
+}
+
 /**
  * Whether the server may be given one more request: it is not leaving, not
  * ejected, and holds less than what keeps it busy.
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -55,9 +55,14 @@
   }
 
   /** Takes over the fleet's list of this failure domain's servers. */
-  setServers(infos: readonly events.ServerInfo[]): void {
+  setServers(infos: readonly events.ServerInfo[], now: number): void {
     this.#infos = infos;
     this.#applyInfos();
+    infos.forEach(({ name, coldMs = 0 }) => {
+      const server = this.#servers.get(name);
+      if (server === undefined || coldMs === 0) return;
+      server.coldUntil = Math.max(server.coldUntil, now + coldMs);
+    });
   }
 
   /** Takes over the servers that another failure domain lends. */
@@ -166,6 +171,7 @@
         ejections: 0,
         ejectedUntil: 0,
         admittedAt: Number.NEGATIVE_INFINITY,
+        coldUntil: Number.NEGATIVE_INFINITY,
         tokenMs: 0,
       },
     );
@@ -280,6 +286,7 @@
     server.consecutiveFailures = constants.EJECT_AFTER_FAILURES - 1;
     server.ejectedUntil = now + ms;
     server.admittedAt = now + ms;
+    if (failure === "not_sent") serverState.recordAbsent(server);
   }
 
   /**
@@ -302,6 +309,7 @@
         const until = Math.max(server.ejectedUntil, now + constants.EJECT_MS);
         server.ejectedUntil = until;
         server.admittedAt = until;
+        serverState.recordAbsent(server);
       });
   }
 
--- a/packages/core/starting.ts
+++ b/packages/core/starting.ts
@@ -5,6 +5,7 @@
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
 import type * as router from "./router.ts";
+import * as serverState from "./server_state.ts";
 
 /**
  * Starts as much queued work as there is room for; with `targets` only work
@@ -93,6 +94,7 @@
     classes: state.classes,
   });
   state.table.recordStart(server, queued.request);
+  recordColdStart(state, server);
   if (queued.suspect) server.suspects += 1;
   server.prompting += queued.request.promptTokens;
   state.running.add({
@@ -118,6 +120,15 @@
   });
 }
 
+/** Records that the turn at a cold server was used. */
+function recordColdStart(
+  state: hostState.HostState,
+  server: serverState.ServerState,
+): void {
+  if (!serverState.isCold(server, state.now)) return;
+  state.coldTurns.take(server.info.pool);
+}
+
 function estimateCost(
   state: hostState.HostState,
   wanted: request.Request,
