Take the others' times before a call to the store that may hang

A follower took its relay's answer only after it had tried to publish, and a call to a store that does not answer takes one second: times that had grown old by that second, just beyond the distance that is tolerated, were taken for those of now, and what the host counted fell into the window before.

Ruled out: lost counts (all hosts had published behind the window's end), events that arrive after the first token (a shift of 0.05 to 0.5 s in the log does not give the counts), double counting of hosts.

Change: the relay's answer is taken over at once. A host whose time moves says so in its log.

--- a/packages/banyangrade/routed/host_clocks.ts
+++ b/packages/banyangrade/routed/host_clocks.ts
@@ -8,8 +8,8 @@
   readonly lease: utils.Clock;
   /** True time of day, Unix ms, whatever the machine's clock says. */
   readonly getTrueTime: () => number;
-  /** Takes over what the other hosts published of their time. */
-  readonly updateTrueTime: (word: core.OthersTime) => void;
+  /** Takes over what the other hosts published of their time; returns by how much that moved the true time, in ms. */
+  readonly updateTrueTime: (word: core.OthersTime) => number;
 }
 
 /**
--- a/packages/banyangrade/routed/host_updates.ts
+++ b/packages/banyangrade/routed/host_updates.ts
@@ -79,7 +79,7 @@
  * applyOthers(parts, summary);
  */
 export function applyOthers(
-  { budget, clock, clocks, dispatch, pools }: Parts,
+  { budget, clock, clocks, dispatch, log, pools }: Parts,
   others: core.HostsSummary,
 ): void {
   budget.setHosts(others.hosts + 1);
@@ -97,7 +97,10 @@
   if (others.suspects.length > 0) {
     dispatch.send({ kind: "suspected", marks: others.suspects });
   }
-  clocks.updateTrueTime({ others: others.times });
+  const movedMs = clocks.updateTrueTime({ others: others.times });
+  if (movedMs !== 0) {
+    log.warn({ movedMs, hosts: others.times.length }, "clock: Time moved.");
+  }
 }
 
 /** A server that started again under its identifier is another one: it knows nothing of the first. */
--- a/packages/banyangrade/routed/presence_task.ts
+++ b/packages/banyangrade/routed/presence_task.ts
@@ -147,12 +147,14 @@
     this.#round += 1;
     this.#takeOwn();
     const answer = await this.#reportToRelay();
+    // Before any call to the store, which may take long: times grow old.
+    if (answer !== undefined) this.#options.onOthers(answer.others);
     // A relay that has just started publishes a moment later.
     const isEarly = answer !== undefined && this.#round === 1;
     if (!answer?.publishes && !isEarly) await this.#publish();
     const looks = answer === undefined && this.#round % ROUNDS_PER_LOOK === 1;
     if (looks || hasRole()) await this.#readPublished();
-    if (answer !== undefined) return this.#options.onOthers(answer.others);
+    if (answer !== undefined) return;
     if (relay.getContact() !== undefined) await this.#askRelays();
     this.#options.onOthers(this.#sumOthers({ without: host }));
     relay.closeIdle();
--- a/packages/core/freshness.ts
+++ b/packages/core/freshness.ts
@@ -73,14 +73,15 @@
     return now + this.#offset;
   }
 
-  /** Takes over what the other hosts last published as their time. */
-  update(reading: ClockReading, { others }: OthersTime): void {
-    if (others.length === 0) return;
+  /** Takes over what the other hosts last published as their time; returns by how much that moved the time, in ms. */
+  update(reading: ClockReading, { others }: OthersTime): number {
+    if (others.length === 0) return 0;
     const sorted = others.toSorted((a, b) => a - b);
     const theirs = sorted[Math.floor(sorted.length / 2)];
     const own = this.read(reading);
-    if (Math.abs(own - theirs) <= TRUST_MS) return;
+    if (Math.abs(own - theirs) <= TRUST_MS) return 0;
     const wallFits = Math.abs(reading.wall - theirs) <= TRUST_MS;
     this.#offset = (wallFits ? reading.wall : theirs) - reading.now;
+    return this.read(reading) - own;
   }
 }
