--- a/packages/core/domain_silence.ts
+++ b/packages/core/domain_silence.ts
@@ -6,6 +6,8 @@
  * that wait there in vain; with twenty of them that takes longer than the cut
  * lasts.
  */
+import * as constants from "./constants.ts";
+import * as serverState from "./server_state.ts";
 
 /** Servers of a failure domain that must be silent before the others are given up too. */
 const SILENT_SERVERS = 2;
@@ -41,3 +43,33 @@
     this.#silentSince.delete(failureDomain);
   }
 }
+
+/**
+ * Ejects the servers of a failure domain, but for those of a pool that has no
+ * others in use.
+ *
+ * @example
+ * abandonDomain(table.listServers(), { failureDomain: "rosenheim", now });
+ */
+export function abandonDomain(
+  servers: readonly serverState.ServerState[],
+  { failureDomain, now }: {
+    readonly failureDomain: string;
+    readonly now: number;
+  },
+): void {
+  const isInside = ({ info }: serverState.ServerState) =>
+    info.failureDomain === failureDomain;
+  const outside = new Set(
+    servers.filter((server) =>
+      !isInside(server) && serverState.isInUse(server, now)
+    ).map(({ info }) => info.pool),
+  );
+  servers.filter((server) => isInside(server) && outside.has(server.info.pool))
+    .forEach((server) =>
+      serverState.abandonServer(
+        server,
+        Math.max(server.ejectedUntil, now + constants.EJECT_MS),
+      )
+    );
+}
--- a/packages/core/ending.ts
+++ b/packages/core/ending.ts
@@ -1,5 +1,6 @@
 /** Ends of attempts: whole answers, failures and what follows from them. */
 import * as attempts from "./attempts.ts";
+import * as domainSilence from "./domain_silence.ts";
 import type * as events from "./events.ts";
 import * as hostState from "./host_state.ts";
 import * as progress from "./progress.ts";
@@ -117,7 +118,10 @@
   if (failureDomain === state.failureDomain) return;
   const { now } = state;
   if (state.silences.recordSilent({ name, failureDomain }, now)) {
-    state.table.abandonDomain(failureDomain, now);
+    domainSilence.abandonDomain(state.table.listServers(), {
+      failureDomain,
+      now,
+    });
   }
 }
 
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -58,6 +58,32 @@
   tokenMs: number;
 }
 
+/**
+ * Makes the state of a pool of which nothing is granted yet.
+ *
+ * @example
+ * const pool = createPoolState(part, false);
+ */
+export function createPoolState(
+  part: config.PoolPart,
+  foreign: boolean,
+): PoolState {
+  return {
+    part,
+    foreign,
+    grantedAt: Number.NEGATIVE_INFINITY,
+    limits: new Map(),
+    totalSlots: 0,
+    running: 0,
+    runningByClass: new Map(),
+    lowestTierElsewhere: 0,
+    recallForTier: 0,
+    queuedElsewhere: [],
+    short: [],
+    tokenMs: 0,
+  };
+}
+
 /**
  * Estimates what a server is running: this host's own work and what the
  * capacity leader told of the others'. Without recent word from the leader it
@@ -141,15 +167,27 @@
 }
 
 /**
- * Records that a server took no connection: it may have ended, and what comes
- * back under its name has just started.
+ * Gives a server no work until a moment.
+ *
+ * @example
+ * withdrawServer(server, now + constants.EJECT_MS);
+ */
+export function withdrawServer(server: ServerState, until: number): void {
+  server.ejectedUntil = until;
+  server.admittedAt = until;
+}
+
+/**
+ * Does the same with a server that took no connection: it may have ended, and
+ * what comes back under its name has just started.
  *
  * @example
- * recordAbsent(server);
+ * abandonServer(server, now + constants.EJECT_MS);
  */
-export function recordAbsent(server: ServerState): void {
+export function abandonServer(server: ServerState, until: number): void {
+  withdrawServer(server, until);
   const startMs = server.pool.coldStart?.startMs ?? 0;
-  server.coldUntil = Math.max(server.coldUntil, server.ejectedUntil + startMs);
+  server.coldUntil = Math.max(server.coldUntil, until + startMs);
 }
 
 /**
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -44,7 +44,7 @@
       const foreign = part.failureDomain !== this.#failureDomain;
       this.#pools.set(
         name,
-        known ? { ...known, part } : createPoolState(part, foreign),
+        known ? { ...known, part } : serverState.createPoolState(part, foreign),
       );
     });
     this.#poolsByTarget = indexByTarget(
@@ -284,33 +284,8 @@
     );
     server.ejections += 1;
     server.consecutiveFailures = constants.EJECT_AFTER_FAILURES - 1;
-    server.ejectedUntil = now + ms;
-    server.admittedAt = now + ms;
-    if (failure === "not_sent") serverState.recordAbsent(server);
-  }
-
-  /**
-   * Ejects the servers of a failure domain, but for those of a pool that has no
-   * others in use.
-   */
-  abandonDomain(failureDomain: string, now: number): void {
-    const isInside = ({ info }: serverState.ServerState) =>
-      info.failureDomain === failureDomain;
-    const outside = new Set(
-      this.listServers()
-        .filter((server) =>
-          !isInside(server) && serverState.isInUse(server, now)
-        )
-        .map(({ info }) => info.pool),
-    );
-    this.listServers()
-      .filter((server) => isInside(server) && outside.has(server.info.pool))
-      .forEach((server) => {
-        const until = Math.max(server.ejectedUntil, now + constants.EJECT_MS);
-        server.ejectedUntil = until;
-        server.admittedAt = until;
-        serverState.recordAbsent(server);
-      });
+    if (failure === "not_sent") serverState.abandonServer(server, now + ms);
+    else serverState.withdrawServer(server, now + ms);
   }
 
   /** Takes over a load report. */
@@ -336,26 +311,6 @@
   return index;
 }
 
-function createPoolState(
-  part: config.PoolPart,
-  foreign: boolean,
-): serverState.PoolState {
-  return {
-    part,
-    foreign,
-    grantedAt: Number.NEGATIVE_INFINITY,
-    limits: new Map(),
-    totalSlots: 0,
-    running: 0,
-    runningByClass: new Map(),
-    lowestTierElsewhere: 0,
-    recallForTier: 0,
-    queuedElsewhere: [],
-    short: [],
-    tokenMs: 0,
-  };
-}
-
 function countLiveSlots(
   servers: ReadonlyMap<string, serverState.ServerState>,
   pool: string,
