Ask a store that fails more seldom where there is no relay

Hosts are stopped in turn while the store is away; a relay that ends then has no successor, and each host of its failure domain asks five times a second for each of two prefixes.

Change: after two failures in a row a host without a relay leaves the store alone for 0.6 s. One poll that is cut is repeated at once, and an answer that the history is gone is no failure, so a change is not heard later than before.

Beside it: the bound of a cold server is named mostPerSecond, apart from what one bears.

--- a/packages/banyangrade/relayed_feed_test.ts
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -74,6 +74,37 @@
 
 // The relay alone is cut off from the store. A key may have been withdrawn, or a
 // route, that it does not know of: its followers go to the store at once.
+// Guards against a failure domain whose hosts all ask five times a second: their relay ended while the store was away.
+tap.test("without a relay a store that fails is asked seldom, and again", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  world.changes = utils.Err(LOST);
+  for (let now = 0; now < 3_000; now += 200) {
+    t.ok((await poll(feed)).err);
+    world.clock.advance(200);
+  }
+  t.equal(world.asked.length, 6);
+  world.changes = utils.Ok({ changes: [], revision: 5 });
+  world.clock.advance(600);
+  t.ok((await poll(feed)).ok);
+  t.ok((await poll(feed)).ok, "and not seldom once it answers");
+  t.equal(world.asked.length, 8);
+});
+
+// Guards against a change that is heard late because one poll was cut, or because the store had dropped its history.
+tap.test("one poll that fails is repeated at once, and so is what was dropped", async (t) => {
+  const world = buildWorld();
+  const feed = buildFeed(world);
+  world.changes = utils.Err(LOST);
+  t.ok((await poll(feed)).err);
+  world.changes = utils.Ok({ changes: [], revision: 5 });
+  t.ok((await poll(feed)).ok);
+  world.changes = utils.Err({ ...LOST, code: "not_found" });
+  t.ok((await poll(feed)).err);
+  t.ok((await poll(feed)).err);
+  t.equal(world.asked.length, 4);
+});
+
 tap.test("a relay without recent word is not relied on", async (t) => {
   const world = buildWorld();
   const feed = buildFeed(world);
--- a/packages/banyangrade/routed/relayed_feed.ts
+++ b/packages/banyangrade/routed/relayed_feed.ts
@@ -16,8 +16,14 @@
  * 1.1 s later, while a change has to be in force after 2 s.
  */
 const FRESH_MS = 1_900;
-/** Time for which the store is not asked again where neither it nor the relay had word, in ms. A follower hears of the store's return from its relay, which asks on; without the pause every host asks five times a second, and each call is paid for. */
-const STORE_PAUSE_MS = 1_500;
+/**
+ * Time for which the store is not asked again after it failed, in ms. A follower
+ * hears of the store's return from its relay, which asks on. Where there is no
+ * relay, as one that ends during an outage has no successor before the store is
+ * back, the pause is shorter; without it every host of a failure domain asks five
+ * times a second.
+ */
+const STORE_PAUSE_MS = { unready: 1_500, none: 600 };
 
 /** Options of {@link RelayedFeed}. */
 export interface RelayedFeedOptions {
@@ -41,6 +47,8 @@
 /** One prefix: the copy, and who waits for it to change. */
 interface Followed {
   readonly cache: store.PrefixCache;
+  /** Polls of the store that failed in a row. */
+  failures: number;
   readonly wakes: Set<() => void>;
 }
 
@@ -48,7 +56,7 @@
 export class RelayedFeed implements store.FeedClient {
   readonly #options: RelayedFeedOptions;
   readonly #followed = new Map<string, Followed>();
-  /** Last failure of the store while the relay had no word either. */
+  /** Last failure of the store, unless it has answered since. */
   #failed: { readonly error: utils.StepError; readonly at: number } | undefined;
 
   constructor(options: RelayedFeedOptions) {
@@ -77,16 +85,37 @@
   async pollChanges(prefix: string, options: PollOptions): Promise<Polled> {
     const relayed = await this.#pollRelay(prefix, options);
     if (relayed.kind === "answered") return relayed.polled;
-    const { clock } = this.#options;
-    const failed = relayed.kind === "unready" ? this.#failed : undefined;
-    const pausing = failed !== undefined &&
-      clock.now() - failed.at < STORE_PAUSE_MS;
-    if (pausing) return utils.Err(failed.error);
+    const pausing = this.#findPause(prefix, relayed.kind);
+    if (pausing !== undefined) return utils.Err(pausing);
     const read = await this.#pollStore(prefix, options);
-    this.#failed = read.err ? { error: read.val, at: clock.now() } : undefined;
+    this.#recordRead(prefix, read);
     return read;
   }
 
+  /** The failure for which the store is left alone, if it is. */
+  #findPause(
+    prefix: string,
+    relay: "unready" | "none",
+  ): utils.StepError | undefined {
+    const failed = this.#failed;
+    const { clock } = this.#options;
+    if (failed === undefined) return undefined;
+    if (clock.now() - failed.at >= STORE_PAUSE_MS[relay]) return undefined;
+    // One poll that is cut is no outage.
+    const isOutage = relay === "unready" || this.#get(prefix).failures > 1;
+    return isOutage ? failed.error : undefined;
+  }
+
+  #recordRead(prefix: string, read: Polled): void {
+    const followed = this.#get(prefix);
+    // A store that no longer has the history answers well.
+    const error = read.err && read.val.code !== "not_found"
+      ? read.val
+      : undefined;
+    followed.failures = error === undefined ? 0 : followed.failures + 1;
+    this.#failed = error && { error, at: this.#options.clock.now() };
+  }
+
   /** Answers a follower's call with the whole prefix. */
   answerReadAll(prefix: string): peer.RelayedSnapshot {
     const { cache } = this.#get(prefix);
@@ -194,6 +223,7 @@
     if (known !== undefined) return known;
     const followed = {
       cache: new store.PrefixCache(),
+      failures: 0,
       wakes: new Set<() => void>(),
     };
     this.#followed.set(prefix, followed);
--- a/packages/core/cold_return_test.ts
+++ b/packages/core/cold_return_test.ts
@@ -171,7 +171,7 @@
   );
   const spared = replayReturn({
     startMs: COLD_MS,
-    perSecond: MOST_PER_SECOND,
+    mostPerSecond: MOST_PER_SECOND,
   });
   t.ok(Math.max(...spared.given.map(countMost)) <= MOST_PER_SECOND);
   t.ok(spared.given.flat().length > 30, "they carry a part");
--- a/packages/core/cold_starts.ts
+++ b/packages/core/cold_starts.ts
@@ -9,7 +9,7 @@
   /** Time for which a server that starts is cold, in ms. */
   readonly startMs: number;
   /** Most requests that all hosts together may send a cold one in any second. */
-  readonly perSecond: number;
+  readonly mostPerSecond: number;
 }
 
 /** A server's word. */
--- a/packages/core/cold_turns.ts
+++ b/packages/core/cold_turns.ts
@@ -23,7 +23,7 @@
   /** How many are in use. */
   readonly servers: number;
   /** Most requests that all hosts together may send one of them in any second. */
-  readonly perSecond: number;
+  readonly mostPerSecond: number;
 }
 
 /** Where a host stands between two turns. */
@@ -76,8 +76,8 @@
   }
 
   /** Between two turns of this host, in ms; undefined while it has none. */
-  #getPeriodMs({ servers, perSecond }: ColdPool): number | undefined {
-    const inAll = GIVEN_SHARE * perSecond * servers;
+  #getPeriodMs({ servers, mostPerSecond }: ColdPool): number | undefined {
+    const inAll = GIVEN_SHARE * mostPerSecond * servers;
     if (this.#hosts === undefined || inAll <= 0) return undefined;
     return 1_000 * this.#hosts / inAll;
   }
--- a/packages/core/cold_turns_fuzz_test.ts
+++ b/packages/core/cold_turns_fuzz_test.ts
@@ -44,7 +44,7 @@
 
 /** Lists when each server gets something from the hosts, which ask all the time. */
 function replayFleet({ hosts, coldMs, servers, seed }: Fleet): number[][] {
-  const pool = { name: "pool", servers, perSecond: MOST_PER_SECOND };
+  const pool = { name: "pool", servers, mostPerSecond: MOST_PER_SECOND };
   const draws = utils.createRandom(seed);
   const sent = Array.from({ length: servers }, (): number[] => []);
   hosts.forEach((host) => {
@@ -123,7 +123,7 @@
 // Guards against a host that takes itself for one of few before it has heard of the others.
 tap.test("a host that does not know how many there are has no turn", (t) => {
   const turns = new core.ColdTurns({ random: utils.createRandom(1) });
-  const pool = { name: "pool", servers: 1, perSecond: MOST_PER_SECOND };
+  const pool = { name: "pool", servers: 1, mostPerSecond: MOST_PER_SECOND };
   t.notOk(turns.has(pool, 0));
   t.notOk(turns.has(pool, 60_000));
   turns.setHosts(1);
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -324,7 +324,7 @@
       this.#coldTurns.has({
         name,
         servers: this.#countCold(name, { target: targets[0], now }),
-        perSecond: coldStart?.perSecond ?? 0,
+        mostPerSecond: coldStart?.mostPerSecond ?? 0,
       }, now)
     );
     return new Set(open.map(({ part }) => part.name));
--- a/packages/core/routes.ts
+++ b/packages/core/routes.ts
@@ -303,7 +303,7 @@
     ...(coldBound && service.coldStart && {
       coldStart: {
         startMs: service.coldStart.startMs,
-        perSecond: coldBound.factor * service.coldStart.perSecond +
+        mostPerSecond: coldBound.factor * service.coldStart.perSecond +
           coldBound.slack,
       },
     }),
