Keep requests to the regions of their route and customer

Change: both bounds are read, and where both are set both hold. A request carries the failure domains in which it may run; the router chooses no other server, also for retries, and no other engine to fetch a prompt's beginning from. Where no server is there, it is refused at once as not run. Requests that are bound differently wait in lanes of their own, or one would hold up the other. Without bounds nothing changes.

Not played: no deployment at hand has two regions.

--- a/packages/banyangrade/routed/ports.ts
+++ b/packages/banyangrade/routed/ports.ts
@@ -102,6 +102,8 @@
   readonly failureDomain: string;
   /** Failure domains of the deployment. */
   readonly failureDomains: readonly string[];
+  /** Region of each of them. */
+  readonly regions: ReadonlyMap<string, string>;
   readonly callerAddress: string;
   readonly readinessAddress: string;
   /** Where other hosts reach this one; undefined if each follows the store by itself. */
--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -19,6 +19,8 @@
   /** Whether nothing more is taken; see the drain of the host. */
   readonly isClosed: () => boolean;
   readonly random: utils.Random;
+  /** Region of each failure domain. */
+  readonly regions: ReadonlyMap<string, string>;
 }
 
 /** A request that may be served. */
@@ -167,6 +169,7 @@
         : Number.POSITIVE_INFINITY,
       weight: 1,
       maxAttempts: route.maxAttempts,
+      homes: core.listHomes({ route, grant, regions: this.#options.regions }),
     };
   }
 
--- a/packages/banyangrade/routed/routed_parts.ts
+++ b/packages/banyangrade/routed/routed_parts.ts
@@ -243,6 +243,7 @@
     ...draft,
     log: utils.createPartLogger(draft.log, "request"),
     wire: draft.platform.wire,
+    regions: draft.settings.regions,
     isClosed: () => draft.state.closed,
     checkKey: (key, customer) => checkKey(draft, { key, customer }),
     countUsage: (customer, at) => countUsage(draft, { customer, at }),
--- /dev/null
+++ b/packages/core/homes_fuzz_test.ts
@@ -0,0 +1,132 @@
+/** Requests that may run in some failure domains only. */
+import * as fc from "fast-check";
+import * as tapModule from "tap";
+import * as core from "./mod.ts";
+import * as testing from "./testing.ts";
+
+const tap = tapModule.default;
+const RUNS = Number(process.env.FUZZ_RUNS ?? 200);
+const DOMAINS = ["a", "b", "c"];
+const REGIONS = new Map([["a", "north"], ["b", "north"], ["c", "south"]]);
+
+tap.test("the regions of route and customer both bind", (t) => {
+  const list = (route?: string[], customer?: string[]) =>
+    core.listHomes({
+      route: { regions: route },
+      grant: { regions: customer },
+      regions: REGIONS,
+    });
+  t.equal(list(), undefined);
+  t.same(list(["north"]), ["a", "b"]);
+  t.same(list(undefined, ["south"]), ["c"]);
+  t.same(list(["north", "south"], ["south"]), ["c"]);
+  t.same(list(["north"], ["south"]), []);
+  t.end();
+});
+
+const SERVER = fc.record({
+  failureDomain: fc.constantFrom(...DOMAINS),
+  state: fc.constantFrom<core.ServerInfo["state"]>("live", "leaving"),
+});
+const STEP = fc.oneof(
+  fc.record({
+    kind: fc.constant("arrives" as const),
+    homes: fc.option(fc.subarray(DOMAINS), { nil: undefined }),
+  }),
+  fc.record({
+    kind: fc.constant("fails" as const),
+    failure: fc.constantFrom<core.AttemptFailure>(
+      "not_sent",
+      "refused",
+      "connection_lost",
+    ),
+  }),
+  fc.record({
+    kind: fc.constant("servers" as const),
+    servers: fc.array(SERVER, { maxLength: 6 }),
+  }),
+);
+
+type Start = Extract<core.DispatchEffect, { kind: "start" }>;
+
+// Guards against a retry, or what waited, that leaves the regions in which it may run.
+tap.test("no attempt leaves the failure domains of its request", (t) => {
+  fc.assert(
+    fc.property(fc.array(STEP, { maxLength: 40 }), (steps) => {
+      const dispatcher = testing.startDispatcher();
+      const started: Start[] = [];
+      steps.forEach((step, index) => {
+        const now = 50 * index;
+        dispatcher.handle(buildEvent(step, { index, now, started }), now)
+          .forEach((effect) => {
+            if (effect.kind === "start") started.push(effect);
+          });
+      });
+      return started.every((
+        { request: { homes }, server: { failureDomain } },
+      ) => homes === undefined || homes.includes(failureDomain ?? ""));
+    }),
+    { numRuns: RUNS, seed: 31 },
+  );
+  t.end();
+});
+
+type Step = typeof STEP extends fc.Arbitrary<infer One> ? One : never;
+
+function buildEvent(
+  step: Step,
+  { index, now, started }: {
+    readonly index: number;
+    readonly now: number;
+    readonly started: readonly Start[];
+  },
+): core.DispatchEvent {
+  switch (step.kind) {
+    case "arrives":
+      return {
+        kind: "arrived",
+        request: {
+          ...testing.buildRequest(`r${index}`, { tier: 1 }),
+          homes: step.homes,
+          arrivedAt: now,
+          startBy: now + 5_000,
+        },
+      };
+    case "fails": {
+      const last = started.at(-1);
+      return {
+        kind: "failed",
+        requestId: last?.request.id ?? "none",
+        attempt: last?.attempt ?? 1,
+        failure: step.failure,
+        answerStarted: false,
+        resumable: false,
+      };
+    }
+    case "servers":
+      return {
+        kind: "servers_changed",
+        servers: step.servers.map((server, place) => ({
+          name: `s${index}-${place}`,
+          pool: testing.POOL.name,
+          url: "",
+          ...server,
+        })),
+      };
+  }
+}
+
+// Guards against a caller that waits for servers that its request may not use.
+tap.test("a request without a server at home is refused as not run", (t) => {
+  const dispatcher = testing.startDispatcher();
+  const request = {
+    ...testing.buildRequest("r1", { tier: 1 }),
+    homes: ["south"],
+  };
+  const [refused] = dispatcher.handle({ kind: "arrived", request }, 0);
+  t.match(refused, {
+    kind: "refuse",
+    refusal: { code: "no_capacity", ran: "no" },
+  });
+  t.end();
+});
--- a/packages/core/intake.ts
+++ b/packages/core/intake.ts
@@ -5,7 +5,7 @@
 import * as overflow from "./overflow.ts";
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
-import type * as serverState from "./server_state.ts";
+import * as serverState from "./server_state.ts";
 import * as starting from "./starting.ts";
 
 /**
@@ -54,12 +54,23 @@
   if (hold > 0) return { code: "poison_request", waitMs: hold };
   const served = overflow.hasNear(state, wanted) ||
     overflow.mayOverflow(state, wanted);
-  if (!served) {
+  if (!served || !hasServerAtHome(state, wanted)) {
     return { code: "no_capacity", waitMs: Number.POSITIVE_INFINITY };
   }
   return undefined;
 }
 
+/** Whether any server is there for a request that may not run everywhere. */
+function hasServerAtHome(
+  state: hostState.HostState,
+  wanted: request.Request,
+): boolean {
+  return wanted.homes === undefined ||
+    state.table.listFor(wanted.target).some((server) =>
+      server.info.state === "live" && serverState.mayRunAt(server, wanted)
+    );
+}
+
 /** Refuses the newcomer, or lower work in its place, if it cannot start in time. */
 function shedLoad(
   state: hostState.HostState,
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -68,6 +68,8 @@
   readonly weight: number;
   /** Most servers that it is sent to. @default constants.MAX_ATTEMPTS */
   readonly maxAttempts?: number;
+  /** Failure domains in which it may run. @default any */
+  readonly homes?: readonly string[];
 }
 
 /**
@@ -78,6 +80,7 @@
  * getLaneKey(request); // "counter|1|status|"
  */
 export function getLaneKey(request: Request): string {
-  const { className, tier, target, pools } = request;
-  return `${className}|${tier}|${target}|${pools.join(",")}`;
+  const { className, tier, target, pools, homes } = request;
+  const lane = `${className}|${tier}|${target}|${pools.join(",")}`;
+  return homes === undefined ? lane : `${lane}|${homes.join(",")}`;
 }
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -104,7 +104,8 @@
     if (pools.size === 0) return undefined;
     const turns = this.#findColdTurns(pools, options.now);
     const isOpen = (server: serverState.ServerState) =>
-      pools.has(server.info.pool) && isFit(server, options) &&
+      pools.has(server.info.pool) && serverState.mayRunAt(server, wanted) &&
+      isFit(server, options) &&
       (!serverState.isCold(server, options.now) || turns.has(server.info.pool));
     const isUsable = (server: serverState.ServerState) =>
       server.info.name !== options.avoid && isOpen(server);
@@ -161,7 +162,8 @@
     },
   ): RouteChoice | undefined {
     const { now } = options;
-    const live = this.#listLive(wanted.target);
+    const all = this.#listLive(wanted.target);
+    const live = all.filter((server) => serverState.mayRunAt(server, wanted));
     const views = live.map((server) => ({
       name: server.info.name,
       failureDomain: server.info.failureDomain,
@@ -182,7 +184,7 @@
     }, {
       live: views,
       usable: views.filter((view) => usable.has(view.name)),
-      shortNames: this.#listShortNames(wanted.target, live),
+      shortNames: this.#listShortNames(wanted.target, all),
       failureDomain: this.#failureDomain,
       random: this.#random,
     });
--- a/packages/core/routes.ts
+++ b/packages/core/routes.ts
@@ -44,6 +44,8 @@
   readonly anonymous: boolean;
   /** Whether a broken stream may go on at another server. */
   readonly resumable: boolean;
+  /** Regions in which its requests may run. @default any */
+  readonly regions?: readonly string[];
 }
 
 /** What the operators say of a service's engines. */
@@ -101,6 +103,8 @@
   readonly keys: readonly string[];
   /** Compared among requests of routes with the same tier. */
   readonly tier?: number;
+  /** Regions in which its requests may run. @default any */
+  readonly regions?: readonly string[];
 }
 
 /** Bounds on what a caller may send. Sizes in bytes, times in ms. */
@@ -126,6 +130,7 @@
 export interface RoutedGrant {
   readonly customer: string;
   readonly tier?: number;
+  readonly regions?: readonly string[];
 }
 
 /** A configuration with the look-ups that each request needs. */
@@ -161,8 +166,8 @@
     ]),
   );
   const byKey = new Map(
-    (configuration.customers ?? []).flatMap(({ name, keys, tier }) =>
-      keys.map((key) => [key, { customer: name, tier }] as const)
+    (configuration.customers ?? []).flatMap(({ name, keys, tier, regions }) =>
+      keys.map((key) => [key, { customer: name, tier, regions }] as const)
     ),
   );
   return { configuration, byHost, byKey, ranks: rankTiers(configuration) };
@@ -225,6 +230,29 @@
   return table.byHost.get(name)?.find((route) => bare.startsWith(route.prefix));
 }
 
+/**
+ * Lists the failure domains in which a request may run: those in the regions of
+ * its route and of its customer, where these name any; undefined for all.
+ *
+ * @example
+ * listHomes({ route, grant, regions }); // ["rosenheim", "weilheim"]
+ */
+export function listHomes(
+  { route, grant, regions }: {
+    readonly route: Pick<Route, "regions">;
+    readonly grant: Pick<RoutedGrant, "regions"> | undefined;
+    /** Region of each failure domain. */
+    readonly regions: ReadonlyMap<string, string>;
+  },
+): readonly string[] | undefined {
+  const bounds = [route.regions, grant?.regions]
+    .filter((names) => names !== undefined);
+  if (bounds.length === 0) return undefined;
+  return [...regions].filter(([, region]) =>
+    bounds.every((names) => names.includes(region))
+  ).map(([failureDomain]) => failureDomain);
+}
+
 /**
  * Draws one of a route's services by their weights; undefined if all are 0.
  *
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -2,6 +2,7 @@
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
+import type * as request from "./request.ts";
 
 /** One backend server as this host sees it. */
 export interface ServerState {
@@ -190,6 +191,20 @@
   server.coldUntil = Math.max(server.coldUntil, until + startMs);
 }
 
+/**
+ * Whether a server stands where a request may run.
+ *
+ * @example
+ * servers.filter((server) => mayRunAt(server, request));
+ */
+export function mayRunAt(
+  { info: { failureDomain } }: ServerState,
+  { homes }: Pick<request.Request, "homes">,
+): boolean {
+  if (homes === undefined) return true;
+  return failureDomain !== undefined && homes.includes(failureDomain);
+}
+
 /**
  * Whether the server may be given one more request: it is not leaving, not
  * ejected, and holds less than what keeps it busy.
