Put what decides whether a server is fit beside the choice, in a module of its own

No change of behaviour; tests of routing, the dispatcher, overflow, homes and cold servers pass (64).

--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -11,6 +11,7 @@
 import * as engineChoice from "./engine_choice.ts";
 import * as engineDivision from "./engine_division.ts";
 import type * as request from "./request.ts";
+import * as serverFit from "./server_fit.ts";
 import * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
@@ -34,16 +35,12 @@
 }
 
 /** What the choice depends on besides the request. */
-export interface RouteOptions {
+export interface RouteOptions extends serverFit.TurnOptions {
   readonly now: number;
   /** The request was in flight as a server was lost. */
   readonly suspect: boolean;
   /** Server of the attempt before, which is avoided if another one has room. */
   readonly avoid?: string;
-  /** Its class has earned a turn by its guaranteed share, so limits do not hold it. */
-  readonly turn: boolean;
-  /** Slots of a pool that its class may take in its turn. */
-  readonly guaranteedSlots: (pool: serverState.PoolState) => number;
   /** Whether other failure domains' servers may be used. */
   readonly overflow: boolean;
 }
@@ -105,7 +102,7 @@
     const turns = this.#findColdTurns(pools, options.now);
     const isOpen = (server: serverState.ServerState) =>
       pools.has(server.info.pool) && serverState.mayRunAt(server, wanted) &&
-      isFit(server, options) &&
+      serverFit.isFit(server, options) &&
       (!serverState.isCold(server, options.now) || turns.has(server.info.pool));
     const isUsable = (server: serverState.ServerState) =>
       server.info.name !== options.avoid && isOpen(server);
@@ -228,7 +225,7 @@
         wanted.pools.includes(pool.part.name);
       const near = !pool.foreign || options.overflow;
       const granted = serverState.isWithinGrant(pool, { className, now }) ||
-        isWithinTurn(pool, { wanted, options });
+        serverFit.isWithinTurn(pool, { wanted, options });
       return allowed && near && granted;
     });
     return new Set(usable.map((pool) => pool.part.name));
@@ -294,7 +291,7 @@
     const prompting = server.prompting / constants.PROMPT_TOKENS_PER_LOAD;
     // A long prompt holds up every stream beside it.
     const disturbed = constants.DISTURBANCE *
-      countHigher(server, wanted.tier) * wanted.promptTokens /
+      serverFit.countHigher(server, wanted.tier) * wanted.promptTokens /
       constants.PROMPT_TOKENS_PER_LOAD;
     const load =
       (serverState.estimateLoad(server, now) + prompting + disturbed + 1) /
@@ -352,33 +349,3 @@
     return short > 0 && long > 0 ? Math.min(short, long) : cold.length;
   }
 }
-
-/**
- * Whether a server may take the request now. Two suspects never share a server:
- * if it is lost, exactly one request collects a second mark, so a poison
- * request's neighbours are not quarantined with it.
- */
-function isFit(
-  server: serverState.ServerState,
-  options: RouteOptions,
-): boolean {
-  const alone = !options.suspect || server.suspects === 0;
-  return alone && serverState.hasRoom(server, options.now);
-}
-
-/** Counts this host's requests of higher tiers that a server is running. */
-function countHigher(server: serverState.ServerState, tier: number): number {
-  return server.runningByTier.reduce(
-    (sum, count, other) => other < tier ? sum + count : sum,
-    0,
-  );
-}
-
-function isWithinTurn(
-  pool: serverState.PoolState,
-  { wanted, options }: { wanted: request.Request; options: RouteOptions },
-): boolean {
-  const running = pool.runningByClass.get(wanted.className) ?? 0;
-  return options.turn && !pool.foreign &&
-    running < options.guaranteedSlots(pool);
-}
