Make identifiers of letters and digits only

The request's identifier began with a dash, and the command line took it for an option ("Unknown option '-P'"): one random identifier in 64 does. An operator who copies such an identifier from a log meets the same.

Change: identifiers are drawn from letters and digits, 22 of them.

--- a/packages/utils/digest.ts
+++ b/packages/utils/digest.ts
@@ -25,12 +25,19 @@
   return a.length === b.length && a.length > 0 && crypto.timingSafeEqual(a, b);
 }
 
+/** Letters and digits only: a command line takes what begins with a dash for an option. */
+const ID_ALPHABET =
+  "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+const ID_LENGTH = 22;
+const drawId = nanoid.customAlphabet(ID_ALPHABET, ID_LENGTH);
+
 /**
- * Makes a random identifier with 126 bits of entropy, safe in URLs.
+ * Makes a random identifier with 130 bits of entropy, safe in URLs and on a
+ * command line.
  *
  * @example
  * const id = createId();
  */
 export function createId(): string {
-  return nanoid.nanoid();
+  return drawId();
 }
