Say what a request did when its caller left, and when its server was let go

The line Caller left. had neither how far the request had come nor how late the host noticed, and nothing was written as an attempt that was given up let go of its server. So three hypotheses on the users' report could not be told apart: a close that is read late, one that is never noticed, and one that does not reach the server. Now Caller left. has stage, runningMs and loopDelayMs, Attempt stopped. has afterMs, and two metrics count them. A caller that breaks off within its body was written down as refused with too_large, and is now one that left.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -2,6 +2,7 @@
 import * as core from "@banyangrade/core";
 import type * as utils from "@banyangrade/utils";
 import * as constants from "./constants.ts";
+import * as loopDelay from "./loop_delay.ts";
 
 /** One open request, to which the effects that concern it are passed. */
 export interface OpenRequest {
@@ -29,6 +30,7 @@
   readonly #options: DispatchTaskOptions;
   readonly #open = new Map<string, OpenRequest>();
   readonly #events: core.DispatchEvent[] = [];
+  readonly #delay = new loopDelay.LoopDelay();
   #ticking: NodeJS.Timeout | undefined;
   /** When the next look at the time is due, monotonic ms. */
   #tickAt = Number.POSITIVE_INFINITY;
@@ -42,6 +44,8 @@
 
   #tick(): void {
     if (this.#stopped) return;
+    const now = this.#options.clock.now();
+    this.#delay.record(Math.max(0, now - this.#tickAt), now);
     this.#tickAt = Number.POSITIVE_INFINITY;
     this.send({ kind: "ticked" });
   }
@@ -126,6 +130,11 @@
     return this.#open.size;
   }
 
+  /** How long this process lately took to notice what happened, in ms. */
+  getLoopDelay(): number {
+    return this.#delay.get(this.#options.clock.now());
+  }
+
   stop(): void {
     this.#stopped = true;
     clearTimeout(this.#ticking);
--- a/packages/banyangrade/log_story.ts
+++ b/packages/banyangrade/log_story.ts
@@ -25,6 +25,10 @@
   readonly peer?: string;
   readonly status?: number;
   readonly proofAgeMs?: number;
+  readonly stage?: string;
+  readonly runningMs?: number;
+  readonly loopDelayMs?: number;
+  readonly afterMs?: number;
   readonly error?: utils.StepError;
 }
 
@@ -101,12 +105,23 @@
       return `${line.host} refused it at ${line.step} (${line.code}); ran: ` +
         `${line.ran}; peer: ${line.peer}${describeProof(line)}.`;
     case "Caller left.":
-      return `The caller left after ${line.totalMs} ms.`;
+      return `The caller left after ${line.totalMs} ms${describeLeft(line)}.`;
+    case "Attempt stopped.":
+      return `${line.host} let go of ${line.server} ${line.afterMs} ms after ` +
+        `that.`;
     default:
       return line.msg;
   }
 }
 
+function describeLeft({ stage, runningMs, loopDelayMs }: LogLine): string {
+  if (stage === undefined) return "";
+  const running = runningMs === undefined
+    ? ""
+    : `, ${runningMs} ms after it was sent`;
+  return ` (${stage}${running}; noticed up to ${loopDelayMs} ms late)`;
+}
+
 function describeProof({ proofAgeMs }: LogLine): string {
   return proofAgeMs === undefined
     ? ""
--- a/packages/banyangrade/log_story_test.ts
+++ b/packages/banyangrade/log_story_test.ts
@@ -33,3 +33,17 @@
   t.same(logStory.tellRequest(LINES.join("\n"), "r9"), []);
   t.end();
 });
+
+tap.test("a caller that left is told with what still ran", (t) => {
+  const lines = [
+    `{"time":1000,"host":"h1","requestId":"r1","attempt":1,"server":"s1@7","route":"chat","version":3,"waitedMs":2,"msg":"request: Attempt started."}`,
+    `{"time":1400,"host":"h1","requestId":"r1","totalMs":402,"stage":"answering","runningMs":400,"loopDelayMs":12,"msg":"request: Caller left."}`,
+    `{"time":1401,"host":"h1","requestId":"r1","attempt":1,"server":"s1@7","afterMs":1,"msg":"request: Attempt stopped."}`,
+  ];
+  t.same(logStory.tellRequest(lines.join("\n"), "r1").slice(1), [
+    "+400 ms The caller left after 402 ms (answering, 400 ms after it was " +
+    "sent; noticed up to 12 ms late).",
+    "+401 ms h1 let go of s1@7 1 ms after that.",
+  ]);
+  t.end();
+});
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -67,6 +67,11 @@
     "Attempts that brought no whole answer, by kind.",
     ["failure"],
   );
+  readonly #left = this.#createCounter(
+    "banyangrade_callers_left_total",
+    "Callers that left before their answer was whole, by what their request did.",
+    ["stage"],
+  );
   readonly #tokens = this.#createCounter(
     "banyangrade_tokens_total",
     "Tokens by whether they were billed or wasted.",
@@ -103,6 +108,10 @@
     this.#failures.inc({ failure });
   }
 
+  recordLeft(stage: string): void {
+    this.#left.inc({ stage });
+  }
+
   recordTokens(use: "billed" | "wasted", tokens: number): void {
     this.#tokens.inc({ use }, tokens);
   }
--- a/packages/banyangrade/routed/exchange_record.ts
+++ b/packages/banyangrade/routed/exchange_record.ts
@@ -11,6 +11,9 @@
   readonly metrics: metrics.Metrics;
 }
 
+/** How far a request had come as its caller left. */
+export type LeftStage = "reading" | "queued" | "running" | "answering";
+
 /** Follows one request. */
 export class ExchangeRecord {
   readonly #options: ExchangeRecordOptions;
@@ -20,6 +23,10 @@
   #firstAt = 0;
   #events = 0;
   #server = "";
+  /** When the attempt that runs was sent; undefined while none runs. */
+  #sentAt: number | undefined;
+  /** When the caller was found gone, or the request given up. */
+  #endedAt: number | undefined;
 
   constructor(
     options: ExchangeRecordOptions,
@@ -50,6 +57,7 @@
     const { head, route, request, table } = this.#exchange;
     this.#attempts += 1;
     this.#server = server.name;
+    this.#sentAt = now;
     if (this.#startedAt === 0) this.#startedAt = now;
     this.#options.log.info({
       requestId: head.requestId,
@@ -78,6 +86,7 @@
       readonly reason: string;
     },
   ): void {
+    this.#sentAt = undefined;
     this.#options.metrics.recordFailure(failure);
     this.#options.log.warn({
       requestId: this.#exchange.head.requestId,
@@ -89,6 +98,41 @@
     }, "Attempt failed.");
   }
 
+  /** Records that the caller closed its connection, and how late the host may have noticed. */
+  recordLeft(loopDelayMs: number): void {
+    const { clock, metrics } = this.#options;
+    const stage = this.#getStage();
+    metrics.recordLeft(stage);
+    this.recordEnd("Caller left.", {
+      stage,
+      runningMs: this.#sentAt === undefined
+        ? undefined
+        : Math.round(clock.now() - this.#sentAt),
+      loopDelayMs: Math.round(loopDelayMs),
+    });
+  }
+
+  #getStage(): LeftStage {
+    if (this.#sentAt === undefined) return "queued";
+    return this.#events > 0 ? "answering" : "running";
+  }
+
+  /** Records that an attempt which was given up has let go of its server. */
+  recordStopped({ attempt, server }: {
+    readonly attempt: number;
+    readonly server: core.ServerInfo;
+  }): void {
+    const { clock, log } = this.#options;
+    log.info({
+      requestId: this.#exchange.head.requestId,
+      attempt,
+      server: server.name,
+      afterMs: this.#endedAt === undefined
+        ? undefined
+        : Math.round(clock.now() - this.#endedAt),
+    }, "Attempt stopped.");
+  }
+
   recordAnswered(): void {
     const { request, route } = this.#exchange;
     const now = this.#options.clock.now();
@@ -123,6 +167,7 @@
   recordEnd(message: string, fields: object): void {
     const { clock, log } = this.#options;
     const { head, request, route } = this.#exchange;
+    this.#endedAt = clock.now();
     log.info({
       requestId: head.requestId,
       route: route.name,
--- a/packages/banyangrade/routed/ingress.ts
+++ b/packages/banyangrade/routed/ingress.ts
@@ -21,12 +21,18 @@
   readonly host: string;
   readonly headers: ports.Headers;
   readonly answer: IngressAnswer;
-  /** Reads the body; undefined if the caller left or it is too large. */
-  readonly readBody: (maxBytes: number) => Promise<Buffer | undefined>;
+  readonly readBody: (maxBytes: number) => Promise<BodyRead>;
   /** Told when the caller is gone before its answer is whole. */
   readonly onGone: (listener: () => void) => void;
 }
 
+/** What came of reading a body. */
+export type BodyRead =
+  | { readonly kind: "whole"; readonly body: Buffer }
+  | { readonly kind: "too_large" }
+  /** The caller broke off. */
+  | { readonly kind: "left" };
+
 /** The way back to one caller. */
 export interface IngressAnswer {
   readonly isBegun: () => boolean;
@@ -155,20 +161,21 @@
 async function readBody(
   request: http.IncomingMessage,
   maxBytes: number,
-): Promise<Buffer | undefined> {
+): Promise<BodyRead> {
   const chunks: Buffer[] = [];
   let size = 0;
   try {
     for await (const chunk of request) {
       size += (chunk as Buffer).length;
-      if (size > maxBytes) return undefined;
+      if (size > maxBytes) return { kind: "too_large" };
       chunks.push(chunk as Buffer);
     }
   } catch {
-    // The caller broke off; its connection says so to whoever listens.
-    return undefined;
+    return { kind: "left" };
   }
-  return request.complete ? Buffer.concat(chunks) : undefined;
+  return request.complete
+    ? { kind: "whole", body: Buffer.concat(chunks) }
+    : { kind: "left" };
 }
 
 /** Statuses of refusals that ran nothing, by their code. */
--- a/packages/banyangrade/routed/routed_exchange.ts
+++ b/packages/banyangrade/routed/routed_exchange.ts
@@ -107,9 +107,8 @@
     });
     const sentAt = this.#context.clock.now();
     const outcome = await this.#forward(effect, { signal, now: sentAt });
-    if (!signal.aborted) {
-      this.#endAttempt(effect, { outcome, before, sentAt });
-    }
+    if (signal.aborted) return this.#record.recordStopped(effect);
+    this.#endAttempt(effect, { outcome, before, sentAt });
   }
 
   #checkKey(): KeyCheck {
@@ -237,7 +236,7 @@
   #cancel(): void {
     if (!this.#close()) return;
     this.#cancelAttempt();
-    this.#record.recordEnd("Caller left.", {});
+    this.#record.recordLeft(this.#context.dispatch.getLoopDelay());
   }
 
   #cancelAttempt(): void {
--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -102,17 +102,27 @@
   }
 
   async #open(admitted: Admitted): Promise<void> {
-    const { incoming, head, table, arrivedAt } = admitted;
+    const { incoming, head, table } = admitted;
     const { maxBodyBytes, maxHeaderBytes } = table.configuration.limits;
     if (countHeaderBytes(incoming) > maxHeaderBytes) {
       const refusal = buildFrontRefusal("too_large");
       return this.#refuse(incoming, { head, refusal });
     }
-    const body = await incoming.readBody(maxBodyBytes);
-    if (body === undefined) {
-      const refusal = buildFrontRefusal("too_large");
-      return this.#refuse(incoming, { head, refusal });
+    const read = await incoming.readBody(maxBodyBytes);
+    switch (read.kind) {
+      case "left":
+        return this.#recordLeft(admitted);
+      case "too_large": {
+        const refusal = buildFrontRefusal("too_large");
+        return this.#refuse(incoming, { head, refusal });
+      }
+      case "whole":
+        return this.#openExchange(admitted, read.body);
     }
+  }
+
+  #openExchange(admitted: Admitted, body: Buffer): void {
+    const { incoming, head, table, arrivedAt } = admitted;
     const service = core.drawService(admitted.route, this.#options.random);
     if (service === undefined) {
       const refusal = buildFrontRefusal("no_capacity");
@@ -131,6 +141,20 @@
     });
   }
 
+  /** The caller broke off within its body: nobody waits for an answer. */
+  #recordLeft({ head, route, arrivedAt }: Admitted): void {
+    const { log, metrics, dispatch, clock } = this.#options;
+    const stage = "reading";
+    metrics.recordLeft(stage);
+    log.info({
+      requestId: head.requestId,
+      route: route.name,
+      stage,
+      totalMs: Math.round(clock.now() - arrivedAt),
+      loopDelayMs: Math.round(dispatch.getLoopDelay()),
+    }, "Caller left.");
+  }
+
   #buildRequest(
     admitted: Admitted,
     { service, body }: { readonly service: string; readonly body: Buffer },
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -102,6 +102,10 @@
     help: "Requests queued and running.",
     read: () => dispatch.countOpen(),
   });
+  metrics.addGauge("banyangrade_loop_delay_seconds", {
+    help: "Longest delay of late with which the process noticed anything.",
+    read: () => dispatch.getLoopDelay() / 1_000,
+  });
   metrics.addGauge("banyangrade_servers", {
     help: "Backend servers that are in use.",
     read: () => belief.listServers().length,
