Reset a connection to a server whose request is given up

What users saw: servers work for callers that left. A booking reached its server 6.3 s after it was sent, 5.5 s after its caller had got 504.

Cause: an attempt that is given up destroys its connection, and the kernel then closes it in order: whatever it still holds of the request is delivered first, as soon as the link allows. Behind a cut that is when the bytes are sent again, 6.2 s later for what was sent as the cut began. Nobody is there for the answer.

Change: the client of each connection to a server resets it if it is destroyed while a request on it has no whole answer; a reset drops what was not sent. Idle connections, and those whose answer is whole, are closed in order as before.

--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -1,6 +1,6 @@
 /** Connections to one backend server. */
 import * as undici from "undici";
-import type * as utils from "@banyangrade/utils";
+import * as utils from "@banyangrade/utils";
 
 /** Longest wait for a new connection, in ms: some hundred times the way between failure domains. */
 const CONNECT_MS = 400;
@@ -45,6 +45,7 @@
     pipelining: 1,
     keepAliveTimeout: IDLE_MS,
     connect: { timeout: CONNECT_MS },
+    factory: utils.createResettingClient,
   });
   return {
     dispatcher: pool,
--- a/packages/utils/mod.ts
+++ b/packages/utils/mod.ts
@@ -9,6 +9,7 @@
 export * from "./json_server.ts";
 export * from "./log.ts";
 export * from "./random.ts";
+export * from "./resetting_client.ts";
 export * from "./result.ts";
 export * from "./task.ts";
 export * from "./toml_file.ts";
