Take back orders, reports and requests of the shared agent that are given up

The same cause as at servers: the agent of the JSON calls (orders for servers, usage reports) and the shared agent of the OpenAI-style front closed a connection in order when a call timed out, so a cut link delivered an order seconds later, behind newer ones.

--- a/packages/utils/backend.ts
+++ b/packages/utils/backend.ts
@@ -1,5 +1,6 @@
 /** What calls to backend servers of every kind have in common. */
 import * as undici from "undici";
+import * as resettingClient from "./resetting_client.ts";
 
 /** Header that ties an answer to its request. */
 export const REQUEST_ID_HEADER = "x-request-id";
@@ -57,6 +58,7 @@
     connect: { timeout: 2_000 },
     headersTimeout: 120_000,
     bodyTimeout: 60_000,
+    factory: resettingClient.createResettingPool,
   });
 }
 
--- a/packages/utils/json_client.ts
+++ b/packages/utils/json_client.ts
@@ -2,9 +2,12 @@
 import * as undici from "undici";
 import * as backend from "./backend.ts";
 import * as errors from "./errors.ts";
+import * as resettingClient from "./resetting_client.ts";
 import * as result from "./result.ts";
 
-const agent = new undici.Agent();
+const agent = new undici.Agent({
+  factory: resettingClient.createResettingPool,
+});
 
 /** One call. */
 export interface JsonCall {
--- a/packages/utils/resetting_client.ts
+++ b/packages/utils/resetting_client.ts
@@ -40,6 +40,23 @@
   return client;
 }
 
+/**
+ * Makes the connections to one origin, each as by {@link createResettingClient};
+ * an agent's `factory`.
+ *
+ * @example
+ * const agent = new undici.Agent({ factory: createResettingPool });
+ */
+export function createResettingPool(
+  origin: string | URL,
+  options: object,
+): undici.Pool {
+  return new undici.Pool(origin, {
+    ...options,
+    factory: createResettingClient,
+  });
+}
+
 /** Has a connection reset where it is destroyed while it is in use. */
 function dropUnanswered(socket: net.Socket, isInUse: () => boolean): void {
   // A reset is not to be had for encrypted connections.
