Take back writes to the store that are given up

A write that was given up after 1 s was still delivered when the link came back, as requests to servers were. Its outcome stays unknown to the host; what a reset changes is that what was not sent is not sent any more. The test failed before at both clients of the store (all 1,000,000 bytes arrived) and passes now.

--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -86,7 +86,11 @@
  * const entry = (await store.get("a")).unwrap();
  */
 export function createStoreClient(options: StoreClientOptions): StoreClient {
-  const pool = new undici.Pool(options.url, { connections: 8, pipelining: 1 });
+  const pool = new undici.Pool(options.url, {
+    connections: 8,
+    pipelining: 1,
+    factory: utils.createResettingClient,
+  });
   const call = createCaller(pool, options.timeoutMs ?? 1_000);
 
   return {
