Do not send a request whose caller closed while the host was busy

What a user would see: a server works for callers that left, at a host short of processor time. Such a host reads a request and only a turn of the event loop later the end of its connection, though both had arrived; in between the request was sent. A close that came before anybody listened was never told to anybody either.

Evidence: on loopback, ten lookups that are closed while the event loop is busy for 600 ms: eight reach a server before, none now; the test failed first.

Change: the caller's connection is followed from its request on, its end counts from when it is read, and a host that was late by 100 ms of late reads once more from its sockets before it sends anything. A host that is not late does as before.

--- a/packages/banyangrade/routed/ingress.ts
+++ b/packages/banyangrade/routed/ingress.ts
@@ -22,6 +22,8 @@
   readonly headers: ports.Headers;
   readonly answer: IngressAnswer;
   readonly readBody: (maxBytes: number) => Promise<BodyRead>;
+  /** Whether the caller has closed its connection, as far as that was read. */
+  readonly isGone: () => boolean;
   /** Told when the caller is gone before its answer is whole. */
   readonly onGone: (listener: () => void) => void;
 }
@@ -119,6 +121,7 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): IncomingRequest {
+  const caller = watchCaller(request, response);
   return {
     method: request.method ?? "GET",
     path: request.url ?? "/",
@@ -126,10 +129,34 @@
     headers: request.headers,
     answer: buildAnswer(response),
     readBody: (maxBytes) => readBody(request, maxBytes),
+    ...caller,
+  };
+}
+
+/** Follows a caller's connection from its request on: what closes before anybody listens is known later too. */
+function watchCaller(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Pick<IncomingRequest, "isGone" | "onGone"> {
+  const { socket } = request;
+  const listeners: (() => void)[] = [];
+  let gone = false;
+  const markGone = () => {
+    if (gone || response.writableFinished) return;
+    gone = true;
+    listeners.forEach((listener) => listener());
+  };
+  // The end of what the caller sends is read some turns before its connection is closed.
+  socket.once("end", markGone);
+  response.once("close", () => {
+    socket.off("end", markGone);
+    markGone();
+  });
+  return {
+    isGone: () => gone,
     onGone: (listener) => {
-      response.on("close", () => {
-        if (!response.writableFinished) listener();
-      });
+      if (gone) return listener();
+      listeners.push(listener);
     },
   };
 }
--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -23,6 +23,9 @@
   readonly regions: ReadonlyMap<string, string>;
 }
 
+/** Delay of the event loop from which callers may have left before they are read, in ms: less than any caller's patience. */
+const LATE_MS = 100;
+
 /** A request that may be served. */
 interface Admitted {
   readonly incoming: ingress.IncomingRequest;
@@ -117,10 +120,18 @@
         return this.#refuse(incoming, { head, refusal });
       }
       case "whole":
+        await this.#waitWhereLate();
+        if (incoming.isGone()) return this.#recordLeft(admitted);
         return this.#openExchange(admitted, read.body);
     }
   }
 
+  /** A host that is late may have read a request without the end of its connection, which came behind it. */
+  async #waitWhereLate(): Promise<void> {
+    if (this.#options.dispatch.getLoopDelay() < LATE_MS) return;
+    await utils.waitForReads();
+  }
+
   #openExchange(admitted: Admitted, body: Buffer): void {
     const { incoming, head, table, arrivedAt } = admitted;
     const service = core.drawService(admitted.route, this.#options.random);
@@ -141,7 +152,7 @@
     });
   }
 
-  /** The caller broke off within its body: nobody waits for an answer. */
+  /** Nobody waits for an answer any more. */
   #recordLeft({ head, route, arrivedAt }: Admitted): void {
     const { log, metrics, dispatch, clock } = this.#options;
     const stage = "reading";
--- a/packages/utils/clock.ts
+++ b/packages/utils/clock.ts
@@ -1,4 +1,5 @@
 /** Clocks as values, so that decisions and tests can run on virtual time. */
+import * as timers from "node:timers/promises";
 
 /** A source of time. Both readings are in milliseconds. */
 export interface Clock {
@@ -48,3 +49,15 @@
 export function waitFor(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
+
+/**
+ * Waits until the event loop has read from its sockets once more.
+ *
+ * @example
+ * await waitForReads();
+ */
+export async function waitForReads(): Promise<void> {
+  // The first of these comes before the sockets' turn, the second behind it.
+  await timers.setImmediate();
+  await timers.setImmediate();
+}
