--- a/packages/banyangrade/routed/ingress.ts
+++ b/packages/banyangrade/routed/ingress.ts
@@ -4,8 +4,7 @@
  */
 import * as http from "node:http";
 import type * as net from "node:net";
-import * as core from "@banyangrade/core";
-import * as utils from "@banyangrade/utils";
+import type * as core from "@banyangrade/core";
 import type * as ports from "./ports.ts";
 
 /** Largest head that is read at all; the operators' limit is below it. */
@@ -204,86 +203,3 @@
     ? { kind: "whole", body: Buffer.concat(chunks) }
     : { kind: "left" };
 }
-
-/** Statuses of refusals that ran nothing, by their code. */
-const STATUS_BY_CODE: Readonly<Partial<Record<core.RefusalCode, number>>> = {
-  bad_request: 400,
-  not_authenticated: 401,
-  key_withdrawn: 401,
-  not_allowed: 403,
-  not_found: 404,
-  too_large: 413,
-};
-/** Status that promises that nothing ran or ever will. */
-const NOT_RUN_STATUS = 503;
-const FAILED_STATUS = 502;
-const TIMED_OUT_STATUS = 504;
-
-/**
- * Answers a request that is given up. Only a refusal after which nothing ran
- * gets a status that promises so; one with an unknown outcome must not, or its
- * caller would send it again and it might run twice.
- *
- * @example
- * sendRefusal(answer, { refusal, requestId });
- */
-export function sendRefusal(
-  answer: IngressAnswer,
-  { refusal, requestId }: {
-    readonly refusal: core.Refusal;
-    readonly requestId: string | undefined;
-  },
-): void {
-  if (answer.isBegun()) return answer.destroy();
-  const retryAfter = refusal.ran === "no" && refusal.retryAfterMs !== undefined
-    ? { "retry-after": (refusal.retryAfterMs / 1_000).toFixed(3) }
-    : {};
-  answer.send({
-    status: chooseStatus(refusal),
-    headers: { "content-type": "application/json", ...retryAfter },
-    body: JSON.stringify({
-      error: {
-        ...refusal,
-        retryAfter: retryAfter["retry-after"],
-        requestId,
-      },
-    }),
-  });
-}
-
-function chooseStatus(refusal: core.Refusal): number {
-  if (refusal.ran === "no") {
-    return STATUS_BY_CODE[refusal.code] ?? NOT_RUN_STATUS;
-  }
-  return refusal.code === "deadline_exceeded"
-    ? TIMED_OUT_STATUS
-    : FAILED_STATUS;
-}
-
-/**
- * Starts the server that the platform's balancer asks for readiness.
- *
- * @example
- * await startReadiness({ hostname, port, path: "/ready", isReady });
- */
-export async function startReadiness(
-  options: utils.Address & {
-    readonly path: string;
-    readonly isReady: () => boolean;
-  },
-): Promise<{ readonly close: () => void }> {
-  const server = http.createServer((request, response) => {
-    if (request.url !== options.path) return void response.writeHead(404).end();
-    response.writeHead(options.isReady() ? 200 : 503).end();
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(options.port, options.hostname, resolve);
-  });
-  return {
-    close: () => {
-      server.close();
-      server.closeAllConnections();
-    },
-  };
-}
--- a/packages/banyangrade/routed/routed_exchange.ts
+++ b/packages/banyangrade/routed/routed_exchange.ts
@@ -6,8 +6,9 @@
 import type * as metrics from "../metrics.ts";
 import * as attemptMessage from "./attempt_message.ts";
 import * as exchangeRecord from "./exchange_record.ts";
-import * as ingress from "./ingress.ts";
+import type * as ingress from "./ingress.ts";
 import type * as ports from "./ports.ts";
+import * as refusalAnswer from "./refusal_answer.ts";
 import type * as serverPools from "./server_pools.ts";
 
 /** What an exchange needs of its host. */
@@ -272,7 +273,7 @@
       : undefined;
     this.#record.recordRefused(refusal, { passedOn: failed?.status });
     if (failed !== undefined) return answer.send(failed);
-    ingress.sendRefusal(answer, { refusal, requestId });
+    refusalAnswer.sendRefusal(answer, { refusal, requestId });
   }
 
   /** Ends the exchange; false if it had ended before. */
--- a/packages/banyangrade/routed/routed_front.ts
+++ b/packages/banyangrade/routed/routed_front.ts
@@ -2,8 +2,9 @@
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import type * as beliefTask from "./belief_task.ts";
-import * as ingress from "./ingress.ts";
+import type * as ingress from "./ingress.ts";
 import type * as ports from "./ports.ts";
+import * as refusalAnswer from "./refusal_answer.ts";
 import * as routedExchange from "./routed_exchange.ts";
 
 /** When to come back to a host that has no word from the store, in ms: another host is likely to have it. */
@@ -225,7 +226,7 @@
       version: belief.getTable()?.configuration.version,
       proofAgeMs: belief.getAge(),
     }, "Request refused.");
-    ingress.sendRefusal(incoming.answer, { refusal, requestId });
+    refusalAnswer.sendRefusal(incoming.answer, { refusal, requestId });
   }
 }
 
--- a/packages/banyangrade/routed/routed_host.ts
+++ b/packages/banyangrade/routed/routed_host.ts
@@ -2,6 +2,7 @@
 import * as utils from "@banyangrade/utils";
 import * as operationsServer from "../operations_server.ts";
 import * as ingressModule from "./ingress.ts";
+import * as readinessModule from "./readiness.ts";
 import * as routedParts from "./routed_parts.ts";
 
 /** A running host. */
@@ -69,7 +70,7 @@
     isLeaving: () => state.draining || !belief.isReady(),
   });
   parts.ingress = ingress;
-  const readiness = await ingressModule.startReadiness({
+  const readiness = await readinessModule.startReadiness({
     ...utils.splitAddress(settings.readinessAddress),
     path: platform.wire.readinessPath,
     isReady,
