Notice it when the two guards for callers that left are removed

Two removals more for npm run mutate, both noticed. A third removal, of the listener for the end of what a caller sends, is not noticed and not kept in the list: the close that follows comes before the HTTP client has sent anything.

--- a/scripts/mutate.ts
+++ b/scripts/mutate.ts
@@ -13,7 +13,7 @@
 /** Copies the tree; dependencies are linked, our own packages are the copy's. */
 function copyTree(): string {
   const copy = fs.mkdtempSync(path.join(os.tmpdir(), "banyangrade-mutate-"));
-  ["packages", "playground", "scripts", "bench"].forEach((folder) =>
+  ["packages", "platform", "playground", "scripts", "bench"].forEach((folder) =>
     fs.cpSync(path.join(ROOT, folder), path.join(copy, folder), {
       recursive: true,
     })
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -20,6 +20,8 @@
 const OVERFLOW = "packages/core/overflow_test.ts";
 const ROUTING = "packages/core/routing_test.ts";
 const DISPATCHER = "packages/core/dispatcher_fuzz_test.ts";
+const GIVEN_UP = "packages/service/given_up_test.ts";
+const LEFT = "platform/callers_left_test.ts";
 
 /** All removals. */
 export const MUTATIONS: readonly Mutation[] = [
@@ -312,4 +314,18 @@
     replace: "if (!leased) {",
     test: CLAIMS,
   },
+  {
+    name: "given up: connections are closed in order",
+    file: "packages/utils/resetting_client.ts",
+    find: "if (resetting || socket.destroyed || !isInUse()) {",
+    replace: "if (socket !== undefined) {",
+    test: GIVEN_UP,
+  },
+  {
+    name: "callers left: a late host does not read once more",
+    file: "packages/banyangrade/routed/routed_front.ts",
+    find: "await utils.waitForReads();",
+    replace: "",
+    test: LEFT,
+  },
 ];
