--- a/packages/service/given_up_test.ts
+++ b/packages/service/given_up_test.ts
@@ -60,3 +60,13 @@
   t.match(outcome, { kind: "failed", failure: "timeout" });
   t.ok(await server.readAll() < testing.BODY_OF_STALLED_BYTES);
 });
+
+// Guards against a server that runs a request after the host that sent it has stopped.
+tap.test("a request that a stop cut off does not reach its server later", async (t) => {
+  const { server, pool } = await startServer(t);
+  const outcome = sendCall(pool, {});
+  await server.waitForRequest();
+  await pool.destroy();
+  t.match(await outcome, { kind: "failed", failure: "connection_lost" });
+  t.ok(await server.readAll() < testing.BODY_OF_STALLED_BYTES);
+});
