Log and count the limits that backend servers name

Cause: not known yet; the logs did not tell which responses named a limit, so a host that ignores it and hosts that keep it one by one looked alike. Nothing decides by it yet.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -18,6 +18,7 @@
 import * as controlRolesTask from "./control_roles_task.ts";
 import * as requestExchange from "./request_exchange.ts";
 import * as requestHandler from "./request_handler.ts";
+import * as serverSignals from "./server_signals.ts";
 import * as connectionPools from "./connection_pools.ts";
 
 /** Options of {@link buildGatewayParts}. */
@@ -43,6 +44,7 @@
   /** Recently lost servers, with the requests that they ran. */
   readonly marks: core.MarkSet;
   readonly coldStarts: core.ColdStartTracker;
+  readonly signalLog: serverSignals.SignalLog;
   readonly relay: relayTask.RelayTask;
   readonly feed: relayedFeed.RelayedFeed;
   readonly belief: clusterStateTask.ClusterStateTask;
@@ -108,6 +110,7 @@
   const pools = new connectionPools.ConnectionPools({ clock });
   pools.setHosts(ASSUMED_HOSTS);
   const incarnation = utils.createId();
+  const metrics = new metricsModule.Metrics();
   return {
     ...options,
     incarnation,
@@ -115,13 +118,17 @@
     clocks: hostClocks.createHostClocks(clock),
     random: utils.createRandom(utils.hashSeed(incarnation)),
     state: { draining: false, closed: false },
-    metrics: new metricsModule.Metrics(),
+    metrics,
     counter: new core.WindowCounter(),
     budget: new core.WindowRetryBudget(settings.retries, {
       hosts: ASSUMED_HOSTS,
     }),
     marks: new core.MarkSet(),
     coldStarts: new core.ColdStartTracker(),
+    signalLog: new serverSignals.SignalLog({
+      log: utils.createPartLogger(options.log, "server"),
+      metrics,
+    }),
   };
 }
 
@@ -245,6 +252,8 @@
     wire: draft.platform.wire,
     regions: draft.settings.regions,
     isClosed: () => draft.state.closed,
+    applySignals: (server, response) =>
+      serverSignals.applySignals(draft, { ...response, server }),
     checkKey: (key, customer) => checkKey(draft, { key, customer }),
     countUsage: (customer, at) => countUsage(draft, { customer, at }),
   });
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -10,6 +10,7 @@
 import type * as platformInterface from "./platform_interface.ts";
 import * as refusalResponse from "./refusal_response.ts";
 import type * as connectionPools from "./connection_pools.ts";
+import type * as serverSignals from "./server_signals.ts";
 
 /** Services of the host that an exchange uses. */
 export interface ExchangeContext {
@@ -21,6 +22,11 @@
   readonly wire: platformInterface.WireFormat;
   /** Checks whether an API key that was valid on arrival may still start an attempt. */
   readonly checkKey: (key: string, customer: string) => KeyCheck;
+  /** Applies the signals of a response of a server. */
+  readonly applySignals: (
+    server: string,
+    response: serverSignals.SignalledResponse,
+  ) => void;
   /** Counts a request that a server began to run in the usage window of that time. */
   readonly countUsage: (customer: string, at: number) => void;
 }
@@ -124,7 +130,7 @@
     effect: StartEffect,
     { signal, now }: { readonly signal: AbortSignal; readonly now: number },
   ): Promise<service.ForwardOutcome> {
-    const { pools, wire, countUsage } = this.#context;
+    const { pools, wire, countUsage, applySignals } = this.#context;
     const { table, request } = this.#options;
     const connectionLimit =
       table.configuration.services.find((one) => one.name === request.target)
@@ -141,6 +147,8 @@
       connections: pools.get(effect.server, { connectionLimit }),
       signal,
     }, {
+      onMetadata: ({ signals }) =>
+        applySignals(effect.server.name, { signals, sentAt: now }),
       onEvents: async (batch) => {
         if (signal.aborted || this.#ended) return;
         // A stream is counted once per attempt, on its first event.
--- /dev/null
+++ b/packages/banyangrade/gateway/server_signals.ts
@@ -0,0 +1,93 @@
+/** Applies and logs the signals in the responses of backend servers. */
+import * as lru from "lru-cache";
+import * as core from "@banyangrade/core";
+import type * as utils from "@banyangrade/utils";
+import type * as metrics from "../metrics.ts";
+
+/** The signals of a response and the attempt to which it belongs. */
+export interface SignalledResponse {
+  readonly signals: core.ServerSignals;
+  /** When the attempt was sent, monotonic ms. */
+  readonly sentAt: number;
+}
+
+/** Components that the signals affect. */
+export interface SignalContext {
+  readonly signalLog: SignalLog;
+}
+
+/**
+ * Applies the signals of a response of a server.
+ *
+ * @example
+ * applySignals(parts, { server: "s1@1", signals, sentAt });
+ */
+export function applySignals(
+  { signalLog }: SignalContext,
+  { server, signals }: SignalledResponse & { readonly server: string },
+): void {
+  signalLog.record(server, signals);
+}
+
+/** Kinds of changes that are counted. */
+type SignalChange = "limit_named" | "limit_ended" | "malformed";
+
+/** Number of servers whose last signals are remembered. */
+const MAX_SERVERS = 20_000;
+/** Length to which the value of a malformed signal is shortened. */
+const MAX_VALUE_LENGTH = 40;
+
+/** Logs and counts a signal when it changes, not each response that repeats it. */
+export class SignalLog {
+  readonly #log: utils.Logger;
+  readonly #metrics: metrics.Metrics;
+  readonly #limits = new lru.LRUCache<string, number>({ max: MAX_SERVERS });
+  readonly #malformed = new lru.LRUCache<string, string>({ max: MAX_SERVERS });
+
+  constructor(
+    options: { readonly log: utils.Logger; readonly metrics: metrics.Metrics },
+  ) {
+    this.#log = options.log;
+    this.#metrics = options.metrics;
+  }
+
+  /** Records the signals of a response of a server. */
+  record(server: string, signals: core.ServerSignals): void {
+    this.#recordLimit(server, core.findLimit(signals));
+    signals.malformed.forEach((malformed) =>
+      this.#recordMalformed(server, malformed)
+    );
+  }
+
+  #recordLimit(server: string, perSecond: number | undefined): void {
+    const before = this.#limits.get(server);
+    if (perSecond === before) return;
+    if (perSecond === undefined) this.#limits.delete(server);
+    else this.#limits.set(server, perSecond);
+    const fields = { server, perSecond, before };
+    if (perSecond === undefined) {
+      return this.#write("limit_ended", fields, "Limit no longer named.");
+    }
+    this.#write("limit_named", fields, "Limit named.");
+  }
+
+  #recordMalformed(
+    server: string,
+    { header, value }: core.MalformedSignal,
+  ): void {
+    const text = value.slice(0, MAX_VALUE_LENGTH);
+    const key = `${server}/${header}`;
+    if (this.#malformed.get(key) === text) return;
+    this.#malformed.set(key, text);
+    this.#write(
+      "malformed",
+      { server, header, value: text },
+      "Malformed signal ignored.",
+    );
+  }
+
+  #write(change: SignalChange, fields: object, message: string): void {
+    this.#metrics.recordServerSignal(change);
+    this.#log.info(fields, message);
+  }
+}
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -97,6 +97,11 @@
     "Callers that left before their answer was whole, by what their request did.",
     ["stage"],
   );
+  readonly #serverSignals = this.#createCounter(
+    "banyangrade_server_signals_total",
+    "Changes of what backend servers say about the requests that they accept.",
+    ["signal"],
+  );
   readonly #tokens = this.#createCounter(
     "banyangrade_tokens_total",
     "Tokens by whether they were billed or wasted.",
@@ -137,6 +142,10 @@
     this.#callersLeft.inc({ stage });
   }
 
+  recordServerSignal(signal: string): void {
+    this.#serverSignals.inc({ signal });
+  }
+
   recordTokens(use: "billed" | "wasted", tokens: number): void {
     this.#tokens.inc({ use }, tokens);
   }
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -31,5 +31,6 @@
 export * from "./routes.ts";
 export * from "./scaling.ts";
 export * from "./server_list.ts";
+export * from "./server_signals.ts";
 export * from "./window_counts.ts";
 export * as constants from "./constants.ts";
--- /dev/null
+++ b/packages/core/server_signals.ts
@@ -0,0 +1,36 @@
+/** Signals in the responses of backend servers that tell hosts how many requests to send. */
+
+/** Signals of one response. */
+export interface ServerSignals {
+  /**
+   * Requests per second that the server accepts from all hosts together, one
+   * value for each time that the response names it; empty if it names no limit.
+   */
+  readonly limitsPerSecond: readonly number[];
+  /** Signals that could not be decoded. */
+  readonly malformed: readonly MalformedSignal[];
+}
+
+/** A header that names a signal, with a value that could not be decoded. */
+export interface MalformedSignal {
+  readonly header: string;
+  readonly value: string;
+}
+
+/** Signals of a response that carries none. */
+export const NO_SIGNALS: ServerSignals = { limitsPerSecond: [], malformed: [] };
+
+/**
+ * Returns the limit that a response names, in requests per second: the lowest
+ * one if it names several. Undefined if it names none.
+ *
+ * @example
+ * findLimit({ limitsPerSecond: [3, 1.5], malformed: [] }); // 1.5
+ */
+export function findLimit(
+  { limitsPerSecond }: Pick<ServerSignals, "limitsPerSecond">,
+): number | undefined {
+  return limitsPerSecond.length === 0
+    ? undefined
+    : Math.min(...limitsPerSecond);
+}
--- a/packages/service/abandoned_request_test.ts
+++ b/packages/service/abandoned_request_test.ts
@@ -1,5 +1,6 @@
 /** Tests that an abandoned request does not reach its server later. */
 import * as tapModule from "tap";
+import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import * as testing from "@banyangrade/utils/testing.ts";
 import * as connections from "./connections.ts";
@@ -39,6 +40,7 @@
       requestId: "r1",
       notRun: false,
       genuine: true,
+      signals: core.NO_SIGNALS,
     }),
     signal: new AbortController().signal,
     ...changes,
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -18,6 +18,7 @@
   readonly notRun: boolean;
   /** Whether the headers prove that the server itself sent the response, not an intermediary. */
   readonly genuine: boolean;
+  readonly signals: core.ServerSignals;
 }
 
 /** Headers of a forwarded message. */
@@ -52,6 +53,11 @@
 
 /** Receiver of a stream. */
 export interface ForwardSink {
+  /**
+   * Receives the metadata of each response, whatever its outcome, before any part
+   * of it is forwarded. @default ignored
+   */
+  readonly onMetadata?: (metadata: ResponseMetadata) => void;
   /** Receives complete events unchanged; the promise applies backpressure while the caller is slow. */
   readonly onEvents: (
     batch: EventBatch,
@@ -169,6 +175,7 @@
 ): Promise<ForwardOutcome> {
   const { statusCode: status, headers } = response;
   const marks = call.readResponseMetadata(status, headers);
+  sink.onMetadata?.(marks);
   const failure = findHeadFailure(response, { call, marks });
   if (failure !== undefined) {
     // Destroys the connection too, since further data on it belongs to no request.
--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -1,6 +1,7 @@
 /** Tests of forwarding attempts against servers that fail in the middle of a response. */
 import * as net from "node:net";
 import * as tapModule from "tap";
+import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import * as connections from "./connections.ts";
 import * as forward from "./forward.ts";
@@ -48,6 +49,7 @@
       requestId: headers["x-id"] as string | undefined,
       notRun: headers["x-not-run"] !== undefined,
       genuine: headers["x-stamp"] !== undefined,
+      signals: core.NO_SIGNALS,
     }),
     signal: new AbortController().signal,
     ...changes,
