Keep all hosts together within the limit that a server names

Cause: no host read the limit. Class of fault: what a peer says of itself in its responses was forwarded, and decided nothing. Limits and their ends are shared with the statuses of hosts, as an optional field. The number of hosts may be wrong by the factors that the fuzz test draws.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -124,6 +124,11 @@
     return this.#options.dispatcher.countPendingPrefill();
   }
 
+  /** Lists the limits that this host has learned from servers, with monotonic times. */
+  listLimits(): core.LimitRecord[] {
+    return this.#options.dispatcher.listLimits(this.#options.clock.now());
+  }
+
   /** Sets how the engines of a service are divided between short and long prompts. */
   setDivision(target: string, division: core.EngineDivision): void {
     this.#options.dispatcher.setDivision(target, division);
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -24,9 +24,21 @@
     usage: counter.list(),
     suspects: marks.list()
       .map(({ fingerprint, server }) => ({ fingerprint, server })),
+    limits: applyOffset(
+      dispatch.listLimits(),
+      clocks.getTrueTime() - clock.now(),
+    ),
   };
 }
 
+/** Converts the times of limits between the monotonic clock and the time of day. */
+function applyOffset(
+  limits: readonly core.LimitRecord[],
+  offsetMs: number,
+): core.LimitRecord[] {
+  return limits.map((limit) => ({ ...limit, at: limit.at + offsetMs }));
+}
+
 /**
  * Applies a new list of backend servers.
  *
@@ -96,6 +108,10 @@
     prompting: others.prompting,
     hosts: others.hosts + 1,
     asOf: clock.now(),
+    limits: applyOffset(
+      others.limits ?? [],
+      clock.now() - clocks.getTrueTime(),
+    ),
   });
   if (others.suspects.length > 0) {
     dispatch.send({ kind: "suspected", marks: others.suspects });
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -147,8 +147,12 @@
       connections: pools.get(effect.server, { connectionLimit }),
       signal,
     }, {
-      onMetadata: ({ signals }) =>
-        applySignals(effect.server.name, { signals, sentAt: now }),
+      onMetadata: ({ signals, genuine, status }) =>
+        applySignals(effect.server.name, {
+          signals,
+          sentAt: now,
+          succeeded: genuine && status < 300,
+        }),
       onEvents: async (batch) => {
         if (signal.aborted || this.#ended) return;
         // A stream is counted once per attempt, on its first event.
--- a/packages/banyangrade/gateway/server_signals.ts
+++ b/packages/banyangrade/gateway/server_signals.ts
@@ -2,6 +2,7 @@
 import * as lru from "lru-cache";
 import * as core from "@banyangrade/core";
 import type * as utils from "@banyangrade/utils";
+import type * as dispatchTask from "../dispatch_task.ts";
 import type * as metrics from "../metrics.ts";
 
 /** The signals of a response and the attempt to which it belongs. */
@@ -9,11 +10,14 @@
   readonly signals: core.ServerSignals;
   /** When the attempt was sent, monotonic ms. */
   readonly sentAt: number;
+  /** Whether the server itself answered the request with success. */
+  readonly succeeded: boolean;
 }
 
 /** Components that the signals affect. */
 export interface SignalContext {
   readonly signalLog: SignalLog;
+  readonly dispatch: dispatchTask.DispatchTask;
 }
 
 /**
@@ -23,10 +27,11 @@
  * applySignals(parts, { server: "s1@1", signals, sentAt });
  */
 export function applySignals(
-  { signalLog }: SignalContext,
-  { server, signals }: SignalledResponse & { readonly server: string },
+  { signalLog, dispatch }: SignalContext,
+  response: SignalledResponse & { readonly server: string },
 ): void {
-  signalLog.record(server, signals);
+  signalLog.record(response.server, response.signals);
+  dispatch.send({ kind: "responded", ...response });
 }
 
 /** Kinds of changes that are counted. */
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -12,6 +12,8 @@
 import * as admissionControl from "./admission_control.ts";
 import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
+import type * as serverLimits from "./server_limits.ts";
+import * as serverSignals from "./server_signals.ts";
 import type * as serverState from "./server_state.ts";
 import * as overflow from "./overflow.ts";
 import * as dispatching from "./dispatching.ts";
@@ -77,6 +79,11 @@
     return this.#listByEngine(({ prompting }) => prompting);
   }
 
+  /** Lists the limits that this host has learned from servers, to share with other hosts. */
+  listLimits(now: number): serverLimits.LimitRecord[] {
+    return this.#state.limits.listOwn(now);
+  }
+
   #listByEngine(
     read: (server: serverState.ServerState) => number,
   ): Record<string, number> {
@@ -141,9 +148,14 @@
     case "load_shared":
       state.table.recordAllElsewhere(event, event.asOf);
       state.coldPermits.setHosts(event.hosts);
+      state.limits.setHosts(event.hosts);
+      state.limits.merge(event.limits ?? []);
       return dispatching.dispatchQueue(state);
+    case "responded":
+      return recordSignals(state, event);
     case "servers_changed":
       state.table.setServers(event.servers, state.now);
+      state.limits.keepOnly(new Set(event.servers.map(({ name }) => name)));
       return dispatching.dispatchQueue(state);
     case "hosts_changed":
       return state.table.setHosts(event.hosts);
@@ -175,6 +187,18 @@
   }
 }
 
+/** Records what a response says about its server. */
+function recordSignals(
+  state: hostState.HostState,
+  { server, signals, ...response }: Extract<
+    events.DispatchEvent,
+    { kind: "responded" }
+  >,
+): void {
+  const perSecond = serverSignals.findLimit(signals);
+  state.limits.recordResponse(server, { ...response, perSecond }, state.now);
+}
+
 function listClassDemand(
   state: hostState.HostState,
   { pool, lanes }: {
--- a/packages/core/dispatching.ts
+++ b/packages/core/dispatching.ts
@@ -100,6 +100,7 @@
   });
   state.table.recordStart(server, queued.request);
   recordColdStart(state, server);
+  state.limits.use(server.info.name);
   if (queued.suspect) server.suspects += 1;
   server.prompting += queued.request.promptTokens;
   state.running.add({
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -1,6 +1,8 @@
 /** Events that a host passes to its dispatcher, and effects that the dispatcher returns. */
 import type * as config from "./config.ts";
 import type * as request from "./request.ts";
+import type * as serverLimits from "./server_limits.ts";
+import type * as serverSignals from "./server_signals.ts";
 
 /** How an attempt failed. */
 export type AttemptFailure =
@@ -146,6 +148,18 @@
     readonly hosts: number;
     /** When the load was current, monotonic ms. */
     readonly asOf: number;
+    /** Limits of servers that other hosts have learned, with monotonic times. @default none */
+    readonly limits?: readonly serverLimits.LimitRecord[];
+  }
+  | {
+    /** A server sent the head of a response. */
+    readonly kind: "responded";
+    readonly server: string;
+    readonly signals: serverSignals.ServerSignals;
+    /** When the request was sent, monotonic ms. */
+    readonly sentAt: number;
+    /** Whether the server itself answered the request with success. */
+    readonly succeeded: boolean;
   }
   | {
     readonly kind: "servers_changed";
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -19,6 +19,7 @@
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
 import * as router from "./router.ts";
+import * as serverLimits from "./server_limits.ts";
 import type * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
@@ -70,6 +71,8 @@
   readonly domainFailures: domainFailureDetector.DomainFailureDetector;
   /** Permits of this host to send requests to cold servers. */
   readonly coldPermits: coldPermits.ColdServerPermits;
+  /** Limits that servers name, and permits of this host for them. */
+  readonly limits: serverLimits.ServerLimits;
   readonly router: router.Router;
 }
 
@@ -83,6 +86,7 @@
   const table = new servers.ServerTable(options);
   const prompts = new engineChoice.PromptLengths();
   const permits = new coldPermits.ColdServerPermits(options);
+  const limits = new serverLimits.ServerLimits(options);
   return {
     now: 0,
     effects: [],
@@ -104,10 +108,12 @@
     pauses: new pauses.TokenPauseCounter(),
     domainFailures: new domainFailureDetector.DomainFailureDetector(),
     coldPermits: permits,
+    limits,
     router: new router.Router({
       table,
       prompts,
       coldPermits: permits,
+      limits,
       ...options,
     }),
   };
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -8,6 +8,7 @@
 import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
 import * as pauses from "./pauses.ts";
+import type * as serverLimits from "./server_limits.ts";
 import type * as windowCounts from "./window_counts.ts";
 
 /** Number of requests, or of prompt tokens, by server. */
@@ -33,6 +34,8 @@
   readonly usage: windowCounts.WindowTable;
   /** Servers that failed recently, with the requests that ran on them. */
   readonly suspects: readonly events.SuspectMark[];
+  /** Limits that the host learned from servers, in Unix ms; absent from hosts of earlier versions. */
+  readonly limits?: readonly serverLimits.LimitRecord[];
 }
 
 /** Decision of one host on how engines are divided between short and long prompts. */
@@ -52,6 +55,8 @@
   /** Current corrected times of day of some hosts of the group, in Unix ms. */
   readonly times: readonly number[];
   readonly suspects: readonly events.SuspectMark[];
+  /** Newest limit of each server, in Unix ms; absent from hosts of earlier versions. */
+  readonly limits?: readonly serverLimits.LimitRecord[];
   /** Newest decision; absent until one has been received. */
   readonly divisions?: EngineDivisionDecision;
 }
@@ -134,6 +139,7 @@
         demand: status.demand,
         running: status.running,
         prompting: status.prompting,
+        limits: status.limits ?? [],
         times: [status.at + now - at],
       })),
     ]);
@@ -178,9 +184,24 @@
     prompting: sumCounts(summaries.map(({ prompting }) => prompting)),
     times: summaries.flatMap(({ times }) => times).slice(0, MAX_CLOCK_READINGS),
     suspects: [...marks.values()],
+    limits: keepNewestLimits(summaries.flatMap(({ limits }) => limits ?? [])),
   };
 }
 
+/** Keeps the newest record of each server. */
+function keepNewestLimits(
+  records: readonly serverLimits.LimitRecord[],
+): serverLimits.LimitRecord[] {
+  const newest = new Map<string, serverLimits.LimitRecord>();
+  records.forEach((record) => {
+    const known = newest.get(record.server);
+    if (known === undefined || known.at < record.at) {
+      newest.set(record.server, record);
+    }
+  });
+  return [...newest.values()];
+}
+
 /**
  * Advances the clock readings of a summary by its age, and drops its load and
  * clock readings once they are too old to be valid.
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -13,6 +13,7 @@
 import * as engineDivision from "./engine_division.ts";
 import type * as request from "./request.ts";
 import * as serverEligibility from "./server_eligibility.ts";
+import type * as serverLimits from "./server_limits.ts";
 import * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
@@ -29,6 +30,7 @@
   readonly affinity?: boolean;
   readonly prompts: engineChoice.PromptLengths;
   readonly coldPermits: coldPermits.ColdServerPermits;
+  readonly limits: serverLimits.ServerLimits;
   /** Whether engines are compared by prompt tokens that await prefill; used by hosts without slot grants. @default false */
   readonly comparesPrompts?: boolean;
   /** Whether this host has an idle connection to a server. @default none */
@@ -68,6 +70,7 @@
   readonly #affinity: boolean;
   readonly #prompts: engineChoice.PromptLengths;
   readonly #coldPermits: coldPermits.ColdServerPermits;
+  readonly #limits: serverLimits.ServerLimits;
   readonly #comparesPrompts: boolean;
   readonly #isConnected: (server: string) => boolean;
   readonly #divisions = new Map<string, engineDivision.EngineDivision>();
@@ -82,6 +85,7 @@
     this.#affinity = options.affinity ?? true;
     this.#prompts = options.prompts;
     this.#coldPermits = options.coldPermits;
+    this.#limits = options.limits;
     this.#comparesPrompts = options.comparesPrompts ?? false;
     this.#isConnected = options.isConnected ?? (() => false);
   }
@@ -105,7 +109,8 @@
       pools.has(server.info.pool) && serverState.mayRunAt(server, request) &&
       serverEligibility.isEligible(server, options) &&
       (!serverState.isCold(server, options.now) ||
-        poolsWithColdTurn.has(server.info.pool));
+        poolsWithColdTurn.has(server.info.pool)) &&
+      this.#limits.mayUse(server.info.name, options.now);
     const isUsable = (server: serverState.ServerState) =>
       server.info.name !== options.avoid && isEligible(server);
     if (this.#comparesPrompts && request.kind === "generate") {
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -57,7 +57,9 @@
    * Receives the metadata of each response, whatever its outcome, before any part
    * of it is forwarded. @default ignored
    */
-  readonly onMetadata?: (metadata: ResponseMetadata) => void;
+  readonly onMetadata?: (
+    metadata: ResponseMetadata & { readonly status: number },
+  ) => void;
   /** Receives complete events unchanged; the promise applies backpressure while the caller is slow. */
   readonly onEvents: (
     batch: EventBatch,
@@ -175,7 +177,7 @@
 ): Promise<ForwardOutcome> {
   const { statusCode: status, headers } = response;
   const marks = call.readResponseMetadata(status, headers);
-  sink.onMetadata?.(marks);
+  sink.onMetadata?.({ ...marks, status });
   const failure = findHeadFailure(response, { call, marks });
   if (failure !== undefined) {
     // Destroys the connection too, since further data on it belongs to no request.
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -23,6 +23,8 @@
 const ROUTING = "packages/core/routing_test.ts";
 const DISPATCHER = "packages/core/dispatcher_fuzz_test.ts";
 const ABANDONED = "packages/service/abandoned_request_test.ts";
+const LIMITS = "packages/core/server_limits_test.ts";
+const LIMITS_FUZZ = "packages/core/server_limits_fuzz_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -334,4 +336,32 @@
     replace: "",
     test: CALLER_DISCONNECTS,
   },
+  {
+    name: "limits: each host uses the whole limit of a server",
+    file: "packages/core/rate_permits.ts",
+    find: "1_000 * this.#hosts / perSecond",
+    replace: "1_000 / perSecond",
+    test: LIMITS_FUZZ,
+  },
+  {
+    name: "limits: a limited server is chosen without a permit",
+    file: "packages/core/router.ts",
+    find: "this.#limits.mayUse(server.info.name, options.now)",
+    replace: "true",
+    test: LIMITS,
+  },
+  {
+    name: "limits: a response to an older request ends a limit",
+    file: "packages/core/server_limits.ts",
+    find: "sentAt > known.at",
+    replace: "true",
+    test: LIMITS,
+  },
+  {
+    name: "limits: hosts do not learn limits from each other",
+    file: "packages/core/server_limits.ts",
+    find: "if (record.at > (known?.at ?? -Infinity) + marginMs) {",
+    replace: "if (marginMs < 0) {",
+    test: LIMITS,
+  },
 ];
