Log and count the rests that backend servers ask for

Cause: not proved yet; a refusal was logged without what it asked for, so a host that ignores a rest and requests that were already on their way looked alike. Nothing decides by it yet.

--- a/packages/banyangrade/gateway/server_signals.ts
+++ b/packages/banyangrade/gateway/server_signals.ts
@@ -35,7 +35,11 @@
 }
 
 /** Kinds of changes that are counted. */
-type SignalChange = "limit_named" | "limit_ended" | "malformed";
+type SignalChange =
+  | "limit_named"
+  | "limit_ended"
+  | "rest_requested"
+  | "malformed";
 
 /** Number of servers whose last signals are remembered. */
 const MAX_SERVERS = 20_000;
@@ -59,6 +63,7 @@
   /** Records the signals of a response of a server. */
   record(server: string, signals: core.ServerSignals): void {
     this.#recordLimit(server, core.findLimit(signals));
+    this.#recordRest(server, core.findRest(signals));
     signals.malformed.forEach((malformed) =>
       this.#recordMalformed(server, malformed)
     );
@@ -76,6 +81,12 @@
     this.#write("limit_named", fields, "Limit named.");
   }
 
+  /** A rest is logged each time, because each one is a refusal with a time of its own. */
+  #recordRest(server: string, restMs: number | undefined): void {
+    if (restMs === undefined) return;
+    this.#write("rest_requested", { server, restMs }, "Rest requested.");
+  }
+
   #recordMalformed(
     server: string,
     { header, value }: core.MalformedSignal,
--- a/packages/banyangrade/gateway_signals_test.ts
+++ b/packages/banyangrade/gateway_signals_test.ts
@@ -25,6 +25,8 @@
   log.record("s1@1", { ...core.NO_SIGNALS, malformed });
   log.record("s1@1", { ...core.NO_SIGNALS, malformed });
   t.same(lines.slice(3), ["Malformed signal ignored."]);
+  log.record("s1@1", { ...core.NO_SIGNALS, restsMs: [1_000, 3_000] });
+  t.same(lines.slice(4), ["Rest requested."]);
   t.match(
     await metrics.registry.metrics(),
     /banyangrade_server_signals_total\{signal="limit_named"\} 2/,
--- a/packages/core/server_signals.ts
+++ b/packages/core/server_signals.ts
@@ -7,6 +7,11 @@
    * value for each time that the response names it; empty if it names no limit.
    */
   readonly limitsPerSecond: readonly number[];
+  /**
+   * Times in ms for which the server, which refused the request, asks this host
+   * to send it nothing; one value for each time that the response names one.
+   */
+  readonly restsMs: readonly number[];
   /** Signals that could not be decoded. */
   readonly malformed: readonly MalformedSignal[];
 }
@@ -18,7 +23,29 @@
 }
 
 /** Signals of a response that carries none. */
-export const NO_SIGNALS: ServerSignals = { limitsPerSecond: [], malformed: [] };
+export const NO_SIGNALS: ServerSignals = {
+  limitsPerSecond: [],
+  restsMs: [],
+  malformed: [],
+};
+
+/** Longest rest that a host grants a server, in ms. */
+export const MAX_REST_MS = 600_000;
+
+/**
+ * Returns the rest that a response asks for, in ms: the longest one if it names
+ * several, up to {@link MAX_REST_MS}. Undefined if it asks for none.
+ *
+ * @example
+ * findRest({ restsMs: [3_000] }); // 3_000
+ */
+export function findRest(
+  { restsMs }: Pick<ServerSignals, "restsMs">,
+): number | undefined {
+  return restsMs.length === 0
+    ? undefined
+    : Math.min(MAX_REST_MS, Math.max(...restsMs));
+}
 
 /**
  * Returns the limit that a response names, in requests per second: the lowest
