Leave servers alone for the rest that they ask for

Cause: a refused attempt said nothing about its server. A server that refuses at once runs nothing, counts as the least loaded and gets more than before; with the retry budget used up, its refusals went to the callers. Change: a server that asks for rest gets nothing until it is over and then starts slowly, like an ejected one. A request whose connection was still being opened is withheld and tried elsewhere. Where all servers that may run a request rest for longer than it may wait, it is refused at once with the time that remains.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -124,6 +124,14 @@
     return this.#options.dispatcher.countPendingPrefill();
   }
 
+  /** Whether a request that was assigned to a server may still be sent there. */
+  maySendTo(server: string): boolean {
+    return this.#options.dispatcher.maySendTo(
+      server,
+      this.#options.clock.now(),
+    );
+  }
+
   /** Lists the limits that this host has learned from servers, with monotonic times. */
   listLimits(): core.LimitRecord[] {
     return this.#options.dispatcher.listLimits(this.#options.clock.now());
--- a/packages/banyangrade/gateway/connection_pools.ts
+++ b/packages/banyangrade/gateway/connection_pools.ts
@@ -8,14 +8,23 @@
 /** Number of connections that each host may open regardless of its share. */
 const MIN_CONNECTIONS = 4;
 
+/** Options of {@link ConnectionPools}. */
+export interface ConnectionPoolsOptions {
+  readonly clock: utils.Clock;
+  /** Whether a server may still get requests that were assigned to it. */
+  readonly maySendTo: (server: string) => boolean;
+}
+
 /** Opens and closes the connection pools. */
 export class ConnectionPools {
   readonly #pools = new Map<string, service.ServerConnections>();
   readonly #clock: utils.Clock;
+  readonly #maySendTo: (server: string) => boolean;
   #hosts = 1;
 
-  constructor(options: { readonly clock: utils.Clock }) {
+  constructor(options: ConnectionPoolsOptions) {
     this.#clock = options.clock;
+    this.#maySendTo = options.maySendTo;
   }
 
   /** Sets the number of hosts that share each server's connections. */
@@ -52,6 +61,7 @@
     const pool = service.createServerConnections(server.url, {
       connections: this.#computeShare(options.connectionLimit),
       clock: this.#clock,
+      maySend: () => this.#maySendTo(server.name),
     });
     this.#pools.set(server.name, pool);
     return pool;
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -107,14 +107,11 @@
 /** Builds the components that refer to no other one. */
 function buildBase(options: GatewayHostOptions): Partial<Draft> {
   const { settings, clock } = options;
-  const pools = new connectionPools.ConnectionPools({ clock });
-  pools.setHosts(ASSUMED_HOSTS);
   const incarnation = utils.createId();
   const metrics = new metricsModule.Metrics();
   return {
     ...options,
     incarnation,
-    pools,
     clocks: hostClocks.createHostClocks(clock),
     random: utils.createRandom(utils.hashSeed(incarnation)),
     state: { draining: false, closed: false },
@@ -132,6 +129,7 @@
   };
 }
 
+/** Adds the dispatcher and the connections that it fills. */
 function addDispatch(draft: Draft): void {
   const { settings, clock, random, budget } = draft;
   draft.dispatch = new dispatchTask.DispatchTask({
@@ -151,6 +149,11 @@
       void draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS }),
     onAskCapacity: () => undefined,
   });
+  draft.pools = new connectionPools.ConnectionPools({
+    clock,
+    maySendTo: (server) => draft.dispatch.maySendTo(server),
+  });
+  draft.pools.setHosts(ASSUMED_HOSTS);
 }
 
 function addRelay(draft: Draft): void {
--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -5,6 +5,7 @@
 import * as overflow from "./overflow.ts";
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
+import * as serverRests from "./server_rests.ts";
 import * as serverState from "./server_state.ts";
 import * as dispatching from "./dispatching.ts";
 
@@ -82,7 +83,10 @@
   request: request.Request,
 ): boolean {
   const pools = hostState.listPoolsFor(state, request);
-  const waitMs = estimateWait(state, { request, pools });
+  const waitMs = Math.max(
+    estimateWait(state, { request, pools }),
+    serverRests.estimateRest(state, request),
+  );
   const isTooLate = waitMs > request.startBy - state.now;
   const isFull = state.queue.size >= constants.MAX_QUEUED;
   if (!isTooLate && !isFull) return false;
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -6,6 +6,7 @@
 import * as progress from "./progress.ts";
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
+import * as serverRests from "./server_rests.ts";
 import * as serverState from "./server_state.ts";
 import * as dispatching from "./dispatching.ts";
 
@@ -94,7 +95,7 @@
   },
 ): void {
   const { now } = state;
-  if (failure !== "refused") {
+  if (failure !== "refused" && failure !== "withheld") {
     state.table.recordFailure(server, { failure, now });
   }
   switch (failure) {
@@ -106,6 +107,7 @@
     case "crossed":
       return progress.recordResponse(state, server);
     case "connection_lost":
+    case "withheld":
       return;
   }
 }
@@ -183,14 +185,21 @@
       code: "backend_failed",
       ran,
       peer: ended.server,
-      waitMs: ran === "no" ? 0 : undefined,
+      waitMs: ran === "no"
+        ? serverRests.estimateRest(state, request)
+        : undefined,
     });
   }
   if (state.suspects.isPoison(request.fingerprint)) {
     const poison = { refused: request, code: "poison_request" } as const;
     return hostState.refuse(state, { ...poison, ran: "unknown" });
   }
-  const notSent = event.failure === "not_sent";
+  // A request whose answer has begun gets a new start deadline instead.
+  const hasBegun = ended.offset + ended.tokens > 0;
+  if (!hasBegun && serverRests.isHopeless(state, request)) {
+    return serverRests.refuseHopeless(state, { request, ran });
+  }
+  const notSent = event.failure === "not_sent" || event.failure === "withheld";
   requeueAttempt(state, { ended, avoid: ended.server, ran, notSent });
 }
 
--- a/packages/core/deadline_checks.ts
+++ b/packages/core/deadline_checks.ts
@@ -5,6 +5,7 @@
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
+import * as serverRests from "./server_rests.ts";
 import * as dispatching from "./dispatching.ts";
 
 /**
@@ -135,7 +136,10 @@
     refused: entry.request,
     code: "deadline_exceeded",
     ran: entry.ran,
-    waitMs: state.lengths.get(key).serviceMs,
+    waitMs: Math.max(
+      state.lengths.get(key).serviceMs,
+      serverRests.estimateRest(state, entry.request),
+    ),
   });
 }
 
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -13,8 +13,9 @@
 import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
 import type * as serverLimits from "./server_limits.ts";
+import * as serverRests from "./server_rests.ts";
 import * as serverSignals from "./server_signals.ts";
-import type * as serverState from "./server_state.ts";
+import * as serverState from "./server_state.ts";
 import * as overflow from "./overflow.ts";
 import * as dispatching from "./dispatching.ts";
 import * as deadlineChecks from "./deadline_checks.ts";
@@ -79,6 +80,12 @@
     return this.#listByEngine(({ prompting }) => prompting);
   }
 
+  /** Whether a request that was assigned to a server may still be sent there; checked when its connection is open. */
+  maySendTo(server: string, now: number): boolean {
+    const known = this.#state.table.get(server);
+    return known !== undefined && serverState.maySendTo(known, now);
+  }
+
   /** Lists the limits that this host has learned from servers, to share with other hosts. */
   listLimits(now: number): serverLimits.LimitRecord[] {
     return this.#state.limits.listOwn(now);
@@ -197,6 +204,8 @@
 ): void {
   const perSecond = serverSignals.findLimit(signals);
   state.limits.recordResponse(server, { ...response, perSecond }, state.now);
+  const restMs = serverSignals.findRest(signals);
+  if (restMs !== undefined) serverRests.recordRest(state, { server, restMs });
 }
 
 function listClassDemand(
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -8,6 +8,8 @@
 export type AttemptFailure =
   /** No byte of the request was sent. */
   | "not_sent"
+  /** The host did not send the request, because the backend server asked for rest or started to leave meanwhile. */
+  | "withheld"
   /** The backend server answered that it did not run the request. */
   | "refused"
   /** The connection broke after the first byte was sent. */
--- a/packages/core/retry.ts
+++ b/packages/core/retry.ts
@@ -65,6 +65,7 @@
 export function resolveRan(failure: events.AttemptFailure): request.Ran {
   switch (failure) {
     case "not_sent":
+    case "withheld":
     case "refused":
       return "no";
     case "server_error":
@@ -96,7 +97,9 @@
   const ran = resolveRan(failed.failure);
   const safe = ran === "no" || failed.repeatable;
   const canResume = !failed.answerStarted || failed.resumable;
-  if (failed.failure === "not_sent" && canResume) return { kind: "retry" };
+  const isUnsent = failed.failure === "not_sent" ||
+    failed.failure === "withheld";
+  if (isUnsent && canResume) return { kind: "retry" };
   const underLimit = failed.sent <
     (failed.maxAttempts ?? constants.MAX_ATTEMPTS);
   if (safe && canResume && underLimit && takeBudget()) return { kind: "retry" };
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -34,6 +34,8 @@
   ejectedUntil: number;
   /** Time at which the slow start of the server begins, monotonic ms. */
   admittedAt: number;
+  /** Time until which the server has asked this host to send it nothing, monotonic ms. */
+  restUntil: number;
   /** Time until which the server is considered cold, monotonic ms. */
   coldUntil: number;
   /** Moving average of the time between tokens, in ms; 0 before the first sample. */
@@ -187,6 +189,29 @@
   server.admittedAt = until;
 }
 
+/**
+ * Leaves a server alone until the given time, as it asked for; then it starts
+ * slowly. A shorter rest than one that is already granted changes nothing.
+ *
+ * @example
+ * suspendServer(server, now + 3_000);
+ */
+export function suspendServer(server: ServerState, until: number): void {
+  server.restUntil = Math.max(server.restUntil, until);
+  if (until > server.ejectedUntil) ejectServer(server, until);
+}
+
+/**
+ * Whether a request that was assigned to a server may still be sent there: the
+ * server has neither asked for rest nor started to leave since.
+ *
+ * @example
+ * maySendTo(server, now);
+ */
+export function maySendTo(server: ServerState, now: number): boolean {
+  return server.info.state === "live" && now >= server.restUntil;
+}
+
 /**
  * Ejects a server that accepts no connections and marks it as cold for the time
  * after the ejection: its process may have ended, so the process that next
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -178,6 +178,7 @@
         consecutiveFailures: 0,
         ejections: 0,
         ejectedUntil: 0,
+        restUntil: 0,
         admittedAt: Number.NEGATIVE_INFINITY,
         coldUntil: Number.NEGATIVE_INFINITY,
         tokenMs: 0,
--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -1,6 +1,7 @@
 /** HTTP connection pool of one backend server. */
 import * as undici from "undici";
 import * as utils from "@banyangrade/utils";
+import * as sendGate from "./send_gate.ts";
 
 /** Timeout for opening a connection, in ms; about a hundred times the latency between failure domains. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -29,6 +30,14 @@
   readonly destroy: () => Promise<void>;
 }
 
+/** Options of {@link createServerConnections}. */
+export interface ConnectionOptions {
+  readonly connections: number;
+  readonly clock: utils.Clock;
+  /** Whether the server may still get requests; checked when a request is written. @default always */
+  readonly maySend?: () => boolean;
+}
+
 /**
  * Creates a connection pool, which opens connections on demand.
  *
@@ -37,9 +46,9 @@
  */
 export function createServerConnections(
   url: string,
-  options: { readonly connections: number; readonly clock: utils.Clock },
+  options: ConnectionOptions,
 ): ServerConnections {
-  const { clock } = options;
+  const { clock, maySend = () => true } = options;
   let lastReceivedAt = Number.NEGATIVE_INFINITY;
   const pool = new undici.Pool(url, {
     connections: options.connections,
@@ -49,7 +58,7 @@
     factory: utils.createResettingClient,
   });
   return {
-    dispatcher: pool,
+    dispatcher: pool.compose(sendGate.createSendGate(maySend)),
     limit: options.connections,
     hasIdleConnection: () => pool.stats.free > 0,
     recordReceived: () => {
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -9,6 +9,7 @@
 import type * as connections from "./connections.ts";
 import * as eventSplitter from "./event_splitter.ts";
 import * as inactivityWatch from "./inactivity_watch.ts";
+import * as sendGate from "./send_gate.ts";
 
 /** Metadata that the platform adds to the response headers. */
 export interface ResponseMetadata {
@@ -127,6 +128,9 @@
       return { kind: "failed", failure: "timeout", reason };
     }
     const reason = utils.getErrorMessage(thrown);
+    if (sendGate.isWithheld(thrown)) {
+      return { kind: "failed", failure: "withheld", reason };
+    }
     return {
       kind: "failed",
       failure: utils.classifyTransportError(thrown),
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -25,6 +25,7 @@
 const ABANDONED = "packages/service/abandoned_request_test.ts";
 const LIMITS = "packages/core/server_limits_test.ts";
 const LIMITS_FUZZ = "packages/core/server_limits_fuzz_test.ts";
+const RESTS = "packages/core/server_rests_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -364,4 +365,32 @@
     replace: "if (marginMs < 0) {",
     test: LIMITS,
   },
+  {
+    name: "rests: a server that asked for rest is chosen",
+    file: "packages/core/server_state.ts",
+    find: "if (until > server.ejectedUntil) ejectServer(server, until);",
+    replace: "",
+    test: RESTS,
+  },
+  {
+    name: "rests: a shorter rest ends a longer one",
+    file: "packages/core/server_state.ts",
+    find: "server.restUntil = Math.max(server.restUntil, until);",
+    replace: "server.restUntil = until;",
+    test: RESTS,
+  },
+  {
+    name: "rests: requests wait although all servers rest for too long",
+    file: "packages/core/admission_control.ts",
+    find: "serverRests.estimateRest(state, request)",
+    replace: "0",
+    test: RESTS,
+  },
+  {
+    name: "rests: a request is sent once its connection is open",
+    file: "packages/service/connections.ts",
+    find: "pool.compose(sendGate.createSendGate(maySend))",
+    replace: "pool",
+    test: "packages/service/send_gate_test.ts",
+  },
 ];
