Log and count servers that announce their leaving in responses

Cause: not proved yet; nothing told a server that announces its leaving itself from one that the store lists as draining. Nothing decides by it yet.

--- a/packages/banyangrade/gateway/server_signals.ts
+++ b/packages/banyangrade/gateway/server_signals.ts
@@ -39,6 +39,7 @@
   | "limit_named"
   | "limit_ended"
   | "rest_requested"
+  | "leaving"
   | "malformed";
 
 /** Number of servers whose last signals are remembered. */
@@ -51,6 +52,7 @@
   readonly #log: utils.Logger;
   readonly #metrics: metrics.Metrics;
   readonly #limits = new lru.LRUCache<string, number>({ max: MAX_SERVERS });
+  readonly #leaving = new lru.LRUCache<string, true>({ max: MAX_SERVERS });
   readonly #malformed = new lru.LRUCache<string, string>({ max: MAX_SERVERS });
 
   constructor(
@@ -64,6 +66,7 @@
   record(server: string, signals: core.ServerSignals): void {
     this.#recordLimit(server, core.findLimit(signals));
     this.#recordRest(server, core.findRest(signals));
+    if (signals.leaving) this.#recordLeaving(server);
     signals.malformed.forEach((malformed) =>
       this.#recordMalformed(server, malformed)
     );
@@ -87,6 +90,12 @@
     this.#write("rest_requested", { server, restMs }, "Rest requested.");
   }
 
+  #recordLeaving(server: string): void {
+    if (this.#leaving.has(server)) return;
+    this.#leaving.set(server, true);
+    this.#write("leaving", { server }, "Leaving announced.");
+  }
+
   #recordMalformed(
     server: string,
     { header, value }: core.MalformedSignal,
--- a/packages/banyangrade/gateway_signals_test.ts
+++ b/packages/banyangrade/gateway_signals_test.ts
@@ -27,6 +27,9 @@
   t.same(lines.slice(3), ["Malformed signal ignored."]);
   log.record("s1@1", { ...core.NO_SIGNALS, restsMs: [1_000, 3_000] });
   t.same(lines.slice(4), ["Rest requested."]);
+  log.record("s1@1", { ...core.NO_SIGNALS, leaving: true });
+  log.record("s1@1", { ...core.NO_SIGNALS, leaving: true });
+  t.same(lines.slice(5), ["Leaving announced."]);
   t.match(
     await metrics.registry.metrics(),
     /banyangrade_server_signals_total\{signal="limit_named"\} 2/,
--- a/packages/core/server_signals.ts
+++ b/packages/core/server_signals.ts
@@ -12,6 +12,8 @@
    * to send it nothing; one value for each time that the response names one.
    */
   readonly restsMs: readonly number[];
+  /** Whether the server says that it leaves. */
+  readonly leaving: boolean;
   /** Signals that could not be decoded. */
   readonly malformed: readonly MalformedSignal[];
 }
@@ -26,6 +28,7 @@
 export const NO_SIGNALS: ServerSignals = {
   limitsPerSecond: [],
   restsMs: [],
+  leaving: false,
   malformed: [],
 };
 
@@ -52,7 +55,7 @@
  * one if it names several. Undefined if it names none.
  *
  * @example
- * findLimit({ limitsPerSecond: [3, 1.5], malformed: [] }); // 1.5
+ * findLimit({ limitsPerSecond: [3, 1.5] }); // 1.5
  */
 export function findLimit(
   { limitsPerSecond }: Pick<ServerSignals, "limitsPerSecond">,
