Send nothing to servers that announce their leaving in responses

Cause: no host read the announcement; only the store's list decided. Change: a server that announces its leaving counts as leaving at once, whatever state it is listed with and also when its entry expires and comes back. Another incarnation has another name and is used.

--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -79,3 +79,6 @@
 export const RETRY_AFTER_MIN_MS = 1_000;
 /** Maximum retry delay in a refusal, in ms. */
 export const RETRY_AFTER_MAX_MS = 60_000;
+
+/** Number of servers of which a host remembers what they asked for. */
+export const MAX_REMEMBERED_SERVERS = 20_000;
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -205,6 +205,7 @@
   const perSecond = serverSignals.findLimit(signals);
   state.limits.recordResponse(server, { ...response, perSecond }, state.now);
   const restMs = serverSignals.findRest(signals);
+  if (signals.leaving) state.table.recordLeaving(server);
   if (restMs !== undefined) serverRests.recordRest(state, { server, restMs });
 }
 
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -1,4 +1,5 @@
 /** Table of the backend servers and pools that a host uses. */
+import * as lru from "lru-cache";
 import * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
@@ -18,6 +19,14 @@
   #byTarget = new Map<string, serverState.ServerState[]>();
   #preferredByTarget = new Map<string, serverState.ServerState[]>();
   #infos: readonly events.ServerInfo[] = [];
+  /**
+   * Servers that have announced their leaving, whatever state they are listed
+   * with. They are remembered when they are no longer listed, because an entry
+   * that expired during a store outage comes back.
+   */
+  readonly #leaving = new lru.LRUCache<string, true>({
+    max: constants.MAX_REMEMBERED_SERVERS,
+  });
 
   constructor(
     { host, failureDomain }: {
@@ -74,12 +83,26 @@
     this.#applyInfos();
   }
 
+  /**
+   * Records that a server has announced its leaving. It is in use again only as
+   * another incarnation, which has another name.
+   */
+  recordLeaving(name: string): void {
+    if (!this.#servers.has(name) || this.#leaving.has(name)) return;
+    this.#leaving.set(name, true);
+    this.#applyInfos();
+  }
+
   #applyInfos(): void {
     const infos = [...this.#infos, ...[...this.#lentByDomain.values()].flat()];
     const listed = new Set(infos.map((info) => info.name));
     [...this.#servers.keys()].filter((name) => !listed.has(name))
       .forEach((name) => this.#servers.delete(name));
-    infos.forEach((info) => this.#setServer(info));
+    infos.map((info) =>
+      this.#leaving.has(info.name)
+        ? { ...info, state: "leaving" as const }
+        : info
+    ).forEach((info) => this.#setServer(info));
     this.#byTarget = indexByTarget(
       [...this.#servers.values()],
       (server) => server.pool.targets,
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -26,6 +26,7 @@
 const LIMITS = "packages/core/server_limits_test.ts";
 const LIMITS_FUZZ = "packages/core/server_limits_fuzz_test.ts";
 const RESTS = "packages/core/server_rests_test.ts";
+const LEAVING = "packages/core/server_leaving_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -393,4 +394,19 @@
     replace: "pool",
     test: "packages/service/send_gate_test.ts",
   },
+  {
+    name: "leaving: an announcement in a response is ignored",
+    file: "packages/core/dispatcher.ts",
+    find: "if (signals.leaving) state.table.recordLeaving(server);",
+    replace: "",
+    test: LEAVING,
+  },
+  {
+    name: "leaving: a server that is listed again is used again",
+    file: "packages/core/servers.ts",
+    find: ".forEach((name) => this.#servers.delete(name));\n    infos.map",
+    replace:
+      ".forEach((name) => {\n        this.#servers.delete(name);\n        this.#leaving.delete(name);\n      });\n    infos.map",
+    test: LEAVING,
+  },
 ];
