Keep a server's limit while its entry is absent

Callers saw nothing; a server whose entry expired in an outage of the store and came back could get more than the limit that it had named. Cause: found by reading: the limits of servers that are not listed were forgotten, although a server comes back under the same name.

--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -86,9 +86,11 @@
     return known !== undefined && serverState.maySendTo(known, now);
   }
 
-  /** Lists the limits that this host has learned from servers, to share with other hosts. */
+  /** Lists the limits that this host has learned from listed servers, to share with other hosts. */
   listLimits(now: number): serverLimits.LimitRecord[] {
-    return this.#state.limits.listOwn(now);
+    const { limits, table } = this.#state;
+    return limits.listOwn(now)
+      .filter(({ server }) => table.get(server) !== undefined);
   }
 
   #listByEngine(
@@ -162,7 +164,6 @@
       return recordSignals(state, event);
     case "servers_changed":
       state.table.setServers(event.servers, state.now);
-      state.limits.keepOnly(new Set(event.servers.map(({ name }) => name)));
       return dispatching.dispatchQueue(state);
     case "hosts_changed":
       return state.table.setHosts(event.hosts);
--- a/packages/core/server_limits.ts
+++ b/packages/core/server_limits.ts
@@ -7,7 +7,9 @@
  * limit that outlasts its server's need because a host sends the server too few
  * requests to notice the end.
  */
+import * as lru from "lru-cache";
 import type * as utils from "@banyangrade/utils";
+import * as constants from "./constants.ts";
 import * as ratePermits from "./rate_permits.ts";
 
 /** Average share of a limit that the permits use: hosts draw independently, so their requests arrive in clusters, and the number of hosts may be out of date. */
@@ -50,7 +52,14 @@
 
 /** The limits of backend servers, and this host's permits for them. */
 export class ServerLimits {
-  readonly #known = new Map<string, KnownLimit>();
+  /** Kept also for servers that are not listed: an entry that expired during a store outage comes back. */
+  readonly #known = new lru.LRUCache<string, KnownLimit>({
+    max: constants.MAX_REMEMBERED_SERVERS,
+    dispose: (_, server, reason) => {
+      // A limit that is named again keeps the phase of its permits.
+      if (reason === "evict") this.#permits.forget(server);
+    },
+  });
   readonly #permits: ratePermits.RatePermits;
 
   constructor(options: { readonly random: utils.Random }) {
@@ -99,15 +108,6 @@
     ).map(({ own: _own, ...record }) => record);
   }
 
-  /** Forgets all servers but these. */
-  keepOnly(servers: ReadonlySet<string>): void {
-    [...this.#known.keys()].filter((server) => !servers.has(server))
-      .forEach((server) => {
-        this.#known.delete(server);
-        this.#permits.forget(server);
-      });
-  }
-
   /** Whether this host may send a server a request: it has a permit, or the server names no limit. */
   mayUse(server: string, now: number): boolean {
     const perSecond = this.#known.get(server)?.perSecond;
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -409,4 +409,11 @@
       ".forEach((name) => {\n        this.#servers.delete(name);\n        this.#leaving.delete(name);\n      });\n    infos.map",
     test: LEAVING,
   },
+  {
+    name: "limits: the permits of a limit start anew with each response",
+    file: "packages/core/server_limits.ts",
+    find: 'if (reason === "evict") this.#permits.forget(server);',
+    replace: "this.#permits.forget(server);",
+    test: LIMITS,
+  },
 ];
