--- a/packages/banyangrade/gateway/server_signals.ts
+++ b/packages/banyangrade/gateway/server_signals.ts
@@ -42,8 +42,6 @@
   | "leaving"
   | "malformed";
 
-/** Number of servers whose last signals are remembered. */
-const MAX_SERVERS = 20_000;
 /** Length to which the value of a malformed signal is shortened. */
 const MAX_VALUE_LENGTH = 40;
 
@@ -51,9 +49,15 @@
 export class SignalLog {
   readonly #log: utils.Logger;
   readonly #metrics: metrics.Metrics;
-  readonly #limits = new lru.LRUCache<string, number>({ max: MAX_SERVERS });
-  readonly #leaving = new lru.LRUCache<string, true>({ max: MAX_SERVERS });
-  readonly #malformed = new lru.LRUCache<string, string>({ max: MAX_SERVERS });
+  readonly #limits = new lru.LRUCache<string, number>(
+    core.constants.SERVER_CACHE,
+  );
+  readonly #leaving = new lru.LRUCache<string, true>(
+    core.constants.SERVER_CACHE,
+  );
+  readonly #malformed = new lru.LRUCache<string, string>(
+    core.constants.SERVER_CACHE,
+  );
 
   constructor(
     options: { readonly log: utils.Logger; readonly metrics: metrics.Metrics },
--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -80,5 +80,11 @@
 /** Maximum retry delay in a refusal, in ms. */
 export const RETRY_AFTER_MAX_MS = 60_000;
 
-/** Number of servers of which a host remembers what they asked for. */
-export const MAX_REMEMBERED_SERVERS = 20_000;
+/**
+ * Options of a cache with an entry for each server that asked for something. Its
+ * size is bounded without the memory that `max` would allocate at once.
+ */
+export const SERVER_CACHE = {
+  maxSize: 20_000,
+  sizeCalculation: () => 1,
+} as const;
--- a/packages/core/server_limits.ts
+++ b/packages/core/server_limits.ts
@@ -54,7 +54,7 @@
 export class ServerLimits {
   /** Kept also for servers that are not listed: an entry that expired during a store outage comes back. */
   readonly #known = new lru.LRUCache<string, KnownLimit>({
-    max: constants.MAX_REMEMBERED_SERVERS,
+    ...constants.SERVER_CACHE,
     dispose: (_, server, reason) => {
       // A limit that is named again keeps the phase of its permits.
       if (reason === "evict") this.#permits.forget(server);
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -24,9 +24,7 @@
    * with. They are remembered when they are no longer listed, because an entry
    * that expired during a store outage comes back.
    */
-  readonly #leaving = new lru.LRUCache<string, true>({
-    max: constants.MAX_REMEMBERED_SERVERS,
-  });
+  readonly #leaving = new lru.LRUCache<string, true>(constants.SERVER_CACHE);
 
   constructor(
     { host, failureDomain }: {
