Keep a server's rest while its entry is absent

Callers saw nothing; a server that had asked for rest, and whose entry expired in an outage of the store and came back, got requests before its rest was over. Cause: found by reading: the rest was kept with the state of a listed server. Change: the table remembers rests by the server's name, as it does leavings.

--- a/packages/core/server_rests.ts
+++ b/packages/core/server_rests.ts
@@ -22,10 +22,8 @@
   state: hostState.HostState,
   { server, restMs }: { readonly server: string; readonly restMs: number },
 ): void {
-  const known = state.table.get(server);
-  if (known === undefined) return;
-  serverState.suspendServer(known, state.now + restMs);
-  const { targets } = known.pool;
+  state.table.recordRest(server, state.now + restMs);
+  const targets = state.table.get(server)?.pool.targets ?? [];
   const late = state.queue.removeWhere((entry) =>
     targets.includes(entry.request.target) && isHopeless(state, entry.request)
   );
--- a/packages/core/server_rests_test.ts
+++ b/packages/core/server_rests_test.ts
@@ -129,6 +129,28 @@
   t.end();
 });
 
+// Guards against a rest that a host forgets because the server's entry expired
+// during an outage of the store and came back.
+tap.test("a rest outlasts the server's absence from the list", (t) => {
+  const dispatcher = testing.startDispatcher();
+  askForRest(dispatcher, { server: "r1", restMs: 3_000, now: 0 });
+  const listed = ["r1", "r2"].map((name): core.ServerInfo => ({
+    name,
+    pool: "rooms",
+    url: "",
+    state: "live",
+  }));
+  [[listed[1]], listed].forEach((servers) =>
+    dispatcher.handle({ kind: "servers_changed", servers }, 10)
+  );
+  t.notOk(dispatcher.maySendTo("r1", 20));
+  const started = [1, 2, 3].flatMap((n) =>
+    listStarted(arrive(dispatcher, { id: `a${n}`, now: 20 + n }))
+  );
+  t.same(started, ["r2", "r2"]);
+  t.end();
+});
+
 function listRefused(effects: readonly core.DispatchEffect[]): string[] {
   return effects.flatMap((effect) =>
     effect.kind === "refuse" ? [effect.requestId] : []
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -26,6 +26,9 @@
    */
   readonly #leaving = new lru.LRUCache<string, true>(constants.SERVER_CACHE);
 
+  /** Ends of the rests that servers asked for, monotonic ms; remembered like their leaving. */
+  readonly #rests = new lru.LRUCache<string, number>(constants.SERVER_CACHE);
+
   constructor(
     { host, failureDomain }: {
       readonly host: string;
@@ -81,6 +84,13 @@
     this.#applyInfos();
   }
 
+  /** Leaves a server alone until the given time; see {@link serverState.suspendServer}. */
+  recordRest(name: string, until: number): void {
+    this.#rests.set(name, Math.max(until, this.#rests.get(name) ?? until));
+    const server = this.#servers.get(name);
+    if (server !== undefined) serverState.suspendServer(server, until);
+  }
+
   /**
    * Records that a server has announced its leaving. It is in use again only as
    * another incarnation, which has another name.
@@ -186,25 +196,26 @@
       return;
     }
     const known = this.#servers.get(info.name);
-    this.#servers.set(
-      info.name,
-      known ? Object.assign(known, { info, pool }) : {
-        info,
-        pool,
-        running: 0,
-        preferredSlots: 0,
-        runningByTier: [],
-        prompting: 0,
-        suspects: 0,
-        consecutiveFailures: 0,
-        ejections: 0,
-        ejectedUntil: 0,
-        restUntil: 0,
-        admittedAt: Number.NEGATIVE_INFINITY,
-        coldUntil: Number.NEGATIVE_INFINITY,
-        tokenMs: 0,
-      },
-    );
+    if (known !== undefined) return void Object.assign(known, { info, pool });
+    const server: serverState.ServerState = {
+      info,
+      pool,
+      running: 0,
+      preferredSlots: 0,
+      runningByTier: [],
+      prompting: 0,
+      suspects: 0,
+      consecutiveFailures: 0,
+      ejections: 0,
+      ejectedUntil: 0,
+      restUntil: 0,
+      admittedAt: Number.NEGATIVE_INFINITY,
+      coldUntil: Number.NEGATIVE_INFINITY,
+      tokenMs: 0,
+    };
+    const restUntil = this.#rests.get(info.name);
+    if (restUntil !== undefined) serverState.suspendServer(server, restUntil);
+    this.#servers.set(info.name, server);
   }
 
   get(name: string): serverState.ServerState | undefined {
