Stop using an address at which another server answers

Callers saw failures: a request that two such responses had turned away was given up although another server was idle. Another server refuses at once, so the address looks idle and gets most requests until the list is up to date. Change: such a response ejects the server at once, like one that accepts no connections; it says nothing about the failure domain.

--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -108,6 +108,7 @@
       return progress.recordResponse(state, server);
     case "connection_lost":
     case "withheld":
+    case "misdirected":
       return;
   }
 }
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -12,6 +12,8 @@
   | "withheld"
   /** The backend server answered that it did not run the request. */
   | "refused"
+  /** Another backend server answered at its address, without running the request. */
+  | "misdirected"
   /** The connection broke after the first byte was sent. */
   | "connection_lost"
   /** The backend server answered with an error of its own. */
--- a/packages/core/retry.ts
+++ b/packages/core/retry.ts
@@ -67,6 +67,7 @@
     case "not_sent":
     case "withheld":
     case "refused":
+    case "misdirected":
       return "no";
     case "server_error":
     case "connection_lost":
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -304,7 +304,8 @@
 
   /**
    * Records a failed attempt. A server is ejected after several consecutive
-   * failures, or at once if it accepts no connections.
+   * failures, or at once if it accepts no connections or is no longer at its
+   * address.
    */
   recordFailure(
     server: serverState.ServerState,
@@ -315,9 +316,8 @@
   ): void {
     // Several attempts may fail by the same loss of a server; it counts once.
     if (now < server.ejectedUntil) return;
-    server.consecutiveFailures += failure === "not_sent"
-      ? constants.EJECT_AFTER_FAILURES
-      : 1;
+    const isAbsent = failure === "not_sent" || failure === "misdirected";
+    server.consecutiveFailures += isAbsent ? constants.EJECT_AFTER_FAILURES : 1;
     if (server.consecutiveFailures < constants.EJECT_AFTER_FAILURES) return;
     const ms = Math.min(
       constants.EJECT_MAX_MS,
--- a/packages/service/abandoned_request_test.ts
+++ b/packages/service/abandoned_request_test.ts
@@ -40,6 +40,7 @@
       requestId: "r1",
       notRun: false,
       genuine: true,
+      misdirected: false,
       signals: core.NO_SIGNALS,
     }),
     signal: new AbortController().signal,
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -17,6 +17,8 @@
   readonly requestId: string | undefined;
   /** Whether the server states that it did not execute the request. */
   readonly notRun: boolean;
+  /** Whether the response comes from another server than the addressed one, which did not execute the request either. */
+  readonly misdirected: boolean;
   /** Whether the headers prove that the server itself sent the response, not an intermediary. */
   readonly genuine: boolean;
   readonly signals: core.ServerSignals;
@@ -222,6 +224,10 @@
     const reason = "The response carries the identifier of another request.";
     return { failure: "crossed", reason };
   }
+  if (marks.misdirected) {
+    const reason = "Another server answered at the address.";
+    return { failure: "misdirected", reason };
+  }
   if (marks.notRun) {
     const reason = `The server refused the request with status ${statusCode}.`;
     return { failure: "refused", reason };
--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -49,6 +49,7 @@
       requestId: headers["x-id"] as string | undefined,
       notRun: headers["x-not-run"] !== undefined,
       genuine: headers["x-stamp"] !== undefined,
+      misdirected: false,
       signals: core.NO_SIGNALS,
     }),
     signal: new AbortController().signal,
--- a/packages/service/send_gate_test.ts
+++ b/packages/service/send_gate_test.ts
@@ -48,6 +48,7 @@
         requestId: "r1",
         notRun: false,
         genuine: true,
+        misdirected: false,
         signals: core.NO_SIGNALS,
       }),
       signal: new AbortController().signal,
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -416,4 +416,12 @@
     replace: "this.#permits.forget(server);",
     test: LIMITS,
   },
+  {
+    name:
+      "misdirected: an address at which another server answers is used again",
+    file: "packages/core/servers.ts",
+    find: ' || failure === "misdirected"',
+    replace: "",
+    test: "platform/host_test.ts",
+  },
 ];
