Keep the share of a host that no longer sees the others

Callers saw nothing; a host that is cut off from the others for 15 s counted itself as the only one, and sent a limited or cold server as many requests as all hosts together may. Cause: the number of hosts is that of the statuses received within 15 s. Evidence: the new test failed before (4 requests in 10 s at a limit of 1 per second over 195 hosts, now 0). Change: for the rates of servers, the largest count of the last two minutes applies. Result: the tests pass; the removal is noticed.

--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -156,8 +156,7 @@
       );
     case "load_shared":
       state.table.recordAllElsewhere(event, event.asOf);
-      state.coldPermits.setHosts(event.hosts);
-      state.limits.setHosts(event.hosts);
+      setHosts(state, event.hosts);
       state.limits.merge(event.limits ?? []);
       return dispatching.dispatchQueue(state);
     case "responded":
@@ -195,6 +194,13 @@
   }
 }
 
+/** Sets the number of hosts that share the rates of servers. */
+function setHosts(state: hostState.HostState, hosts: number): void {
+  const largest = state.hostCount.record(hosts, state.now);
+  state.coldPermits.setHosts(largest);
+  state.limits.setHosts(largest);
+}
+
 /** Records what a response says about its server. */
 function recordSignals(
   state: hostState.HostState,
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -9,6 +9,7 @@
 import * as engineChoice from "./engine_choice.ts";
 import type * as events from "./events.ts";
 import * as fairness from "./fairness.ts";
+import * as hostCount from "./host_count.ts";
 import * as lengths from "./length_estimates.ts";
 import * as pauses from "./pauses.ts";
 import * as preemption from "./preemption.ts";
@@ -69,6 +70,8 @@
   readonly pauses: pauses.TokenPauseCounter;
   /** Unresponsive servers of other failure domains. */
   readonly domainFailures: domainFailureDetector.DomainFailureDetector;
+  /** Number of hosts that share the rates of servers. */
+  readonly hostCount: hostCount.HostCount;
   /** Permits of this host to send requests to cold servers. */
   readonly coldPermits: coldPermits.ColdServerPermits;
   /** Limits that servers name, and permits of this host for them. */
@@ -107,6 +110,7 @@
     reading: new prefillAverages.PrefillAverages(),
     pauses: new pauses.TokenPauseCounter(),
     domainFailures: new domainFailureDetector.DomainFailureDetector(),
+    hostCount: new hostCount.HostCount(),
     coldPermits: permits,
     limits,
     router: new router.Router({
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -14,6 +14,7 @@
 export * from "./evacuations.ts";
 export * from "./events.ts";
 export * from "./freshness.ts";
+export * from "./host_count.ts";
 export * from "./host_statuses.ts";
 export * from "./keys.ts";
 export * from "./lease.ts";
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -424,4 +424,11 @@
     replace: "",
     test: "platform/host_test.ts",
   },
+  {
+    name: "limits: a host that is cut off takes the shares of the others",
+    file: "packages/core/dispatcher.ts",
+    find: "const largest = state.hostCount.record(hosts, state.now);",
+    replace: "const largest = hosts;",
+    test: "packages/core/host_count_test.ts",
+  },
 ];
