--- a/packages/core/host_statuses_test.ts
+++ b/packages/core/host_statuses_test.ts
@@ -40,6 +40,24 @@
   t.end();
 });
 
+// Guards against a host of an earlier version, which sends no limits.
+tap.test("a summary has the newest limit of each server", (t) => {
+  const statuses = new core.HostStatuses();
+  const limits = { server: "s", perSecond: 2, at: 900 };
+  [
+    buildStatus("a", { limits: [limits] }),
+    buildStatus("b", { limits: [{ server: "s", at: 950 }] }),
+    buildStatus("c"),
+  ].forEach((status) => statuses.record(status, { now: 0, direct: true }));
+  t.same(statuses.sum(500).limits, [{ server: "s", at: 950 }]);
+  t.same(statuses.sum(500, { without: "b" }).limits, [limits]);
+  const { limits: _limits, ...earlier } = core.EMPTY_SUMMARY;
+  t.same(core.mergeSummaries([earlier, statuses.sum(500)]).limits, [
+    { server: "s", at: 950 },
+  ]);
+  t.end();
+});
+
 // Guards against a host that is unreachable for seconds and still counts as load.
 // It keeps its share of the retry budget, and its usage must still be reported.
 tap.test("a stale status counts as a host, but not as load", (t) => {
