Refuse requests whose permit for a limited server does not come in time

Cause: the time until a permit was not known to the admission. Change: the estimate of rests covers permits too. A request that no server takes in time is refused at once; its retry delay is the time between two requests of all hosts to a server, since another host may have its permit sooner.

--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -5,8 +5,8 @@
 import * as overflow from "./overflow.ts";
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
-import * as serverRests from "./server_rests.ts";
 import * as serverState from "./server_state.ts";
+import * as serverWaits from "./server_waits.ts";
 import * as dispatching from "./dispatching.ts";
 
 /**
@@ -83,13 +83,12 @@
   request: request.Request,
 ): boolean {
   const pools = hostState.listPoolsFor(state, request);
-  const waitMs = Math.max(
-    estimateWait(state, { request, pools }),
-    serverRests.estimateRest(state, request),
-  );
-  const isTooLate = waitMs > request.startBy - state.now;
+  const slotMs = estimateWait(state, { request, pools });
+  const isTooLate = slotMs > request.startBy - state.now ||
+    serverWaits.isHopeless(state, request);
   const isFull = state.queue.size >= constants.MAX_QUEUED;
   if (!isTooLate && !isFull) return false;
+  const waitMs = Math.max(slotMs, serverWaits.estimateRetry(state, request));
   if (isFull && shedLowestTier(state, { request, waitMs })) return false;
   // A request is not refused while work of a lower tier runs anywhere in the
   // failure domain: it waits until other hosts release the slots recalled
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -6,8 +6,8 @@
 import * as progress from "./progress.ts";
 import type * as request from "./request.ts";
 import * as retry from "./retry.ts";
-import * as serverRests from "./server_rests.ts";
 import * as serverState from "./server_state.ts";
+import * as serverWaits from "./server_waits.ts";
 import * as dispatching from "./dispatching.ts";
 
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
@@ -187,7 +187,7 @@
       ran,
       peer: ended.server,
       waitMs: ran === "no"
-        ? serverRests.estimateRest(state, request)
+        ? serverWaits.estimateRetry(state, request)
         : undefined,
     });
   }
@@ -197,8 +197,8 @@
   }
   // A request whose answer has begun gets a new start deadline instead.
   const hasBegun = ended.offset + ended.tokens > 0;
-  if (!hasBegun && serverRests.isHopeless(state, request)) {
-    return serverRests.refuseHopeless(state, { request, ran });
+  if (!hasBegun && serverWaits.isHopeless(state, request)) {
+    return serverWaits.refuseHopeless(state, { request, ran });
   }
   const notSent = event.failure === "not_sent" || event.failure === "withheld";
   requeueAttempt(state, { ended, avoid: ended.server, ran, notSent });
--- a/packages/core/deadline_checks.ts
+++ b/packages/core/deadline_checks.ts
@@ -5,7 +5,7 @@
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
-import * as serverRests from "./server_rests.ts";
+import * as serverWaits from "./server_waits.ts";
 import * as dispatching from "./dispatching.ts";
 
 /**
@@ -138,7 +138,7 @@
     ran: entry.ran,
     waitMs: Math.max(
       state.lengths.get(key).serviceMs,
-      serverRests.estimateRest(state, entry.request),
+      serverWaits.estimateRetry(state, entry.request),
     ),
   });
 }
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -13,9 +13,9 @@
 import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
 import type * as serverLimits from "./server_limits.ts";
-import * as serverRests from "./server_rests.ts";
 import * as serverSignals from "./server_signals.ts";
 import * as serverState from "./server_state.ts";
+import * as serverWaits from "./server_waits.ts";
 import * as overflow from "./overflow.ts";
 import * as dispatching from "./dispatching.ts";
 import * as deadlineChecks from "./deadline_checks.ts";
@@ -213,7 +213,7 @@
   state.limits.recordResponse(server, { ...response, perSecond }, state.now);
   const restMs = serverSignals.findRest(signals);
   if (signals.leaving) state.table.recordLeaving(server);
-  if (restMs !== undefined) serverRests.recordRest(state, { server, restMs });
+  if (restMs !== undefined) serverWaits.recordRest(state, { server, restMs });
 }
 
 function listClassDemand(
--- a/packages/core/rate_permits.ts
+++ b/packages/core/rate_permits.ts
@@ -59,6 +59,14 @@
     return now <= expiresAt;
   }
 
+  /** Returns the time until this host has a permit, in ms; 0 if it has one or the number of hosts is unknown. */
+  getWaitMs(rate: SharedRate, now: number): number {
+    const periodMs = this.#getPeriodMs(rate);
+    if (periodMs === undefined || this.has(rate, now)) return 0;
+    const phase = this.#states.get(rate.name)?.phase ?? 0;
+    return (1 - phase) * periodMs;
+  }
+
   /** Uses up the current permit of a rate. */
   use(name: string): void {
     const known = this.#states.get(name);
--- a/packages/core/server_limits.ts
+++ b/packages/core/server_limits.ts
@@ -110,13 +110,20 @@
 
   /** Whether this host may send a server a request: it has a permit, or the server names no limit. */
   mayUse(server: string, now: number): boolean {
-    const perSecond = this.#known.get(server)?.perSecond;
-    if (perSecond === undefined) return true;
-    return this.#permits.has({
-      name: server,
-      perSecond: AVERAGE_LOAD_SHARE * computeRate(perSecond),
-      permitMs: PERMIT_MS,
-    }, now);
+    const rate = this.#findRate(server);
+    return rate === undefined || this.#permits.has(rate, now);
+  }
+
+  /** Returns the time until this host may send a server a request, in ms. */
+  getWaitMs(server: string, now: number): number {
+    const rate = this.#findRate(server);
+    return rate === undefined ? 0 : this.#permits.getWaitMs(rate, now);
+  }
+
+  /** Returns the time between two requests of all hosts together to a server, in ms; 0 if it names no limit. */
+  getIntervalMs(server: string): number {
+    const rate = this.#findRate(server);
+    return rate === undefined ? 0 : 1_000 / rate.perSecond;
   }
 
   /** Uses up the current permit for a server. */
@@ -124,6 +131,15 @@
     this.#permits.use(server);
   }
 
+  #findRate(server: string): ratePermits.SharedRate | undefined {
+    const perSecond = this.#known.get(server)?.perSecond;
+    return perSecond === undefined ? undefined : {
+      name: server,
+      perSecond: AVERAGE_LOAD_SHARE * computeRate(perSecond),
+      permitMs: PERMIT_MS,
+    };
+  }
+
   #set(known: KnownLimit): void {
     this.#known.set(known.server, known);
     if (known.perSecond === undefined) this.#permits.forget(known.server);
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -383,8 +383,8 @@
   {
     name: "rests: requests wait although all servers rest for too long",
     file: "packages/core/admission_control.ts",
-    find: "serverRests.estimateRest(state, request)",
-    replace: "0",
+    find: "serverWaits.isHopeless(state, request)",
+    replace: "false",
     test: RESTS,
   },
   {
@@ -431,4 +431,11 @@
     replace: "const largest = hosts;",
     test: "packages/core/host_count_test.ts",
   },
+  {
+    name: "limits: requests wait for a permit that does not come in time",
+    file: "packages/core/server_waits.ts",
+    find: "measure: (name) => limits.getWaitMs(name, now),",
+    replace: "measure: () => 0,",
+    test: LIMITS,
+  },
 ];
