--- a/packages/core/server_limits_test.ts
+++ b/packages/core/server_limits_test.ts
@@ -88,24 +88,42 @@
   t.end();
 });
 
-// Guards against retries and resumed streams that go to a limited server without a permit.
-tap.test("a retry does not go to a limited server without a permit", (t) => {
+/** Starts the dispatcher of one of many hosts, whose servers "r1" and "r2" have these limits. */
+function startLimited(
+  limits: Readonly<Record<string, number>>,
+): core.Dispatcher {
   const dispatcher = testing.startDispatcher({ seed: SEED });
   const load = { running: {}, prompting: {}, asOf: 0 } as const;
   dispatcher.handle({ kind: "load_shared", hosts: 195, ...load }, 0);
-  const respond = (server: string, perSecond: number) =>
-    dispatcher.handle({
-      kind: "responded",
-      server,
-      signals: { ...core.NO_SIGNALS, limitsPerSecond: [perSecond] },
-      sentAt: 0,
-      succeeded: true,
-    }, 0);
-  respond("r1", 0.5);
+  Object.entries(limits).forEach(([server, perSecond]) =>
+    setLimit(dispatcher, { server, perSecond })
+  );
+  return dispatcher;
+}
+
+function setLimit(
+  dispatcher: core.Dispatcher,
+  { server, perSecond }: {
+    readonly server: string;
+    readonly perSecond: number;
+  },
+): void {
+  dispatcher.handle({
+    kind: "responded",
+    server,
+    signals: { ...core.NO_SIGNALS, limitsPerSecond: [perSecond] },
+    sentAt: 0,
+    succeeded: true,
+  }, 0);
+}
+
+// Guards against retries and resumed streams that go to a limited server without a permit.
+tap.test("a retry does not go to a limited server without a permit", (t) => {
+  const dispatcher = startLimited({ r1: 0.5 });
   const request = testing.buildRequest("q1", { tier: 1 });
   const effects = dispatcher.handle({ kind: "arrived", request }, 1);
   t.match(effects, [{ kind: "start", server: { name: "r2" } }]);
-  respond("r2", 0.5);
+  setLimit(dispatcher, { server: "r2", perSecond: 0.5 });
   const event = {
     kind: "failed",
     requestId: "q1",
@@ -130,16 +148,7 @@
 // Guards against a limit that a host forgets because the server's entry expired
 // during an outage of the store and came back.
 tap.test("a limit outlasts the server's absence from the list", (t) => {
-  const dispatcher = testing.startDispatcher({ seed: SEED });
-  const load = { running: {}, prompting: {}, asOf: 0 } as const;
-  dispatcher.handle({ kind: "load_shared", hosts: 195, ...load }, 0);
-  dispatcher.handle({
-    kind: "responded",
-    server: "r1",
-    signals: { ...core.NO_SIGNALS, limitsPerSecond: [0.5] },
-    sentAt: 0,
-    succeeded: true,
-  }, 0);
+  const dispatcher = startLimited({ r1: 0.5 });
   t.equal(dispatcher.listLimits(0).length, 1);
   const listed = ["r1", "r2"].map((name): core.ServerInfo => ({
     name,
@@ -179,19 +188,7 @@
 // Guards against requests that wait for a permit that does not come in time, and
 // callers that come back before any host has one.
 tap.test("callers are told when to come back if all servers are limited", (t) => {
-  const dispatcher = testing.startDispatcher({ seed: SEED });
-  const load = { running: {}, prompting: {}, asOf: 0 } as const;
-  dispatcher.handle({ kind: "load_shared", hosts: 195, ...load }, 0);
-  const respond = (server: string, perSecond: number) =>
-    dispatcher.handle({
-      kind: "responded",
-      server,
-      signals: { ...core.NO_SIGNALS, limitsPerSecond: [perSecond] },
-      sentAt: 0,
-      succeeded: true,
-    }, 0);
-  respond("r1", 0.5);
-  respond("r2", 0.8);
+  const dispatcher = startLimited({ r1: 0.5, r2: 0.8 });
   const request = testing.buildRequest("q1", { tier: 1 });
   t.match(dispatcher.handle({ kind: "arrived", request }, 1), [{
     kind: "refuse",
