--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -85,7 +85,7 @@
   const pools = hostState.listPoolsFor(state, request);
   const slotMs = estimateWait(state, { request, pools });
   const isTooLate = slotMs > request.startBy - state.now ||
-    serverWaits.isHopeless(state, request);
+    !serverWaits.mayStartInTime(state, request);
   const isFull = state.queue.size >= constants.MAX_QUEUED;
   if (!isTooLate && !isFull) return false;
   const waitMs = Math.max(slotMs, serverWaits.estimateRetry(state, request));
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -197,8 +197,8 @@
   }
   // A request whose answer has begun gets a new start deadline instead.
   const hasBegun = ended.offset + ended.tokens > 0;
-  if (!hasBegun && serverWaits.isHopeless(state, request)) {
-    return serverWaits.refuseHopeless(state, { request, ran });
+  if (!hasBegun && !serverWaits.mayStartInTime(state, request)) {
+    return serverWaits.refuseLate(state, { request, ran });
   }
   const notSent = event.failure === "not_sent" || event.failure === "withheld";
   requeueAttempt(state, { ended, avoid: ended.server, ran, notSent });
--- a/packages/core/server_waits.ts
+++ b/packages/core/server_waits.ts
@@ -11,6 +11,9 @@
 import type * as request from "./request.ts";
 import * as serverState from "./server_state.ts";
 
+/** Selects the servers that may run a request. */
+type ServerSelector = Pick<request.Request, "target" | "allowedDomains">;
+
 /**
  * Grants a server its rest, and refuses the queued requests that would start too
  * late because of it.
@@ -25,9 +28,10 @@
   state.table.recordRest(server, state.now + restMs);
   const targets = state.table.get(server)?.pool.targets ?? [];
   const late = state.queue.removeWhere((entry) =>
-    targets.includes(entry.request.target) && isHopeless(state, entry.request)
+    targets.includes(entry.request.target) &&
+    !mayStartInTime(state, entry.request)
   );
-  late.forEach((entry) => refuseHopeless(state, entry));
+  late.forEach((entry) => refuseLate(state, entry));
 }
 
 /**
@@ -67,9 +71,6 @@
   });
 }
 
-/** Selects the servers that may run a request. */
-type ServerSelector = Pick<request.Request, "target" | "allowedDomains">;
-
 /** Finds the shortest time until a server ends its rest and its limit allows a request. */
 function findShortest(
   state: hostState.HostState,
@@ -90,26 +91,27 @@
 }
 
 /**
- * Whether no server takes a request within the time that it may wait.
+ * Whether a server takes a request within the time that it may wait, as far as
+ * rests and permits are concerned.
  *
  * @example
- * if (isHopeless(state, request)) refuseHopeless(state, entry);
+ * if (!mayStartInTime(state, request)) refuseLate(state, entry);
  */
-export function isHopeless(
+export function mayStartInTime(
   state: hostState.HostState,
   request: request.Request,
 ): boolean {
   const waitMs = estimateStart(state, request);
-  return waitMs > 0 && state.now + waitMs > request.startBy;
+  return waitMs === 0 || state.now + waitMs <= request.startBy;
 }
 
 /**
  * Refuses a request that no server takes in time, and says when to retry.
  *
  * @example
- * refuseHopeless(state, { request, ran: "no" });
+ * refuseLate(state, { request, ran: "no" });
  */
-export function refuseHopeless(
+export function refuseLate(
   state: hostState.HostState,
   { request, ran }: Pick<queue.QueuedRequest, "request" | "ran">,
 ): void {
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -383,7 +383,7 @@
   {
     name: "rests: requests wait although all servers rest for too long",
     file: "packages/core/admission_control.ts",
-    find: "serverWaits.isHopeless(state, request)",
+    find: "!serverWaits.mayStartInTime(state, request)",
     replace: "false",
     test: RESTS,
   },
