--- a/packages/core/server_limits_fuzz_test.ts
+++ b/packages/core/server_limits_fuzz_test.ts
@@ -86,7 +86,7 @@
   t.end();
 });
 
-// Guards against permits that nobody can use: in a large fleet each host gets one
+// Guards against permits that no host can use: in a large fleet each host gets one
 // in a few minutes.
 tap.test("a limited server still gets requests from fleets of any size", (t) => {
   [3, 9, 78, 195].forEach((count) => {
--- a/packages/core/server_rests_test.ts
+++ b/packages/core/server_rests_test.ts
@@ -61,7 +61,7 @@
   t.end();
 });
 
-// Guards against requests that wait in vain, and callers that come back too early.
+// Guards against requests that wait longer than they may, and callers that come back too early.
 tap.test("requests that no server takes in time are refused at once", (t) => {
   const dispatcher = testing.startDispatcher();
   ["a1", "a2", "a3", "a4", "a5"].forEach((id) =>
--- a/packages/core/server_signals.ts
+++ b/packages/core/server_signals.ts
@@ -1,4 +1,4 @@
-/** Signals in the responses of backend servers that tell hosts how many requests to send. */
+/** Signals in the responses of backend servers that state how many requests the server accepts. */
 
 /** Signals of one response. */
 export interface ServerSignals {
