--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -141,8 +141,8 @@
   {
     name: "retry: a timed-out attempt counts as not run",
     file: "packages/core/retry.ts",
-    find: `    case "not_sent":\n    case "refused":`,
-    replace: `    case "not_sent":\n    case "refused":\n    case "timeout":`,
+    find: `    case "misdirected":\n      return "no";`,
+    replace: `    case "misdirected":\n    case "timeout":\n      return "no";`,
     test: DISPATCHER,
   },
   {
