Log and measure that a host has lost its links to the servers

A host now compares its last connection attempts; where several servers send nothing it tries connections to three of them (none is sent a request). The change is logged, counted (banyangrade_link_changes_total) and shown as a gauge (banyangrade_links_lost). No decision depends on it yet.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -27,6 +27,14 @@
   readonly onOverdueChanged?: (
     effect: Extract<core.DispatchEffect, { kind: "overdue_changed" }>,
   ) => void;
+  /** Called to try connections to servers. @default ignored */
+  readonly onTryLinks?: (
+    effect: Extract<core.DispatchEffect, { kind: "try_links" }>,
+  ) => void;
+  /** Called when this host has lost its links to the servers or has them again. @default ignored */
+  readonly onLinksChanged?: (
+    effect: Extract<core.DispatchEffect, { kind: "links_changed" }>,
+  ) => void;
   readonly onPanicChanged?: (
     effect: Extract<core.DispatchEffect, { kind: "panic_changed" }>,
   ) => void;
@@ -171,6 +179,11 @@
     );
   }
 
+  /** Whether this host has lost its links to the servers. */
+  hasLostLinks(): boolean {
+    return this.#options.dispatcher.hasLostLinks();
+  }
+
   countOpen(): number {
     return this.#handlers.size;
   }
@@ -203,6 +216,10 @@
         return this.#options.onOverdueChanged?.(effect);
       case "ask_capacity":
         return this.#options.onAskCapacity();
+      case "try_links":
+        return this.#options.onTryLinks?.(effect);
+      case "links_changed":
+        return this.#options.onLinksChanged?.(effect);
       case "panic_changed":
         return this.#options.onPanicChanged?.(effect);
     }
--- a/packages/banyangrade/gateway/connection_pools.ts
+++ b/packages/banyangrade/gateway/connection_pools.ts
@@ -13,6 +13,8 @@
   readonly clock: utils.Clock;
   /** Whether a server may still get requests that were assigned to it. */
   readonly maySendTo: (server: string) => boolean;
+  /** Called when a connection to a server was opened. */
+  readonly onConnected: (server: string) => void;
 }
 
 /** Opens and closes the connection pools. */
@@ -20,11 +22,13 @@
   readonly #pools = new Map<string, service.ServerConnections>();
   readonly #clock: utils.Clock;
   readonly #maySendTo: (server: string) => boolean;
+  readonly #onConnected: (server: string) => void;
   #hosts = 1;
 
   constructor(options: ConnectionPoolsOptions) {
     this.#clock = options.clock;
     this.#maySendTo = options.maySendTo;
+    this.#onConnected = options.onConnected;
   }
 
   /** Sets the number of hosts that share each server's connections. */
@@ -62,6 +66,7 @@
       connections: this.#computeShare(options.connectionLimit),
       clock: this.#clock,
       maySend: () => this.#maySendTo(server.name),
+      onConnected: () => this.#onConnected(server.name),
     });
     this.#pools.set(server.name, pool);
     return pool;
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -118,6 +118,10 @@
     help: "Backend servers that are avoided because they send nothing.",
     read: () => dispatch.countOverdueServers(),
   });
+  metrics.addGauge("banyangrade_links_lost", {
+    help: "1 while this host has lost its links to the backend servers.",
+    read: () => dispatch.hasLostLinks() ? 1 : 0,
+  });
   metrics.addLabelledGauge("banyangrade_engine_speeds", {
     help:
       "Engines by speed relative to their service's mean: slow below 0.8, fast above 1.25.",
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -4,6 +4,7 @@
  * object step by step and look each other up when they are called.
  */
 import * as core from "@banyangrade/core";
+import * as service from "@banyangrade/service";
 import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
 import * as dispatchTask from "../dispatch_task.ts";
@@ -21,6 +22,7 @@
 import * as requestHandler from "./request_handler.ts";
 import * as serverSignals from "./server_signals.ts";
 import * as connectionPools from "./connection_pools.ts";
+import * as linkTelemetry from "./link_telemetry.ts";
 import * as startupWaits from "./startup_waits.ts";
 import * as heldBytes from "./held_bytes.ts";
 
@@ -176,6 +178,7 @@
       suspects: SUSPECT_OPTIONS,
       comparesPrompts: true,
       isConnected: (server) => draft.pools.hasIdleConnection(server),
+      tracksLinks: true,
     }),
     onSuspect: ({ mark }) =>
       void draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS }),
@@ -185,6 +188,10 @@
         { server },
         overdue ? "Response overdue." : "Responding again.",
       ),
+    onTryLinks: ({ servers }) =>
+      servers.forEach((server) => void tryLink(draft, server)),
+    onLinksChanged: ({ change }) =>
+      linkTelemetry.recordLinksChanged(draft, change),
     onPanicChanged: ({ target, active }) =>
       utils.createPartLogger(draft.log, "server").warn(
         { service: target },
@@ -196,10 +203,25 @@
   draft.pools = new connectionPools.ConnectionPools({
     clock,
     maySendTo: (server) => draft.dispatch.maySendTo(server),
+    onConnected: (server) =>
+      draft.dispatch.send({
+        kind: "connection_tried",
+        server,
+        reachable: true,
+      }),
   });
   draft.pools.setHosts(ASSUMED_HOSTS);
 }
 
+/** Tries to open a connection to a server and reports the outcome to the dispatcher. */
+async function tryLink(
+  { dispatch }: Pick<Draft, "dispatch">,
+  { name, url }: core.ServerInfo,
+): Promise<void> {
+  const reachable = await service.tryConnection(url);
+  dispatch.send({ kind: "connection_tried", server: name, reachable });
+}
+
 function addRelay(draft: Draft): void {
   const { settings, platform, clocks, log, random, incarnation, state } = draft;
   draft.relay = new relayTask.RelayTask({
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -139,6 +139,11 @@
     "Attempts that were stopped in an ejected failure domain and started elsewhere.",
     [],
   );
+  readonly #linkChanges = this.#createCounter(
+    "banyangrade_link_changes_total",
+    "Times at which this host lost its links to the backend servers or had them again.",
+    ["change"],
+  );
   readonly #requestsToEjected = this.#createCounter(
     "banyangrade_requests_to_ejected_servers_total",
     "Attempts sent to ejected servers because no other server was in use.",
@@ -214,6 +219,10 @@
     this.#storeCalls.inc({ call: ended.call, outcome: ended.outcome });
   }
 
+  recordLinksChanged(change: "lost" | "restored"): void {
+    this.#linkChanges.inc({ change });
+  }
+
   recordAttemptMoved(): void {
     this.#attemptsMoved.inc();
   }
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -3,6 +3,7 @@
 import * as domainFailureDetector from "./domain_failure_detector.ts";
 import type * as events from "./events.ts";
 import * as failureShares from "./failure_shares.ts";
+import * as linkChecks from "./link_checks.ts";
 import * as hostState from "./host_state.ts";
 import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
@@ -85,6 +86,7 @@
 ): void {
   const ended = endAttempt(state, event);
   if (ended === undefined) return;
+  linkChecks.recordFailure(state, { ...event, server: ended.server });
   const failed = failureShares.isServerFailure(event.failure);
   if (failed) recordOutcome(state, { ended, failed });
   const server = state.table.get(ended.server);
--- a/packages/core/deadline_checks.ts
+++ b/packages/core/deadline_checks.ts
@@ -2,6 +2,7 @@
 import * as admissionEstimates from "./admission_estimates.ts";
 import * as constants from "./constants.ts";
 import * as attemptEnd from "./attempt_end.ts";
+import * as linkChecks from "./link_checks.ts";
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
@@ -21,6 +22,7 @@
 export function handleTick(state: hostState.HostState): void {
   state.reading.record(countPrefilling(state), state.now);
   serverChecks.checkServers(state);
+  linkChecks.tryLinks(state);
   dispatching.dispatchQueue(state);
   preemptForDelayed(state);
   handleOverdue(state);
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -8,6 +8,7 @@
 import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
 import type * as failureShares from "./failure_shares.ts";
+import * as linkChecks from "./link_checks.ts";
 import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
 import * as admissionControl from "./admission_control.ts";
@@ -125,6 +126,11 @@
       .filter((server) => serverState.isOverdue(server, now)).length;
   }
 
+  /** Whether this host has lost its links to the servers; false if it does not track them. */
+  hasLostLinks(): boolean {
+    return this.#state.links?.isLost() ?? false;
+  }
+
   /** Returns the servers, pools and lanes, for the `status` and `explain` commands. */
   inspect(): {
     readonly servers: readonly serverState.ServerState[];
@@ -187,6 +193,8 @@
       return dispatching.dispatchQueue(state);
     case "responded":
       return recordSignals(state, event);
+    case "connection_tried":
+      return linkChecks.recordConnection(state, event);
     case "servers_changed":
       state.table.setServers(event.servers, state.now);
       state.paces.keep(
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -3,6 +3,7 @@
 import type * as enginePaces from "./engine_paces.ts";
 import type * as failureShares from "./failure_shares.ts";
 import type * as request from "./request.ts";
+import type * as serverLinks from "./server_links.ts";
 import type * as serverLimits from "./server_limits.ts";
 import type * as serverSignals from "./server_signals.ts";
 
@@ -180,6 +181,12 @@
     /** Whether the server itself answered the request with success. */
     readonly succeeded: boolean;
   }
+  | {
+    /** A connection to a server was opened, or could not be. */
+    readonly kind: "connection_tried";
+    readonly server: string;
+    readonly reachable: boolean;
+  }
   | {
     readonly kind: "servers_changed";
     readonly servers: readonly ServerInfo[];
@@ -263,6 +270,13 @@
     readonly server: string;
     readonly overdue: boolean;
   }
+  /** Connections to these servers must be tried, to find out whether this host has lost its links. */
+  | { readonly kind: "try_links"; readonly servers: readonly ServerInfo[] }
+  /** This host has lost its links to the servers, or has them again. */
+  | {
+    readonly kind: "links_changed";
+    readonly change: serverLinks.LinkChange;
+  }
   /** Demand changed, so the capacity allocator must be asked for slots at once. */
   | { readonly kind: "ask_capacity" }
   | {
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -24,6 +24,7 @@
 import * as router from "./router.ts";
 import * as serverAvailability from "./server_availability.ts";
 import * as serverLimits from "./server_limits.ts";
+import * as serverLinks from "./server_links.ts";
 import type * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
@@ -44,6 +45,8 @@
   readonly suspects?: quarantine.SuspectOptions;
   /** Whether this host has an idle connection to a server. @default none */
   readonly isConnected?: (server: string) => boolean;
+  /** Whether this host finds out if it has lost its links to the servers. @default false */
+  readonly tracksLinks?: boolean;
 }
 
 /** The dispatcher's state at one host. */
@@ -89,6 +92,9 @@
   readonly mayExceedSlots: boolean;
   /** Servers that fail a part of their requests. */
   readonly failureShares: failureShares.FailureShares;
+  /** Links of this host to the servers; undefined if it does not track them. */
+  readonly links: serverLinks.ServerLinks | undefined;
+  readonly random: utils.Random;
   readonly router: router.Router;
 }
 
@@ -133,6 +139,8 @@
     panics: new serverAvailability.PanicTargets(),
     mayExceedSlots: options.comparesPrompts ?? false,
     failureShares: shares,
+    links: options.tracksLinks ? new serverLinks.ServerLinks() : undefined,
+    random: options.random,
     router: new router.Router({
       table,
       failureShares: shares,
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -38,6 +38,7 @@
 export * from "./routes.ts";
 export * from "./scaling.ts";
 export * from "./server_availability.ts";
+export * from "./server_links.ts";
 export * from "./server_list.ts";
 export * from "./store_backoff.ts";
 export * from "./server_limits.ts";
--- a/packages/core/progress.ts
+++ b/packages/core/progress.ts
@@ -44,6 +44,7 @@
 ): void {
   const { name, failureDomain } = server.info;
   server.lastResponseAt = state.now;
+  state.links?.recordData(name, state.now);
   serverAvailability.recordResponse(server);
   if (server.overdueSince !== undefined) {
     server.overdueSince = undefined;
--- a/packages/core/server_checks.ts
+++ b/packages/core/server_checks.ts
@@ -94,6 +94,7 @@
     if (server === undefined) return;
     // The attempts may end without an answer, so the mark outlives them for a time.
     server.overdueUntil = now + constants.EJECT_MS;
+    state.links?.recordSilence(name, now);
     if (server.overdueSince !== undefined) return;
     server.overdueSince = now;
     state.effects.push({
--- /dev/null
+++ b/packages/core/server_links.ts
@@ -0,0 +1,174 @@
+/**
+ * Detects that this host has lost its links to backend servers while the servers
+ * themselves may be well.
+ *
+ * The evidence is whether connections can be opened: a server that sends nothing
+ * may be busy, and data on connections that are open already says nothing about
+ * new ones. Servers that send nothing only make the host try connections.
+ */
+import type * as utils from "@banyangrade/utils";
+
+/** Number of servers whose last connection attempts are compared. */
+const COMPARED_SERVERS = 4;
+/** Share of the compared servers that must be unreachable for the links to count as lost. */
+const LOST_SHARE = 0.75;
+/** Number of unreachable servers below which the links do not count as lost: one may have ended. */
+const MIN_UNREACHABLE = 2;
+/** Age up to which a connection attempt is compared, in ms; a few rounds of trials. */
+const OUTCOME_MS = 2_000;
+/** Number of servers that must send nothing for the host to try connections. */
+const MIN_SILENT = 2;
+/** Time window in which these servers must have sent nothing, in ms. */
+const SILENT_MS = 1_000;
+/** Interval between rounds of trials, in ms; longer than the timeout of a connection attempt. */
+const TRIAL_MS = 500;
+/** Servers that are tried in one round. */
+const TRIALS = { suspected: 3, lost: 2 } as const;
+/** Servers that must be reachable one after another for the links to count as restored. */
+const RESTORED_SERVERS = 2;
+/** Time over which this host takes over its requests again after its links are restored, in ms. */
+const RETURN_MS = 2_000;
+
+/** What a host knows of its links to backend servers. */
+export type LinkState =
+  | { readonly kind: "working" }
+  /** `since`: when the first server did not respond, monotonic ms. */
+  | { readonly kind: "lost"; readonly since: number };
+
+/** Outcome of the last connection attempt to a server. */
+interface Outcome {
+  readonly reachable: boolean;
+  readonly at: number;
+}
+
+/** Change of the state of the links. */
+export type LinkChange = "lost" | "restored";
+
+/** The links of one host to all backend servers. */
+export class ServerLinks {
+  /** Last connection attempt of each server, the oldest first. */
+  readonly #outcomes = new Map<string, Outcome>();
+  /** When each server was last found to send nothing. */
+  readonly #silent = new Map<string, number>();
+  #state: LinkState = { kind: "working" };
+  #restoredAt = Number.NEGATIVE_INFINITY;
+  #lastReachedAt = Number.NEGATIVE_INFINITY;
+  #triedAt = Number.NEGATIVE_INFINITY;
+  /** Reachable servers since the last unreachable one. */
+  readonly #reachableInRow = new Set<string>();
+
+  /** Returns whether the links count as lost, and since when. */
+  getState(): LinkState {
+    return this.#state;
+  }
+
+  /** Whether the links count as lost. */
+  isLost(): boolean {
+    return this.#state.kind === "lost";
+  }
+
+  /** Returns when this host last reached any server, monotonic ms. */
+  getReachedAt(): number {
+    return this.#lastReachedAt;
+  }
+
+  /** Returns the share of its requests that this host runs over its own links, in [0, 1]; it grows after they are restored. */
+  getOwnShare(now: number): number {
+    if (this.isLost()) return 0;
+    return Math.min(1, Math.max(0, (now - this.#restoredAt) / RETURN_MS));
+  }
+
+  /** Records that a server sent data. */
+  recordData(server: string, now: number): void {
+    this.#silent.delete(server);
+    this.#lastReachedAt = now;
+  }
+
+  /** Records that a server sent nothing for longer than it should have taken. */
+  recordSilence(server: string, now: number): void {
+    this.#silent.set(server, now);
+  }
+
+  /** Records a connection attempt of `servers` known ones; returns the change of the links' state, if any. */
+  recordConnection(
+    server: string,
+    { reachable, servers, now }: {
+      readonly reachable: boolean;
+      /** Number of live servers that this host knows. */
+      readonly servers: number;
+      readonly now: number;
+    },
+  ): LinkChange | undefined {
+    this.#outcomes.delete(server);
+    this.#outcomes.set(server, { reachable, at: now });
+    if (!reachable) {
+      this.#reachableInRow.clear();
+      this.#silent.set(server, now);
+      return this.#decideLost(now);
+    }
+    this.#lastReachedAt = now;
+    this.#reachableInRow.add(server);
+    const isRestored = this.isLost() &&
+      this.#reachableInRow.size >= Math.min(RESTORED_SERVERS, servers);
+    if (!isRestored) return undefined;
+    this.#state = { kind: "working" };
+    this.#restoredAt = now;
+    this.#outcomes.clear();
+    this.#silent.clear();
+    return "restored";
+  }
+
+  #decideLost(now: number): LinkChange | undefined {
+    if (this.isLost()) return undefined;
+    [...this.#outcomes].filter(([, { at }]) => now - at > OUTCOME_MS)
+      .forEach(([server]) => this.#outcomes.delete(server));
+    const compared = [...this.#outcomes.values()].slice(-COMPARED_SERVERS);
+    const unreachable = compared.filter(({ reachable }) => !reachable).length;
+    const isLost = unreachable >= MIN_UNREACHABLE &&
+      unreachable >= LOST_SHARE * compared.length;
+    if (!isLost) return undefined;
+    this.#state = { kind: "lost", since: this.#findFirstSilence(now) };
+    return "lost";
+  }
+
+  #findFirstSilence(now: number): number {
+    const recent = [...this.#silent.values()]
+      .filter((at) => now - at <= OUTCOME_MS);
+    return Math.min(now, ...recent);
+  }
+
+  /**
+   * Draws the servers to which connections are to be tried now; empty unless
+   * several servers send nothing or the links are lost.
+   */
+  drawTrials(
+    servers: readonly string[],
+    { random, now }: { readonly random: utils.Random; readonly now: number },
+  ): string[] {
+    const isSuspected = this.#countSilent(now) >=
+      Math.min(MIN_SILENT, servers.length);
+    if (!this.isLost() && !isSuspected) return [];
+    if (now - this.#triedAt < TRIAL_MS) return [];
+    this.#triedAt = now;
+    const count = this.isLost() ? TRIALS.lost : TRIALS.suspected;
+    return drawSome(servers, { count, random });
+  }
+
+  #countSilent(now: number): number {
+    [...this.#silent].filter(([, at]) => now - at > OUTCOME_MS)
+      .forEach(([server]) => this.#silent.delete(server));
+    return [...this.#silent.values()]
+      .filter((at) => now - at <= SILENT_MS).length;
+  }
+}
+
+function drawSome<Entry>(
+  entries: readonly Entry[],
+  { count, random }: { readonly count: number; readonly random: utils.Random },
+): Entry[] {
+  const left = [...entries];
+  return Array.from(
+    { length: Math.min(count, left.length) },
+    () => left.splice(random.below(left.length), 1)[0],
+  );
+}
--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -36,6 +36,8 @@
   readonly clock: utils.Clock;
   /** Whether the server may still get requests; checked when a request is written. @default always */
   readonly maySend?: () => boolean;
+  /** Called when a connection was opened. @default ignored */
+  readonly onConnected?: () => void;
 }
 
 /**
@@ -57,6 +59,9 @@
     connect: { timeout: CONNECT_TIMEOUT_MS },
     factory: utils.createResettingClient,
   });
+  if (options.onConnected !== undefined) {
+    pool.on("connect", options.onConnected);
+  }
   return {
     dispatcher: pool.compose(sendGate.createSendGate(maySend)),
     limit: options.connections,
