Hand requests of a host without links to hosts that reach the servers

Cause: a host serves its callers over its own links only. No choice among servers and no retry helps once they are gone.

Change: such a host asks others whether they reach the servers and sends them its requests over the port between hosts, with a secret per process; the other host runs them like its own callers'.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -13,6 +13,10 @@
     effect: Extract<core.DispatchEffect, { kind: "stop" }>,
   ) => void;
   readonly onRefuse: (refusal: core.Refusal) => void;
+  /** Called when another host must run the request. @default never happens, as the host tracks no links */
+  readonly onHandOver?: (
+    effect: Extract<core.DispatchEffect, { kind: "hand_over" }>,
+  ) => void;
 }
 
 /** Options of {@link DispatchTask}. */
@@ -184,6 +188,26 @@
     return this.#options.dispatcher.hasLostLinks();
   }
 
+  /** Returns the share of its requests that this host runs over its own links. */
+  getOwnShare(): number {
+    return this.#options.dispatcher.getOwnShare(this.#options.clock.now());
+  }
+
+  /** Returns the time since this host last reached a server, in ms. */
+  getReachedAge(): number {
+    return this.#options.clock.now() - this.#options.dispatcher.getReachedAt();
+  }
+
+  /** Lists the services of which a server is in use. */
+  listServed(): string[] {
+    return this.#options.dispatcher.listServed(this.#options.clock.now());
+  }
+
+  /** Counts the queued requests. */
+  countQueued(): number {
+    return this.#options.dispatcher.countOpen().queued;
+  }
+
   countOpen(): number {
     return this.#handlers.size;
   }
@@ -210,6 +234,11 @@
         this.#handlers.get(effect.requestId)?.onRefuse(effect.refusal);
         this.#handlers.delete(effect.requestId);
         return;
+      case "hand_over": {
+        const handlers = this.#handlers.get(effect.request.id);
+        this.#handlers.delete(effect.request.id);
+        return handlers?.onHandOver?.(effect);
+      }
       case "suspect":
         return this.#options.onSuspect(effect);
       case "overdue_changed":
--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -99,6 +99,37 @@
     this.#expected = undefined;
   }
 
+  /** Records that the request is sent to another host. */
+  recordHandover(peer: string): void {
+    const { clock, log, metrics } = this.#options;
+    const { head, route, request } = this.#exchange;
+    this.#lastServer = peer;
+    this.#attemptSentAt = clock.now();
+    if (this.#firstAttemptAt === 0) this.#firstAttemptAt = clock.now();
+    metrics.recordHandover("sent");
+    log.info({
+      requestId: head.requestId,
+      peer,
+      route: route.name,
+      waitedMs: Math.round(clock.now() - request.arrivedAt),
+    }, "Request handed over.");
+  }
+
+  /** Records that another host did not take the request, or that the link to it broke. */
+  recordHandoverFailure(
+    peer: string,
+    { outcome, reason }: {
+      readonly outcome: "declined" | "lost";
+      readonly reason: string;
+    },
+  ): void {
+    const { log, metrics } = this.#options;
+    this.#attemptSentAt = undefined;
+    metrics.recordHandover(outcome);
+    const { requestId } = this.#exchange.head;
+    log.info({ requestId, peer, outcome, reason }, "Handover failed.");
+  }
+
   recordAttemptFailure(
     { attempt, server }: {
       readonly attempt: number;
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -91,7 +91,7 @@
 
 /** Adds gauges for the age of the store's data, open requests and roles; they are read on each scrape. */
 function addGauges(
-  { metrics, belief, dispatch, roles, relay, heldBytes }:
+  { metrics, belief, dispatch, roles, relay, heldBytes, handover }:
     gatewayParts.GatewayParts,
 ): void {
   metrics.addGauge("banyangrade_is_relay", {
@@ -122,6 +122,10 @@
     help: "1 while this host has lost its links to the backend servers.",
     read: () => dispatch.hasLostLinks() ? 1 : 0,
   });
+  metrics.addGauge("banyangrade_handover_peers", {
+    help: "Hosts to which this host hands requests.",
+    read: () => handover.countPeers(),
+  });
   metrics.addLabelledGauge("banyangrade_engine_speeds", {
     help:
       "Engines by speed relative to their service's mean: slow below 0.8, fast above 1.25.",
@@ -144,11 +148,11 @@
   { ingress }: HostServers,
 ): Promise<void> {
   const { settings, state, clock, log, dispatch, roles, relay } = parts;
-  const { requestHandler, startupWaits, heldBytes } = parts;
+  const { requestHandler, startupWaits, heldBytes, handover } = parts;
   // A request whose body has not been read is not open at the dispatcher yet, and
   // would be lost without a refusal if the host closed.
   const countUnfinished = () =>
-    dispatch.countOpen() + requestHandler.countPending();
+    dispatch.countOpen() + handover.countOpen() + requestHandler.countPending();
   const until = clock.now() + DRAIN_SHARE * settings.graceMs;
   state.draining = true;
   startupWaits.refuseAll();
@@ -189,6 +193,7 @@
     operations?.close(),
     parts.relay.close(),
     parts.pools.close(),
+    parts.handover.close(),
     parts.platform.store.close(),
   ]);
 }
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -22,6 +22,7 @@
 import * as requestHandler from "./request_handler.ts";
 import * as serverSignals from "./server_signals.ts";
 import * as connectionPools from "./connection_pools.ts";
+import * as handoverTask from "./handover_task.ts";
 import * as linkTelemetry from "./link_telemetry.ts";
 import * as startupWaits from "./startup_waits.ts";
 import * as heldBytes from "./held_bytes.ts";
@@ -56,6 +57,7 @@
   readonly presence: hostStatusTask.HostStatusTask;
   readonly roles: controlRolesTask.RolesTask;
   readonly heldBytes: heldBytes.HeldBytes;
+  readonly handover: handoverTask.HandoverTask;
   readonly startupWaits: startupWaits.StartupWaits;
   readonly requestHandler: requestHandler.RequestHandler;
   /** Set when the server for callers has started. */
@@ -94,6 +96,7 @@
     (ended) => draft.relay.recordStoreCall(ended),
   ) as Draft;
   addDispatch(draft);
+  addHandover(draft);
   addRelay(draft);
   addClusterState(draft);
   addHostStatus(draft);
@@ -190,8 +193,10 @@
       ),
     onTryLinks: ({ servers }) =>
       servers.forEach((server) => void tryLink(draft, server)),
-    onLinksChanged: ({ change }) =>
-      linkTelemetry.recordLinksChanged(draft, change),
+    onLinksChanged: ({ change }) => {
+      linkTelemetry.recordLinksChanged(draft, change);
+      draft.handover.start();
+    },
     onPanicChanged: ({ target, active }) =>
       utils.createPartLogger(draft.log, "server").warn(
         { service: target },
@@ -222,6 +227,24 @@
   dispatch.send({ kind: "connection_tried", server: name, reachable });
 }
 
+function addHandover(draft: Draft): void {
+  const { settings, clock, random, log, dispatch, heldBytes } = draft;
+  draft.handover = new handoverTask.HandoverTask({
+    clock,
+    random,
+    log: utils.createPartLogger(log, "handover"),
+    host: settings.host,
+    failureDomain: settings.failureDomain,
+    address: settings.peerAddress,
+    dispatch,
+    heldBytes,
+    takesRequests: () =>
+      !draft.state.draining && !draft.state.closed &&
+      draft.belief.hasHadState(),
+    onRequest: (incoming) => draft.requestHandler.handle(incoming),
+  });
+}
+
 function addRelay(draft: Draft): void {
   const { settings, platform, clocks, log, random, incarnation, state } = draft;
   draft.relay = new relayTask.RelayTask({
@@ -235,6 +258,7 @@
     address: settings.peerAddress,
     linkMbps: settings.linkMbps,
     countDomainHosts: () => draft.presence.countDomainHosts(),
+    onRequest: (request, response) => draft.handover.handle(request, response),
     getHandlers: () => ({
       readAll: (prefix) => draft.feed.answerReadAll(prefix),
       pollChanges: (message) => {
@@ -334,6 +358,7 @@
     regions: draft.settings.regions,
     isClosed: () => draft.state.closed,
     isDraining: () => draft.state.draining,
+    takesHandovers: () => draft.handover.mayTakeRequests(),
     applySignals: (server, response) =>
       serverSignals.applySignals(draft, { ...response, server }),
     checkKey: (key, customer) => checkKey(draft, { key, customer }),
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -285,6 +285,7 @@
     return {
       ...sum,
       ...this.#describeDivisions(),
+      contacts: core.chooseContacts(sum, now),
       hosts: Math.max(sum.hosts, this.#countPublished() - 1),
     };
   }
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -11,9 +11,12 @@
  * presence.describe = () => describeHost(parts);
  */
 export function describeHost(
-  { settings, incarnation, clock, clocks, counter, dispatch, marks }: Parts,
+  parts: Parts,
 ): core.HostStatus {
+  const { settings, incarnation, clock, clocks, counter, dispatch, marks } =
+    parts;
   marks.removeExpired(clock.now());
+  const contact = parts.handover.getContact();
   return {
     host: settings.host,
     incarnation,
@@ -30,6 +33,7 @@
       clocks.getTrueTime() - clock.now(),
     ),
     paces: dispatch.listPaces(),
+    ...(contact && { contact }),
   };
 }
 
@@ -96,11 +100,12 @@
  * applyHostsSummary(parts, summary);
  */
 export function applyHostsSummary(
-  { budget, clock, clocks, dispatch, log, pools }: Parts,
+  { budget, clock, clocks, dispatch, handover, log, pools }: Parts,
   others: core.HostsSummary,
 ): void {
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
+  handover.recordContacts(others.contacts ?? []);
   Object.entries(others.divisions?.byService ?? {}).forEach(
     ([service, division]) => dispatch.setDivision(service, division),
   );
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -13,8 +13,18 @@
 /** Time for which idle connections are kept beyond the operators' limit, in ms. */
 const IDLE_MARGIN_MS = 2_000;
 
+/** What another host says about a request that it hands over. */
+export interface Handover {
+  /** Time since the request arrived at that host, in ms. */
+  readonly elapsedMs: number;
+  /** Number of its attempts that were sent to servers. */
+  readonly sent: number;
+}
+
 /** A caller's request. */
 export interface IncomingRequest {
+  /** Present if another host handed the request over. */
+  readonly handover?: Handover;
   readonly method: string;
   /** Path and query. */
   readonly path: string;
@@ -43,6 +53,8 @@
 
 /** The response to one caller. */
 export interface CallerResponse {
+  /** Whether the response goes to another host, which must learn whether a refused request ran. @default false */
+  readonly isToHost?: boolean;
   readonly isStarted: () => boolean;
   /** Sends a complete response. */
   readonly send: (
@@ -125,7 +137,13 @@
   };
 }
 
-function buildIncomingRequest(
+/**
+ * Builds a request from the messages of an HTTP server.
+ *
+ * @example
+ * const incoming = buildIncomingRequest(request, { response, heldBytes });
+ */
+export function buildIncomingRequest(
   request: http.IncomingMessage,
   { response, heldBytes }: {
     readonly response: http.ServerResponse;
--- a/packages/banyangrade/gateway/platform_interface.ts
+++ b/packages/banyangrade/gateway/platform_interface.ts
@@ -53,6 +53,14 @@
 export interface WireFormat {
   readonly readRequestHead: (headers: Headers) => RequestHead;
   readonly buildAttemptHeaders: (head: AttemptHead) => Record<string, string>;
+  /** Builds the headers of a request that is handed to another host, from those of the caller. */
+  readonly buildHandoverHeaders: (
+    headers: Headers,
+    options: {
+      /** Identifier of the last event that the caller has; -1 before the first. */
+      readonly lastEventId: number;
+    },
+  ) => Record<string, string | string[]>;
   readonly readResponseMetadata: service.ForwardCall["readResponseMetadata"];
   /** Headers that only the host may set; they are dropped from callers' requests. */
   readonly reserved: ReadonlySet<string>;
--- a/packages/banyangrade/gateway/refusal_response.ts
+++ b/packages/banyangrade/gateway/refusal_response.ts
@@ -1,5 +1,6 @@
 /** Responses to refused requests. */
 import type * as core from "@banyangrade/core";
+import * as handoverProtocol from "./handover_protocol.ts";
 import type * as ingress from "./ingress.ts";
 
 /** HTTP statuses of refusals after which nothing ran, by refusal code. */
@@ -37,7 +38,11 @@
     : {};
   answer.send({
     status: chooseStatus(refusal),
-    headers: { "content-type": "application/json", ...retryAfter },
+    headers: {
+      "content-type": "application/json",
+      ...retryAfter,
+      ...(answer.isToHost && handoverProtocol.buildRefusalHeaders(refusal)),
+    },
     body: JSON.stringify({
       error: {
         ...refusal,
--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -7,6 +7,7 @@
  * record. While no relay answers they follow the store directly, so that the loss
  * of a relay costs additional calls but does not interrupt the service.
  */
+import type * as http from "node:http";
 import * as core from "@banyangrade/core";
 import * as peer from "@banyangrade/peer";
 import * as store from "@banyangrade/store";
@@ -42,6 +43,8 @@
   /** Estimates the number of hosts of this failure domain. */
   readonly countDomainHosts: () => number;
   readonly getHandlers: () => peer.RelayHandlers;
+  /** Handles the plain HTTP requests of other hosts. */
+  readonly onRequest: http.RequestListener;
 }
 
 type RelayClients = peer.PeerClients<peer.RelayRouter>;
@@ -97,6 +100,7 @@
       ...utils.splitAddress(address),
       secrets: [this.#secret],
       router: peer.buildRelayRouter(this.#options.getHandlers()),
+      onRequest: this.#options.onRequest,
     });
     this.#holder = store.startLeaseHolder({
       store: this.#options.store,
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -6,6 +6,7 @@
 import type * as metrics from "../metrics.ts";
 import * as attemptRequest from "./attempt_request.ts";
 import * as exchangeTelemetry from "./exchange_telemetry.ts";
+import * as handoverExchange from "./handover_exchange.ts";
 import type * as heldBytes from "./held_bytes.ts";
 import type * as ingress from "./ingress.ts";
 import type * as platformInterface from "./platform_interface.ts";
@@ -14,14 +15,12 @@
 import type * as serverSignals from "./server_signals.ts";
 
 /** Services of the host that an exchange uses. */
-export interface ExchangeContext {
-  readonly clock: utils.Clock;
+export interface ExchangeContext extends handoverExchange.HandoverContext {
   readonly log: utils.Logger;
   readonly dispatch: dispatchTask.DispatchTask;
   readonly metrics: metrics.Metrics;
   readonly heldBytes: heldBytes.HeldBytes;
   readonly pools: connectionPools.ConnectionPools;
-  readonly wire: platformInterface.WireFormat;
   /** Checks whether an API key that was valid on arrival may still start an attempt. */
   readonly checkKey: (key: string, customer: string) => KeyCheck;
   /** Applies the signals of a response of a server. */
@@ -101,13 +100,18 @@
   }
 
   open(): void {
-    const { clock, dispatch } = this.#context;
+    const { clock } = this.#context;
     const { incoming, request, deadlineAt } = this.#options;
     incoming.onDisconnect(() => this.#cancel());
     const remainingMs = Math.max(0, deadlineAt - clock.now());
     this.#timer = setTimeout(() => this.#expire(), remainingMs);
-    dispatch.open(request, {
+    this.#openAtDispatcher(request);
+  }
+
+  #openAtDispatcher(request: core.Request): void {
+    this.#context.dispatch.open(request, {
       onStart: (effect) => void this.#runAttempt(effect),
+      onHandOver: (effect) => void this.#runHandover(effect),
       onStop: ({ reason }) => {
         if (reason === "moved") this.#context.metrics.recordAttemptMoved();
         this.#attemptAbort.abort();
@@ -117,6 +121,83 @@
     });
   }
 
+  /** Lets other hosts run the request; if none takes it, this host does what it can. */
+  async #runHandover(
+    effect: Extract<core.DispatchEffect, { kind: "hand_over" }>,
+  ): Promise<void> {
+    const key = this.#checkKey();
+    if (key !== "valid") return this.#refuseKey(key);
+    const { signal } = this.#attemptAbort = new AbortController();
+    const result = await handoverExchange.runHandover(this.#context, {
+      exchange: this.#options,
+      effect,
+      telemetry: this.#telemetry,
+      getLastEventId: () => this.#lastEventId,
+      signal,
+      onEvents: (batch) => this.#forwardHandedEvents(batch, signal),
+    });
+    if (!signal.aborted && !this.#ended) this.#endHandover(effect, result);
+  }
+
+  async #forwardHandedEvents(
+    batch: service.EventBatch,
+    signal: AbortSignal,
+  ): Promise<void> {
+    if (signal.aborted || this.#ended) return;
+    this.#telemetry.recordEvents(batch.count);
+    this.#lastEventId = batch.lastEventId;
+    await this.#options.incoming.answer.write(batch.head, batch.bytes);
+  }
+
+  #endHandover(
+    { request, sent }: Extract<core.DispatchEffect, { kind: "hand_over" }>,
+    result: handoverExchange.HandoverResult,
+  ): void {
+    const { answer } = this.#options.incoming;
+    switch (result.kind) {
+      case "aborted":
+        return;
+      case "answered":
+        if (!this.#close()) return;
+        this.#telemetry.recordEvents(0);
+        if (answer.isStarted()) answer.destroy();
+        else answer.send(result.answer);
+        return this.#telemetry.recordAnswered();
+      case "streamed":
+        if (!this.#close()) return;
+        if (answer.isStarted()) answer.end();
+        else answer.send({ ...result.head, body: "" });
+        return this.#telemetry.recordAnswered();
+      case "declined":
+        return this.#endDeclined(result.waitMs, {
+          ...request,
+          handedOver: true,
+          maxAttempts: (request.maxAttempts ?? core.constants.MAX_ATTEMPTS) -
+            sent,
+        });
+      case "lost":
+        this.#ran = "unknown";
+        return this.#answerRefusal(core.buildRefusal({
+          code: "backend_failed",
+          ran: this.#ran,
+          step: "exchange.handOver",
+          peer: result.peer,
+        }));
+    }
+  }
+
+  /** Refuses a request if the other hosts are full; otherwise queues it here. */
+  #endDeclined(waitMs: number | undefined, request: core.Request): void {
+    if (waitMs === undefined) return this.#openAtDispatcher(request);
+    this.#answerRefusal(core.buildRefusal({
+      code: "overloaded",
+      ran: this.#ran,
+      step: "exchange.handOver",
+      waitMs,
+      minRetryAfterMs: MIN_RETRY_MS,
+    }));
+  }
+
   async #runAttempt(effect: StartEffect): Promise<void> {
     // The key may have been withdrawn while the request was queued or an earlier
     // attempt ran.
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -27,6 +27,8 @@
   /** Whether the host is draining and no longer accepts requests. */
   readonly isClosed: () => boolean;
   readonly isDraining: () => boolean;
+  /** Whether the host takes requests of other hosts. */
+  readonly takesHandovers: () => boolean;
   readonly startupWaits: startupWaits.StartupWaits;
   readonly random: utils.Random;
   /** Region of each failure domain. */
@@ -72,9 +74,26 @@
     const { wire, clock } = this.#options;
     const head = wire.readRequestHead(incoming.headers);
     const arrival = { incoming, head, arrivedAt: clock.now() };
+    if (incoming.handover !== undefined) {
+      return this.#takeHandover(arrival, incoming.handover);
+    }
     if (!this.#waitForFirstState(arrival)) this.#accept(arrival);
   }
 
+  /** Accepts a request of another host, or declines it at once. */
+  #takeHandover(arrival: Arrival, handover: ingress.Handover): void {
+    const { metrics, takesHandovers } = this.#options;
+    if (!takesHandovers()) {
+      const refusal = buildAdmissionRefusal("no_capacity", {
+        message: "This host takes no requests of other hosts now.",
+      });
+      return this.#refuse(arrival.incoming, { head: arrival.head, refusal });
+    }
+    metrics.recordHandover("taken");
+    const arrivedAt = arrival.arrivedAt - handover.elapsedMs;
+    this.#accept({ ...arrival, arrivedAt });
+  }
+
   /** Lets a request wait if the host has not had its first state yet; returns false if the request must not wait. */
   #waitForFirstState(arrival: Arrival): boolean {
     const { belief, startupWaits, isClosed } = this.#options;
@@ -361,7 +380,11 @@
         ? route.targetGapMs
         : Number.POSITIVE_INFINITY,
       weight: 1,
-      maxAttempts: route.maxAttempts,
+      maxAttempts: Math.max(
+        1,
+        route.maxAttempts - (incoming.handover?.sent ?? 0),
+      ),
+      handedOver: incoming.handover !== undefined,
       resumable: route.kind === "stream" && route.resumable,
       allowedDomains: core.listAllowedDomains({
         route,
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -139,6 +139,11 @@
     "Attempts that were stopped in an ejected failure domain and started elsewhere.",
     [],
   );
+  readonly #handovers = this.#createCounter(
+    "banyangrade_handovers_total",
+    "Requests that this host sent to other hosts because its links were lost, that these declined or lost, and that it took from other hosts.",
+    ["outcome"],
+  );
   readonly #linkChanges = this.#createCounter(
     "banyangrade_link_changes_total",
     "Times at which this host lost its links to the backend servers or had them again.",
@@ -219,6 +224,10 @@
     this.#storeCalls.inc({ call: ended.call, outcome: ended.outcome });
   }
 
+  recordHandover(outcome: "sent" | "declined" | "lost" | "taken"): void {
+    this.#handovers.inc({ outcome });
+  }
+
   recordLinksChanged(change: "lost" | "restored"): void {
     this.#linkChanges.inc({ change });
   }
--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -28,7 +28,9 @@
   if (request.kind === "generate") {
     state.prompts.record(request);
   }
-  state.budget.recordFirst(request.target, state.now);
+  if (!request.handedOver) {
+    state.budget.recordFirst(request.target, state.now);
+  }
   state.queue.add({
     request,
     attempt: 1,
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -131,6 +131,23 @@
     return this.#state.links?.isLost() ?? false;
   }
 
+  /** Returns the share of its requests that this host runs over its own links, in [0, 1]. */
+  getOwnShare(now: number): number {
+    return this.#state.links?.getOwnShare(now) ?? 1;
+  }
+
+  /** Returns when this host last reached a server, monotonic ms; -Infinity if it does not know. */
+  getReachedAt(): number {
+    return this.#state.links?.getReachedAt() ?? Number.NEGATIVE_INFINITY;
+  }
+
+  /** Lists the services of which a server is in use. */
+  listServed(now: number): string[] {
+    const inUse = this.#state.table.listServers()
+      .filter((server) => serverState.isInUse(server, now));
+    return [...new Set(inUse.flatMap(({ pool }) => pool.targets))];
+  }
+
   /** Returns the servers, pools and lanes, for the `status` and `explain` commands. */
   inspect(): {
     readonly servers: readonly serverState.ServerState[];
@@ -195,6 +212,12 @@
       return recordSignals(state, event);
     case "connection_tried":
       return linkChecks.recordConnection(state, event);
+    case "peers_changed":
+      state.peers = event.peers;
+      return dispatching.dispatchQueue(state);
+    case "links_questioned":
+      state.links?.scheduleTrial();
+      return linkChecks.tryLinks(state);
     case "servers_changed":
       state.table.setServers(event.servers, state.now);
       state.paces.keep(
--- a/packages/core/dispatching.ts
+++ b/packages/core/dispatching.ts
@@ -2,6 +2,7 @@
 import * as admissionEstimates from "./admission_estimates.ts";
 import type * as attempts from "./attempts.ts";
 import * as constants from "./constants.ts";
+import * as handover from "./handover.ts";
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
@@ -24,6 +25,7 @@
   state: hostState.HostState,
   targets?: readonly string[],
 ): void {
+  handover.forwardQueued(state);
   if (state.queue.size === 0) return;
   const waiting = targets === undefined
     ? state.queue.listNonEmptyLanes()
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -2,6 +2,7 @@
 import type * as config from "./config.ts";
 import type * as enginePaces from "./engine_paces.ts";
 import type * as failureShares from "./failure_shares.ts";
+import type * as handover from "./handover.ts";
 import type * as request from "./request.ts";
 import type * as serverLinks from "./server_links.ts";
 import type * as serverLimits from "./server_limits.ts";
@@ -187,6 +188,13 @@
     readonly server: string;
     readonly reachable: boolean;
   }
+  | {
+    /** Other hosts with working links, to which requests may be handed. */
+    readonly kind: "peers_changed";
+    readonly peers: readonly handover.PeerHost[];
+  }
+  /** Another host asks whether this host reaches the servers, and the last sign of it is old. */
+  | { readonly kind: "links_questioned" }
   | {
     readonly kind: "servers_changed";
     readonly servers: readonly ServerInfo[];
@@ -270,6 +278,15 @@
     readonly server: string;
     readonly overdue: boolean;
   }
+  /** Another host must run this request; the dispatcher no longer knows it. */
+  | {
+    readonly kind: "hand_over";
+    readonly request: request.Request;
+    /** Names of the hosts to try, in order. */
+    readonly peers: readonly string[];
+    /** Number of attempts that were sent to servers. */
+    readonly sent: number;
+  }
   /** Connections to these servers must be tried, to find out whether this host has lost its links. */
   | { readonly kind: "try_links"; readonly servers: readonly ServerInfo[] }
   /** This host has lost its links to the servers, or has them again. */
--- /dev/null
+++ b/packages/core/handover.ts
@@ -0,0 +1,108 @@
+/**
+ * Decides which requests a host that has lost its links to the servers hands to
+ * other hosts, and to which ones.
+ */
+import * as utils from "@banyangrade/utils";
+import * as constants from "./constants.ts";
+import type * as hostState from "./host_state.ts";
+import type * as queue from "./queue.ts";
+import type * as request from "./request.ts";
+
+/** A host with working links that takes requests of other hosts. */
+export interface PeerHost {
+  readonly host: string;
+  readonly failureDomain: string;
+  /** Services of which it has a server in use. */
+  readonly targets: readonly string[];
+  /** Requests that wait there. */
+  readonly queued: number;
+}
+
+/** Number of hosts that a request may be handed to, one after another. */
+const MAX_PEERS = 2;
+/** Number of values among which the share of returning requests is drawn. */
+const DRAW_VALUES = 2 ** 32;
+
+/**
+ * Hands the queued requests to other hosts, those of higher tiers first, as far
+ * as this host does not run them over its own links.
+ *
+ * @example
+ * forwardQueued(state);
+ */
+export function forwardQueued(state: hostState.HostState): void {
+  const { links, peers, queue, now } = state;
+  if (links === undefined || peers.length === 0) return;
+  const ownShare = links.getOwnShare(now);
+  if (ownShare >= 1) return;
+  queue.removeWhere((entry) => mayHandOver(state, { entry, ownShare }))
+    .toSorted((a, b) => a.request.tier - b.request.tier)
+    .forEach((entry) => forwardEntry(state, entry));
+}
+
+/** Whether a request is handed over: another host may run it, and it is not in the share that this host runs. */
+function mayHandOver(
+  state: hostState.HostState,
+  { entry, ownShare }: {
+    readonly entry: queue.QueuedRequest;
+    readonly ownShare: number;
+  },
+): boolean {
+  const { request, ran } = entry;
+  const isSafe = ran === "no" || request.repeatable ||
+    (request.resumable ?? false);
+  const attemptsLeft = (request.maxAttempts ?? constants.MAX_ATTEMPTS) -
+    countSent(entry);
+  return isSafe && !request.handedOver && attemptsLeft > 0 &&
+    listPeers(state, request).length > 0 &&
+    (ownShare === 0 || drawFor(request.id) >= ownShare);
+}
+
+/** Returns the same number in [0, 1) for a request each time. */
+function drawFor(requestId: string): number {
+  return utils.hashSeed(requestId) / DRAW_VALUES;
+}
+
+function countSent({ attempt, unsentAttempts }: queue.QueuedRequest): number {
+  return attempt - 1 - unsentAttempts;
+}
+
+function forwardEntry(
+  state: hostState.HostState,
+  entry: queue.QueuedRequest,
+): void {
+  state.effects.push({
+    kind: "hand_over",
+    request: entry.request,
+    peers: choosePeers(state, entry.request),
+    sent: countSent(entry),
+  });
+}
+
+/** Lists the hosts that may run a request; one that is bound to regions leaves them for no host. */
+function listPeers(
+  { peers }: hostState.HostState,
+  { target, allowedDomains }: request.Request,
+): readonly PeerHost[] {
+  return peers.filter((peer) =>
+    peer.targets.includes(target) &&
+    (allowedDomains?.includes(peer.failureDomain) ?? true)
+  );
+}
+
+/** Chooses the hosts to which a request is handed: each time the less loaded of two random ones. */
+function choosePeers(
+  state: hostState.HostState,
+  request: request.Request,
+): string[] {
+  const left = [...listPeers(state, request)];
+  const take = () => left.splice(state.random.below(left.length), 1)[0];
+  return Array.from({ length: Math.min(MAX_PEERS, left.length) }, () => {
+    const drawn = take();
+    if (left.length === 0) return drawn.host;
+    const other = take();
+    const isBetter = drawn.queued <= other.queued;
+    left.push(isBetter ? other : drawn);
+    return (isBetter ? drawn : other).host;
+  });
+}
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -11,6 +11,7 @@
 import type * as events from "./events.ts";
 import * as failureShares from "./failure_shares.ts";
 import * as fairness from "./fairness.ts";
+import type * as handover from "./handover.ts";
 import * as hostCount from "./host_count.ts";
 import * as lengths from "./length_estimates.ts";
 import * as pauses from "./pauses.ts";
@@ -92,6 +93,8 @@
   readonly mayExceedSlots: boolean;
   /** Servers that fail a part of their requests. */
   readonly failureShares: failureShares.FailureShares;
+  /** Other hosts with working links; known only while this host's own ones are lost or have just been restored. */
+  peers: readonly handover.PeerHost[];
   /** Links of this host to the servers; undefined if it does not track them. */
   readonly links: serverLinks.ServerLinks | undefined;
   readonly random: utils.Random;
@@ -139,6 +142,7 @@
     panics: new serverAvailability.PanicTargets(),
     mayExceedSlots: options.comparesPrompts ?? false,
     failureShares: shares,
+    peers: [],
     links: options.tracksLinks ? new serverLinks.ServerLinks() : undefined,
     random: options.random,
     router: new router.Router({
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -21,6 +21,14 @@
   Record<string, engineDivision.PromptDemand>
 >;
 
+/** How other hosts reach a host to hand requests to it. */
+export interface HostContact {
+  readonly host: string;
+  readonly failureDomain: string;
+  readonly address: string;
+  readonly secret: string;
+}
+
 /** Status that one host sends to other hosts. */
 export interface HostStatus {
   readonly host: string;
@@ -42,6 +50,8 @@
   readonly paces?: enginePaces.Paces;
   /** Outcomes of the host's recent attempts; absent from hosts of earlier versions. */
   readonly outcomes?: failureShares.HostOutcomes;
+  /** Absent from hosts that take no requests of others, and from hosts of earlier versions. */
+  readonly contact?: HostContact;
 }
 
 /** Decision of one host on how engines are divided between short and long prompts. */
@@ -67,6 +77,8 @@
   readonly paces?: enginePaces.SharedPaces;
   /** Outcomes of recent attempts; absent from hosts of earlier versions. */
   readonly outcomes?: failureShares.SharedOutcomes;
+  /** Some hosts of the group in turn; absent from hosts of earlier versions. */
+  readonly contacts?: readonly HostContact[];
   /** Newest decision; absent until one has been received. */
   readonly divisions?: EngineDivisionDecision;
 }
@@ -75,6 +87,12 @@
 export const STATUS_RETENTION_MS = 15_000;
 /** Age in ms up to which the load of a status is valid: three status intervals. */
 const LOAD_VALID_MS = 3_000;
+/** Maximum number of contacts in a summary; others each time, so that all are known after some time. */
+const MAX_CONTACTS = 3;
+/** Time for which the same contacts are in a summary, in ms: one status interval. */
+const CONTACTS_MS = 1_000;
+/** Multiplier that scatters the first contact; a plain rotation at each of two levels could skip some for good. */
+const SCATTER_MULTIPLIER = 2_654_435_761;
 /** Maximum number of clock readings in a summary: enough for a median that a few wrong clocks do not shift. */
 const MAX_CLOCK_READINGS = 15;
 
@@ -146,7 +164,7 @@
     const current = keepLatestIncarnations(
       others.filter(({ at, direct }) => direct && now - at <= LOAD_VALID_MS),
     );
-    return mergeSummaries([
+    const summary = mergeSummaries([
       {
         ...EMPTY_SUMMARY,
         hosts: new Set(others.map(({ status }) => status.host)).size,
@@ -159,9 +177,11 @@
         prompting: status.prompting,
         limits: status.limits ?? [],
         ...shared,
+        ...(status.contact && { contacts: [status.contact] }),
         times: [status.at + now - at],
       })),
     ]);
+    return { ...summary, contacts: chooseContacts(summary, now) };
   }
 }
 
@@ -203,6 +223,7 @@
     prompting: sumCounts(summaries.map(({ prompting }) => prompting)),
     times: summaries.flatMap(({ times }) => times).slice(0, MAX_CLOCK_READINGS),
     suspects: [...marks.values()],
+    contacts: summaries.flatMap(({ contacts }) => contacts ?? []),
     outcomes: failureShares.mergeOutcomes(
       summaries.flatMap(({ outcomes }) => outcomes ?? []),
     ),
@@ -211,6 +232,24 @@
   };
 }
 
+/**
+ * Chooses the contacts of a summary: a few, others each time.
+ *
+ * @example
+ * const summary = { ...merged, contacts: chooseContacts(merged, now) };
+ */
+export function chooseContacts(
+  { contacts = [] }: Pick<HostsSummary, "contacts">,
+  now: number,
+): HostContact[] {
+  const turn = Math.floor(now / CONTACTS_MS);
+  const first = Math.imul(turn, SCATTER_MULTIPLIER) >>> 8;
+  return Array.from(
+    { length: Math.min(MAX_CONTACTS, contacts.length) },
+    (_, index) => contacts[(first + index) % contacts.length],
+  );
+}
+
 /** Keeps the newest record of each server. */
 function keepNewestLimits(
   records: readonly serverLimits.LimitRecord[],
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -18,6 +18,7 @@
 export * from "./events.ts";
 export * from "./failure_shares.ts";
 export * from "./freshness.ts";
+export * from "./handover.ts";
 export * from "./host_count.ts";
 export * from "./host_statuses.ts";
 export * from "./keys.ts";
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -74,6 +74,8 @@
   readonly resumable?: boolean;
   /** Failure domains in which it may run. @default any */
   readonly allowedDomains?: readonly string[];
+  /** Whether a host handed it to another one. It is not handed over again, and its first attempt is counted already. @default false */
+  readonly handedOver?: boolean;
 }
 
 /**
--- a/packages/core/server_links.ts
+++ b/packages/core/server_links.ts
@@ -54,6 +54,7 @@
   #restoredAt = Number.NEGATIVE_INFINITY;
   #lastReachedAt = Number.NEGATIVE_INFINITY;
   #triedAt = Number.NEGATIVE_INFINITY;
+  #isTrialScheduled = false;
   /** Reachable servers since the last unreachable one. */
   readonly #reachableInRow = new Set<string>();
 
@@ -137,6 +138,11 @@
     return Math.min(now, ...recent);
   }
 
+  /** Lets the next round try connections although nothing is suspected. */
+  scheduleTrial(): void {
+    this.#isTrialScheduled = true;
+  }
+
   /**
    * Draws the servers to which connections are to be tried now; empty unless
    * several servers send nothing or the links are lost.
@@ -145,11 +151,12 @@
     servers: readonly string[],
     { random, now }: { readonly random: utils.Random; readonly now: number },
   ): string[] {
-    const isSuspected = this.#countSilent(now) >=
-      Math.min(MIN_SILENT, servers.length);
+    const isSuspected = this.#isTrialScheduled ||
+      this.#countSilent(now) >= Math.min(MIN_SILENT, servers.length);
     if (!this.isLost() && !isSuspected) return [];
     if (now - this.#triedAt < TRIAL_MS) return [];
     this.#triedAt = now;
+    this.#isTrialScheduled = false;
     const count = this.isLost() ? TRIALS.lost : TRIALS.suspected;
     return drawSome(servers, { count, random });
   }
--- a/packages/peer/server.ts
+++ b/packages/peer/server.ts
@@ -26,6 +26,8 @@
   readonly secrets: readonly string[];
   /** Router of the protocol to serve. */
   readonly router: trpc.AnyRouter;
+  /** Handles plain HTTP requests; it must authorise them itself. @default none are accepted */
+  readonly onRequest?: http.RequestListener;
   /** Certificates for mutual TLS; absent for connections without TLS. */
   readonly tls?: PeerTls;
 }
@@ -53,6 +55,7 @@
     maxPayload: MAX_MESSAGE_BYTES,
     perMessageDeflate: false,
   });
+  if (options.onRequest !== undefined) server.on("request", options.onRequest);
   const digests = options.secrets.map(utils.computeDigest);
   adapter.applyWSSHandler({
     wss: sockets,
