Track the links to the servers of each service

With one state for all servers the reachable ones hid the loss. The links of each service now have a state of their own, and the loss of one makes the host try the others at once. Hosts answer for which services they have just reached a server, after a trial if the last sign is old.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -183,24 +183,24 @@
     );
   }
 
-  /** Whether this host has lost its links to the servers. */
-  hasLostLinks(): boolean {
-    return this.#options.dispatcher.hasLostLinks();
+  /** Whether this host has lost its links to the servers of a service. */
+  hasLostLinks(target: string): boolean {
+    return this.#options.dispatcher.hasLostLinks(target);
   }
 
-  /** Returns the share of its requests that this host runs over its own links. */
-  getOwnShare(): number {
-    return this.#options.dispatcher.getOwnShare(this.#options.clock.now());
+  /** Lists the services to whose servers this host has lost its links. */
+  listLostLinks(): string[] {
+    return this.#options.dispatcher.listLostLinks();
   }
 
-  /** Returns the time since this host last reached a server, in ms. */
-  getReachedAge(): number {
-    return this.#options.clock.now() - this.#options.dispatcher.getReachedAt();
+  /** Whether this host runs all its requests over its own links. */
+  hasFullShare(): boolean {
+    return this.#options.dispatcher.hasFullShare(this.#options.clock.now());
   }
 
-  /** Lists the services of which a server is in use. */
-  listServed(): string[] {
-    return this.#options.dispatcher.listServed(this.#options.clock.now());
+  /** Lists the services that this host may use, with the time since it last reached a server of them, in ms. */
+  listReached(): Record<string, number> {
+    return this.#options.dispatcher.listReached(this.#options.clock.now());
   }
 
   /** Counts the queued requests. */
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -119,8 +119,8 @@
     read: () => dispatch.countOverdueServers(),
   });
   metrics.addGauge("banyangrade_links_lost", {
-    help: "1 while this host has lost its links to the backend servers.",
-    read: () => dispatch.hasLostLinks() ? 1 : 0,
+    help: "Services to whose backend servers this host has lost its links.",
+    read: () => dispatch.listLostLinks().length,
   });
   metrics.addGauge("banyangrade_handover_peers", {
     help: "Hosts to which this host hands requests.",
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -193,8 +193,8 @@
       ),
     onTryLinks: ({ servers }) =>
       servers.forEach((server) => void tryLink(draft, server)),
-    onLinksChanged: ({ change }) => {
-      linkTelemetry.recordLinksChanged(draft, change);
+    onLinksChanged: ({ pool, change }) => {
+      linkTelemetry.recordLinksChanged(draft, { service: pool, change });
       draft.handover.start();
     },
     onPanicChanged: ({ target, active }) =>
--- a/packages/banyangrade/gateway/handover_protocol.ts
+++ b/packages/banyangrade/gateway/handover_protocol.ts
@@ -28,11 +28,7 @@
 
 /** Answer to the question about the links of a host. */
 export interface LinkReport {
-  /** Whether the host takes requests: its links work, and it is neither starting nor stopping. */
-  readonly takesRequests: boolean;
-  /** Time since it last reached a server, in ms; large if it does not know. */
-  readonly reachedAgeMs: number;
-  /** Services of which it has a server in use. */
+  /** Services of which it has just reached a server and for which it takes requests. */
   readonly targets: readonly string[];
   /** Requests that wait there. */
   readonly queued: number;
@@ -152,13 +148,11 @@
  * Parses the answer to a question; undefined if it is none.
  *
  * @example
- * parseLinkReport(text)?.takesRequests;
+ * parseLinkReport(text)?.targets;
  */
 export function parseLinkReport(text: string): LinkReport | undefined {
   const report = utils.parseJson(text) as Partial<LinkReport> | undefined;
-  const isValid = typeof report?.takesRequests === "boolean" &&
-    typeof report.reachedAgeMs === "number" &&
-    typeof report.queued === "number" &&
+  const isValid = typeof report?.queued === "number" &&
     Array.isArray(report.targets) &&
     report.targets.every((target) => typeof target === "string");
   return isValid ? report as LinkReport : undefined;
--- a/packages/banyangrade/gateway/handover_task.ts
+++ b/packages/banyangrade/gateway/handover_task.ts
@@ -27,8 +27,8 @@
  * links at the same moment may not have noticed it, but has no newer sign.
  */
 const MAX_REACHED_AGE_MS = 400;
-/** Age that is reported by a host that never reached a server, in ms. */
-const NEVER_REACHED_MS = 1_000_000;
+/** Time for which a host waits for the trials of its links before it answers, in ms; ten times the latency between failure domains. */
+const TRIAL_WAIT_MS = 60;
 /** Maximum number of connections to one other host. */
 const MAX_CONNECTIONS = 128;
 
@@ -139,9 +139,7 @@
         response.writeHead(403, { connection: "close" }).end();
         return;
       case "question":
-        response.setHeader("content-type", "application/json");
-        response.end(JSON.stringify(this.#describeLinks()));
-        return;
+        return void this.#answerQuestion(response);
       case "request": {
         const { heldBytes, onRequest } = this.#options;
         response.sendDate = false;
@@ -168,30 +166,35 @@
 
   /** Whether this host takes requests of other hosts now. */
   mayTakeRequests(): boolean {
-    const { dispatch, takesRequests } = this.#options;
-    return takesRequests() && !dispatch.hasLostLinks();
+    return this.#options.takesRequests();
   }
 
-  /** Describes this host's links; tries them if the last sign of a server is old. */
-  #describeLinks(): handoverProtocol.LinkReport {
+  async #answerQuestion(response: http.ServerResponse): Promise<void> {
     const { dispatch } = this.#options;
-    const reachedAgeMs = dispatch.getReachedAge();
-    if (reachedAgeMs > MAX_REACHED_AGE_MS) {
+    if (this.#listTargets({ fresh: false }).length > 0) {
       dispatch.send({ kind: "links_questioned" });
+      await utils.waitFor(TRIAL_WAIT_MS);
     }
-    return {
-      takesRequests: this.mayTakeRequests(),
-      reachedAgeMs: Math.min(NEVER_REACHED_MS, Math.round(reachedAgeMs)),
-      targets: dispatch.listServed(),
+    const report: handoverProtocol.LinkReport = {
+      targets: this.mayTakeRequests() ? this.#listTargets({ fresh: true }) : [],
       queued: dispatch.countQueued(),
     };
+    response.setHeader("content-type", "application/json");
+    response.end(JSON.stringify(report));
+  }
+
+  /** Lists the services of which the last sign of a server is fresh, or is not. */
+  #listTargets({ fresh }: { readonly fresh: boolean }): string[] {
+    return Object.entries(this.#options.dispatch.listReached())
+      .filter(([, ageMs]) => (ageMs <= MAX_REACHED_AGE_MS) === fresh)
+      .map(([target]) => target);
   }
 
   async #runRound(): Promise<void> {
     const { dispatch } = this.#options;
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
-      if (dispatch.getOwnShare() < 1) return this.start();
+      if (!dispatch.hasFullShare()) return this.start();
       this.#setPeers([]);
     }, ASK_MS);
     // Each answer counts at once, because requests are waiting.
@@ -230,10 +233,9 @@
         signal: AbortSignal.timeout(ANSWER_MS),
       });
       const report = handoverProtocol.parseLinkReport(await body.text());
-      const isReaching = statusCode === 200 && report?.takesRequests &&
-        report.reachedAgeMs <= MAX_REACHED_AGE_MS;
-      if (!isReaching) return undefined;
+      if (statusCode !== 200 || report === undefined) return undefined;
       const { targets, queued } = report;
+      if (targets.length === 0) return undefined;
       return { host, failureDomain, targets, queued };
     } catch (thrown) {
       const message = utils.getErrorMessage(thrown);
--- a/packages/banyangrade/gateway/link_telemetry.ts
+++ b/packages/banyangrade/gateway/link_telemetry.ts
@@ -13,15 +13,18 @@
  * Logs and counts that this host has lost its links or has them again.
  *
  * @example
- * recordLinksChanged(parts, "lost");
+ * recordLinksChanged(parts, { service: "planner", change: "lost" });
  */
 export function recordLinksChanged(
   { log, metrics }: LinkTelemetryContext,
-  change: core.LinkChange,
+  { service, change }: {
+    readonly service: string;
+    readonly change: core.LinkChange;
+  },
 ): void {
   metrics.recordLinksChanged(change);
   utils.createPartLogger(log, "server").warn(
-    {},
+    { service },
     change === "lost"
       ? "Links to the servers lost."
       : "Links to the servers restored.",
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -84,10 +84,10 @@
   #takeHandover(arrival: Arrival, handover: ingress.Handover): void {
     const { metrics, takesHandovers } = this.#options;
     if (!takesHandovers()) {
-      const refusal = buildAdmissionRefusal("no_capacity", {
-        message: "This host takes no requests of other hosts now.",
+      return this.#refuse(arrival.incoming, {
+        head: arrival.head,
+        refusal: refuseHandover(),
       });
-      return this.#refuse(arrival.incoming, { head: arrival.head, refusal });
     }
     metrics.recordHandover("taken");
     const arrivedAt = arrival.arrivedAt - handover.elapsedMs;
@@ -301,6 +301,12 @@
       this.#refuse(incoming, { head, refusal });
       return false;
     }
+    const isCut = incoming.handover !== undefined &&
+      this.#options.dispatch.hasLostLinks(service);
+    if (isCut) {
+      this.#refuse(incoming, { head, refusal: refuseHandover() });
+      return false;
+    }
     const request = this.#buildRequest(admitted, { service, body });
     requestExchange.openExchange(this.#options, {
       incoming,
@@ -469,6 +475,13 @@
   });
 }
 
+/** Refuses a request of another host, which has no more servers than that one. */
+function refuseHandover(): core.Refusal {
+  return buildAdmissionRefusal("no_capacity", {
+    message: "This host takes no requests of other hosts now.",
+  });
+}
+
 function refuseDraining(): core.Refusal {
   return core.buildRefusal({
     code: "draining",
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -126,26 +126,34 @@
       .filter((server) => serverState.isOverdue(server, now)).length;
   }
 
-  /** Whether this host has lost its links to the servers; false if it does not track them. */
-  hasLostLinks(): boolean {
-    return this.#state.links?.isLost() ?? false;
+  /** Whether this host has lost its links to the servers of a target. */
+  hasLostLinks(target: string): boolean {
+    return linkChecks.hasLostLinks(this.#state, target);
   }
 
-  /** Returns the share of its requests that this host runs over its own links, in [0, 1]. */
-  getOwnShare(now: number): number {
-    return this.#state.links?.getOwnShare(now) ?? 1;
+  /** Lists the pools to whose servers this host has lost its links. */
+  listLostLinks(): string[] {
+    return [...this.#state.links ?? []].filter(([, links]) => links.isLost())
+      .map(([pool]) => pool);
   }
 
-  /** Returns when this host last reached a server, monotonic ms; -Infinity if it does not know. */
-  getReachedAt(): number {
-    return this.#state.links?.getReachedAt() ?? Number.NEGATIVE_INFINITY;
+  /** Whether this host runs all its requests over its own links. */
+  hasFullShare(now: number): boolean {
+    return [...this.#state.links?.values() ?? []]
+      .every((links) => links.getOwnShare(now) === 1);
   }
 
-  /** Lists the services of which a server is in use. */
-  listServed(now: number): string[] {
-    const inUse = this.#state.table.listServers()
-      .filter((server) => serverState.isInUse(server, now));
-    return [...new Set(inUse.flatMap(({ pool }) => pool.targets))];
+  /** Lists the services of which a server is in use, with the time since this host last reached one, in ms. */
+  listReached(now: number): Record<string, number> {
+    const { table, links } = this.#state;
+    const inUse = table.listServers().filter((server) =>
+      serverState.isInUse(server, now) &&
+      !links?.get(server.info.pool)?.isLost()
+    );
+    return Object.fromEntries(inUse.map(({ pool }) => [
+      pool.name,
+      now - (links?.get(pool.name)?.getReachedAt() ?? -Infinity),
+    ]));
   }
 
   /** Returns the servers, pools and lanes, for the `status` and `explain` commands. */
@@ -216,7 +224,7 @@
       state.peers = event.peers;
       return dispatching.dispatchQueue(state);
     case "links_questioned":
-      state.links?.scheduleTrial();
+      linkChecks.scheduleTrials(state);
       return linkChecks.tryLinks(state);
     case "servers_changed":
       state.table.setServers(event.servers, state.now);
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -289,9 +289,10 @@
   }
   /** Connections to these servers must be tried, to find out whether this host has lost its links. */
   | { readonly kind: "try_links"; readonly servers: readonly ServerInfo[] }
-  /** This host has lost its links to the servers, or has them again. */
+  /** This host has lost its links to the servers of a pool, or has them again. */
   | {
     readonly kind: "links_changed";
+    readonly pool: string;
     readonly change: serverLinks.LinkChange;
   }
   /** Demand changed, so the capacity allocator must be asked for slots at once. */
--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -5,6 +5,7 @@
 import * as utils from "@banyangrade/utils";
 import * as constants from "./constants.ts";
 import type * as hostState from "./host_state.ts";
+import * as linkChecks from "./link_checks.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
 
@@ -12,7 +13,7 @@
 export interface PeerHost {
   readonly host: string;
   readonly failureDomain: string;
-  /** Services of which it has a server in use. */
+  /** Services of which it reaches a server. */
   readonly targets: readonly string[];
   /** Requests that wait there. */
   readonly queued: number;
@@ -31,11 +32,18 @@
  * forwardQueued(state);
  */
 export function forwardQueued(state: hostState.HostState): void {
-  const { links, peers, queue, now } = state;
-  if (links === undefined || peers.length === 0) return;
-  const ownShare = links.getOwnShare(now);
-  if (ownShare >= 1) return;
-  queue.removeWhere((entry) => mayHandOver(state, { entry, ownShare }))
+  if (state.peers.length === 0) return;
+  const shares = new Map(
+    state.queue.listNonEmptyLanes().map(({ target }) => [
+      target,
+      linkChecks.getOwnShare(state, target),
+    ]),
+  );
+  if ([...shares.values()].every((share) => share === 1)) return;
+  state.queue.removeWhere((entry) => {
+    const ownShare = shares.get(entry.request.target) ?? 1;
+    return ownShare < 1 && mayHandOver(state, { entry, ownShare });
+  })
     .toSorted((a, b) => a.request.tier - b.request.tier)
     .forEach((entry) => forwardEntry(state, entry));
 }
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -25,7 +25,7 @@
 import * as router from "./router.ts";
 import * as serverAvailability from "./server_availability.ts";
 import * as serverLimits from "./server_limits.ts";
-import * as serverLinks from "./server_links.ts";
+import type * as serverLinks from "./server_links.ts";
 import type * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
 
@@ -95,8 +95,8 @@
   readonly failureShares: failureShares.FailureShares;
   /** Other hosts with working links; known only while this host's own ones are lost or have just been restored. */
   peers: readonly handover.PeerHost[];
-  /** Links of this host to the servers; undefined if it does not track them. */
-  readonly links: serverLinks.ServerLinks | undefined;
+  /** Links of this host to the servers of each pool; undefined if it does not track them. */
+  readonly links: Map<string, serverLinks.ServerLinks> | undefined;
   readonly random: utils.Random;
   readonly router: router.Router;
 }
@@ -143,7 +143,7 @@
     mayExceedSlots: options.comparesPrompts ?? false,
     failureShares: shares,
     peers: [],
-    links: options.tracksLinks ? new serverLinks.ServerLinks() : undefined,
+    links: options.tracksLinks ? new Map() : undefined,
     random: options.random,
     router: new router.Router({
       table,
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -1,17 +1,84 @@
 /**
- * Keeps the state of this host's links to backend servers up to date; the rules
- * are those of {@link serverLinks}. Only hosts that track their links do so.
+ * Keeps the state of this host's links to the backend servers of each pool up to
+ * date; the rules are those of {@link serverLinks}. Only hosts that track their
+ * links do so.
  */
 import type * as events from "./events.ts";
 import type * as hostState from "./host_state.ts";
-import type * as serverLinks from "./server_links.ts";
+import * as serverLinks from "./server_links.ts";
 
-/** Options of {@link recordConnection}. */
+/** Outcome of opening a connection to a server. */
 export interface ConnectionOutcome {
   readonly server: string;
   readonly reachable: boolean;
 }
 
+/**
+ * Returns the links to a pool's servers; undefined if this host does not track them.
+ *
+ * @example
+ * getLinks(state, "planner")?.isLost();
+ */
+export function getLinks(
+  { links }: hostState.HostState,
+  pool: string,
+): serverLinks.ServerLinks | undefined {
+  if (links === undefined) return undefined;
+  const known = links.get(pool);
+  if (known !== undefined) return known;
+  const created = new serverLinks.ServerLinks();
+  links.set(pool, created);
+  return created;
+}
+
+/**
+ * Returns the share of the requests for a target that this host runs over its own
+ * links, in [0, 1].
+ *
+ * @example
+ * getOwnShare(state, "planner"); // 1
+ */
+export function getOwnShare(
+  state: hostState.HostState,
+  target: string,
+): number {
+  const shares = state.table.listPoolsFor(target).map(({ part: { name } }) =>
+    getLinks(state, name)?.getOwnShare(state.now) ?? 1
+  );
+  return shares.length === 0 ? 1 : Math.max(...shares);
+}
+
+/**
+ * Whether this host has lost its links to the servers of all pools of a target.
+ *
+ * @example
+ * hasLostLinks(state, "planner"); // false
+ */
+export function hasLostLinks(
+  state: hostState.HostState,
+  target: string,
+): boolean {
+  const pools = state.table.listPoolsFor(target);
+  return pools.length > 0 &&
+    pools.every(({ part: { name } }) =>
+      getLinks(state, name)?.isLost() ?? false
+    );
+}
+
+/**
+ * Whether this host has lost its links to the server's pool.
+ *
+ * @example
+ * if (isBehindLostLinks(state, server)) return;
+ */
+export function isBehindLostLinks(
+  state: hostState.HostState,
+  server: string,
+): boolean {
+  const pool = state.table.get(server)?.info.pool;
+  return pool !== undefined && (getLinks(state, pool)?.isLost() ?? false);
+}
+
 /**
  * Records the outcome of opening a connection to a server.
  *
@@ -22,11 +89,16 @@
   state: hostState.HostState,
   { server, reachable }: ConnectionOutcome,
 ): void {
-  const { links, now } = state;
-  if (links === undefined) return;
-  const servers = listLive(state).length;
-  const change = links.recordConnection(server, { reachable, servers, now });
-  if (change !== undefined) applyChange(state, change);
+  const pool = state.table.get(server)?.info.pool;
+  const links = pool === undefined ? undefined : getLinks(state, pool);
+  if (pool === undefined || links === undefined) return;
+  const servers = listLive(state, pool).length;
+  const change = links.recordConnection(server, {
+    reachable,
+    servers,
+    now: state.now,
+  });
+  if (change !== undefined) applyChange(state, { pool, change });
 }
 
 /**
@@ -48,7 +120,7 @@
       return recordConnection(state, { server, reachable: false });
     case "timeout":
     case "connection_lost":
-      return state.links?.recordSilence(server, state.now);
+      return recordSilence(state, server);
     case "withheld":
     case "refused":
     case "misdirected":
@@ -60,8 +132,23 @@
 }
 
 /**
- * Tries connections to some servers if several servers send nothing, or if the
- * links are lost.
+ * Records that a server sent nothing for longer than it should have taken.
+ *
+ * @example
+ * recordSilence(state, "s1@1");
+ */
+export function recordSilence(
+  state: hostState.HostState,
+  server: string,
+): void {
+  const pool = state.table.get(server)?.info.pool;
+  if (pool === undefined) return;
+  getLinks(state, pool)?.recordSilence(server, state.now);
+}
+
+/**
+ * Tries connections to some servers of each pool of which several servers send
+ * nothing or the links are lost.
  *
  * @example
  * tryLinks(state);
@@ -69,7 +156,11 @@
 export function tryLinks(state: hostState.HostState): void {
   const { links, now, random } = state;
   if (links === undefined) return;
-  const servers = links.drawTrials(listLive(state), { random, now });
+  const servers = [...links].flatMap(([pool, one]) =>
+    one.mayTry(now)
+      ? one.drawTrials(listLive(state, pool), { random, now })
+      : []
+  );
   if (servers.length === 0) return;
   state.effects.push({
     kind: "try_links",
@@ -77,14 +168,32 @@
   });
 }
 
-function listLive({ table }: hostState.HostState): string[] {
-  return table.listServers().filter(({ info }) => info.state === "live")
+/**
+ * Lets the next round try the links of all pools, because another host asks or
+ * those of one pool are lost.
+ *
+ * @example
+ * scheduleTrials(state);
+ */
+export function scheduleTrials(state: hostState.HostState): void {
+  state.table.listPools().forEach(({ part: { name } }) =>
+    getLinks(state, name)?.scheduleTrial()
+  );
+}
+
+function listLive({ table }: hostState.HostState, pool: string): string[] {
+  return table.listServers()
+    .filter(({ info }) => info.state === "live" && info.pool === pool)
     .map(({ info }) => info.name);
 }
 
 function applyChange(
   state: hostState.HostState,
-  change: serverLinks.LinkChange,
+  { pool, change }: {
+    readonly pool: string;
+    readonly change: serverLinks.LinkChange;
+  },
 ): void {
-  state.effects.push({ kind: "links_changed", change });
+  state.effects.push({ kind: "links_changed", pool, change });
+  if (change === "lost") scheduleTrials(state);
 }
--- a/packages/core/progress.ts
+++ b/packages/core/progress.ts
@@ -2,6 +2,7 @@
 import * as attempts from "./attempts.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
+import * as linkChecks from "./link_checks.ts";
 import type * as hostState from "./host_state.ts";
 import * as serverAvailability from "./server_availability.ts";
 import type * as serverState from "./server_state.ts";
@@ -44,7 +45,7 @@
 ): void {
   const { name, failureDomain } = server.info;
   server.lastResponseAt = state.now;
-  state.links?.recordData(name, state.now);
+  linkChecks.getLinks(state, server.info.pool)?.recordData(name, state.now);
   serverAvailability.recordResponse(server);
   if (server.overdueSince !== undefined) {
     server.overdueSince = undefined;
--- a/packages/core/server_checks.ts
+++ b/packages/core/server_checks.ts
@@ -6,6 +6,7 @@
 import type * as attempts from "./attempts.ts";
 import * as constants from "./constants.ts";
 import * as dispatching from "./dispatching.ts";
+import * as linkChecks from "./link_checks.ts";
 import * as hostState from "./host_state.ts";
 import * as retry from "./retry.ts";
 import * as serverState from "./server_state.ts";
@@ -94,7 +95,7 @@
     if (server === undefined) return;
     // The attempts may end without an answer, so the mark outlives them for a time.
     server.overdueUntil = now + constants.EJECT_MS;
-    state.links?.recordSilence(name, now);
+    linkChecks.recordSilence(state, name);
     if (server.overdueSince !== undefined) return;
     server.overdueSince = now;
     state.effects.push({
--- a/packages/core/server_links.ts
+++ b/packages/core/server_links.ts
@@ -1,6 +1,6 @@
 /**
- * Detects that this host has lost its links to backend servers while the servers
- * themselves may be well.
+ * Detects that this host has lost its links to the backend servers of a pool while
+ * the servers themselves may be well.
  *
  * The evidence is whether connections can be opened: a server that sends nothing
  * may be busy, and data on connections that are open already says nothing about
@@ -44,7 +44,7 @@
 /** Change of the state of the links. */
 export type LinkChange = "lost" | "restored";
 
-/** The links of one host to all backend servers. */
+/** The links of one host to the backend servers of one pool. */
 export class ServerLinks {
   /** Last connection attempt of each server, the oldest first. */
   readonly #outcomes = new Map<string, Outcome>();
@@ -90,12 +90,12 @@
     this.#silent.set(server, now);
   }
 
-  /** Records a connection attempt of `servers` known ones; returns the change of the links' state, if any. */
+  /** Records a connection attempt; returns the change of the links' state, if any. */
   recordConnection(
     server: string,
     { reachable, servers, now }: {
       readonly reachable: boolean;
-      /** Number of live servers that this host knows. */
+      /** Number of live servers of the pool. */
       readonly servers: number;
       readonly now: number;
     },
@@ -105,7 +105,7 @@
     if (!reachable) {
       this.#reachableInRow.clear();
       this.#silent.set(server, now);
-      return this.#decideLost(now);
+      return this.#decideLost({ servers, now });
     }
     this.#lastReachedAt = now;
     this.#reachableInRow.add(server);
@@ -119,13 +119,15 @@
     return "restored";
   }
 
-  #decideLost(now: number): LinkChange | undefined {
+  #decideLost(
+    { servers, now }: { readonly servers: number; readonly now: number },
+  ): LinkChange | undefined {
     if (this.isLost()) return undefined;
     [...this.#outcomes].filter(([, { at }]) => now - at > OUTCOME_MS)
       .forEach(([server]) => this.#outcomes.delete(server));
     const compared = [...this.#outcomes.values()].slice(-COMPARED_SERVERS);
     const unreachable = compared.filter(({ reachable }) => !reachable).length;
-    const isLost = unreachable >= MIN_UNREACHABLE &&
+    const isLost = unreachable >= Math.min(MIN_UNREACHABLE, servers) &&
       unreachable >= LOST_SHARE * compared.length;
     if (!isLost) return undefined;
     this.#state = { kind: "lost", since: this.#findFirstSilence(now) };
@@ -143,6 +145,13 @@
     this.#isTrialScheduled = true;
   }
 
+  /** Whether a round of trials is due, if there is a reason for one. */
+  mayTry(now: number): boolean {
+    const mayBeLost = this.isLost() || this.#isTrialScheduled ||
+      this.#silent.size > 0;
+    return mayBeLost && now - this.#triedAt >= TRIAL_MS;
+  }
+
   /**
    * Draws the servers to which connections are to be tried now; empty unless
    * several servers send nothing or the links are lost.
@@ -153,8 +162,7 @@
   ): string[] {
     const isSuspected = this.#isTrialScheduled ||
       this.#countSilent(now) >= Math.min(MIN_SILENT, servers.length);
-    if (!this.isLost() && !isSuspected) return [];
-    if (now - this.#triedAt < TRIAL_MS) return [];
+    if (!this.isLost() && !isSuspected || !this.mayTry(now)) return [];
     this.#triedAt = now;
     this.#isTrialScheduled = false;
     const count = this.isLost() ? TRIALS.lost : TRIALS.suspected;
