Withhold suspects of a host that has lost its links

What callers would see: connections that are reset by a cut mark their requests as suspects of crashing a server. Equal requests of several hosts that are cut off reach three marks, and all hosts refuse them as poison.

Cause: a broken connection counts as the end of its server, whoever's link it is. Change: marks since the first silent server are withheld from other hosts while the links are lost. They count here at once. They are reported once the server is gone from the list, which a crash leads to, and forgotten if it answers under the same incarnation.

With it come tests of the decisions of a handover: once, in the allowed regions, first attempts counted once.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -26,6 +26,10 @@
   readonly onSuspect: (
     effect: Extract<core.DispatchEffect, { kind: "suspect" }>,
   ) => void;
+  /** Called when other hosts must not be told of suspects any more. @default ignored */
+  readonly onSuspectsWithdrawn?: (
+    effect: Extract<core.DispatchEffect, { kind: "suspects_withdrawn" }>,
+  ) => void;
   readonly onAskCapacity: () => void;
   /** Called when a server is overdue or answers again. @default ignored */
   readonly onOverdueChanged?: (
@@ -241,6 +245,8 @@
       }
       case "suspect":
         return this.#options.onSuspect(effect);
+      case "suspects_withdrawn":
+        return this.#options.onSuspectsWithdrawn?.(effect);
       case "overdue_changed":
         return this.#options.onOverdueChanged?.(effect);
       case "ask_capacity":
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -185,6 +185,8 @@
     }),
     onSuspect: ({ mark }) =>
       void draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS }),
+    onSuspectsWithdrawn: ({ marks }) =>
+      marks.forEach((mark) => draft.marks.remove(mark)),
     onAskCapacity: () => undefined,
     onOverdueChanged: ({ server, overdue }) =>
       serverLog.info(
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -214,7 +214,7 @@
     fingerprint: ended.request.fingerprint,
     server: ended.server,
   };
-  state.effects.push({ kind: "suspect", mark });
+  linkChecks.reportSuspect(state, mark);
   state.suspects.add(mark);
   separateSuspects(state, [mark]);
 }
--- a/packages/core/deadline_checks.ts
+++ b/packages/core/deadline_checks.ts
@@ -23,6 +23,7 @@
   state.reading.record(countPrefilling(state), state.now);
   serverChecks.checkServers(state);
   linkChecks.tryLinks(state);
+  linkChecks.decideDoubtfulMarks(state);
   dispatching.dispatchQueue(state);
   preemptForDelayed(state);
   handleOverdue(state);
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -272,6 +272,11 @@
   }
   /** A server was lost while it ran this request; other hosts must be told. */
   | { readonly kind: "suspect"; readonly mark: SuspectMark }
+  /** These marks may be wrong, because this host has lost its links to the servers; other hosts must not be told of them for now. */
+  | {
+    readonly kind: "suspects_withdrawn";
+    readonly marks: readonly SuspectMark[];
+  }
   /** A server is overdue, or answers again. */
   | {
     readonly kind: "overdue_changed";
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -6,6 +6,7 @@
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import * as domainFailureDetector from "./domain_failure_detector.ts";
+import * as doubtfulMarks from "./doubtful_marks.ts";
 import * as engineChoice from "./engine_choice.ts";
 import * as enginePaces from "./engine_paces.ts";
 import type * as events from "./events.ts";
@@ -95,6 +96,7 @@
   readonly failureShares: failureShares.FailureShares;
   /** Other hosts with working links; known only while this host's own ones are lost or have just been restored. */
   peers: readonly handover.PeerHost[];
+  readonly doubtfulMarks: doubtfulMarks.DoubtfulMarks;
   /** Links of this host to the servers of each pool; undefined if it does not track them. */
   readonly links: Map<string, serverLinks.ServerLinks> | undefined;
   readonly random: utils.Random;
@@ -143,6 +145,7 @@
     mayExceedSlots: options.comparesPrompts ?? false,
     failureShares: shares,
     peers: [],
+    doubtfulMarks: new doubtfulMarks.DoubtfulMarks(),
     links: options.tracksLinks ? new Map() : undefined,
     random: options.random,
     router: new router.Router({
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -181,6 +181,50 @@
   );
 }
 
+/**
+ * Reports a suspect of this host to the others, unless its server may only be out
+ * of this host's reach.
+ *
+ * @example
+ * reportSuspect(state, { fingerprint, server: "s1@1" });
+ */
+export function reportSuspect(
+  state: hostState.HostState,
+  mark: events.SuspectMark,
+): void {
+  const { doubtfulMarks, now } = state;
+  if (isBehindLostLinks(state, mark.server)) {
+    return doubtfulMarks.add(mark, now);
+  }
+  doubtfulMarks.recordReported(mark, now);
+  state.effects.push({ kind: "suspect", mark });
+}
+
+/**
+ * Decides on the suspects that were withheld: those whose servers are gone are
+ * reported, those whose servers have answered are forgotten.
+ *
+ * @example
+ * decideDoubtfulMarks(state);
+ */
+export function decideDoubtfulMarks(state: hostState.HostState): void {
+  const { doubtfulMarks, table, suspects } = state;
+  if (doubtfulMarks.size === 0) return;
+  const { confirmed, wrong } = doubtfulMarks.decide((name) => table.get(name));
+  wrong.forEach((mark) => suspects.remove(mark));
+  confirmed.forEach((mark) => state.effects.push({ kind: "suspect", mark }));
+}
+
+/** Withdraws the suspects that were reported since this host began to lose its links to a pool. */
+function withdrawSuspects(state: hostState.HostState, pool: string): void {
+  const links = getLinks(state, pool)?.getState();
+  if (links?.kind !== "lost") return;
+  const servers = new Set(listLive(state, pool));
+  const marks = state.doubtfulMarks.withdraw(servers, links.since);
+  if (marks.length === 0) return;
+  state.effects.push({ kind: "suspects_withdrawn", marks });
+}
+
 function listLive({ table }: hostState.HostState, pool: string): string[] {
   return table.listServers()
     .filter(({ info }) => info.state === "live" && info.pool === pool)
@@ -195,5 +239,11 @@
   },
 ): void {
   state.effects.push({ kind: "links_changed", pool, change });
-  if (change === "lost") scheduleTrials(state);
+  switch (change) {
+    case "lost":
+      withdrawSuspects(state, pool);
+      return scheduleTrials(state);
+    case "restored":
+      return;
+  }
 }
--- /dev/null
+++ b/packages/core/lost_links_test.ts
@@ -0,0 +1,125 @@
+/** Tests what a host does that has lost its links to the servers. */
+import * as tapModule from "tap";
+import * as core from "./mod.ts";
+import * as testing from "./testing.ts";
+
+const tap = tapModule.default;
+
+const PEERS: readonly core.PeerHost[] = [
+  { host: "h1", failureDomain: "b", targets: ["rooms"], queued: 0 },
+  { host: "h2", failureDomain: "b", targets: ["rooms"], queued: 3 },
+];
+
+/** A dispatcher of a host, with the effects of all events so far. */
+function startHost() {
+  const dispatcher = testing.startDispatcher({ tracksLinks: true });
+  const effects: core.DispatchEffect[] = [];
+  const send = (event: core.DispatchEvent, now: number) => {
+    const added = dispatcher.handle(event, now);
+    effects.push(...added);
+    return added;
+  };
+  const setReachable = (reachable: boolean, now: number) =>
+    ["r1", "r2"].forEach((server) =>
+      send({ kind: "connection_tried", server, reachable }, now)
+    );
+  const open = (id: string, now: number, options = {}) =>
+    send({
+      kind: "arrived",
+      request: {
+        ...testing.buildRequest(id, { tier: 1 }),
+        arrivedAt: now,
+        startBy: now + 1_000,
+        ...options,
+      },
+    }, now);
+  const list = <Kind extends core.DispatchEffect["kind"]>(kind: Kind) =>
+    effects.filter((effect): effect is Extract<
+      core.DispatchEffect,
+      { kind: Kind }
+    > => effect.kind === kind);
+  return { dispatcher, send, setReachable, open, list };
+}
+
+// Guards against requests that wait for servers which this host cannot reach.
+tap.test("requests go to other hosts while the links are lost", (t) => {
+  const { send, setReachable, open, list } = startHost();
+  setReachable(false, 0);
+  t.same(list("links_changed").map(({ change }) => change), ["lost"]);
+  send({ kind: "peers_changed", peers: PEERS }, 10);
+  open("a", 10);
+  t.match(list("hand_over"), [{ sent: 0, peers: ["h1", "h2"] }]);
+  t.equal(list("start").length, 0);
+  t.end();
+});
+
+// Guards against a loop between two hosts, and against a body that reaches a host
+// outside the regions of its route.
+tap.test("a request is handed over once, and only where it may run", (t) => {
+  const { send, setReachable, open, list } = startHost();
+  setReachable(false, 0);
+  send({ kind: "peers_changed", peers: PEERS }, 10);
+  open("a", 10, { handedOver: true });
+  open("b", 10, { allowedDomains: ["a"] });
+  open("c", 10, { target: "other" });
+  t.same(list("hand_over"), []);
+  t.end();
+});
+
+// Guards against a retry budget that is filled by both hosts of a request.
+tap.test("the first attempt of a handed request is counted once", (t) => {
+  const counted: string[] = [];
+  const budget = {
+    recordFirst: (target: string) => void counted.push(target),
+    take: () => true,
+  };
+  const dispatcher = testing.startDispatcher({ budget });
+  const request = testing.buildRequest("a", { tier: 1 });
+  dispatcher.handle({ kind: "arrived", request }, 0);
+  const handed = { ...request, id: "b", handedOver: true };
+  dispatcher.handle({ kind: "arrived", request: handed }, 0);
+  t.same(counted, ["rooms"]);
+  t.end();
+});
+
+// Guards against requests that all hosts refuse as poison because their servers
+// were cut off from one host; and against poison that is forgotten by it.
+tap.test("suspects of a cut are withheld until their servers answer or are gone", (t) => {
+  const { dispatcher, send, setReachable, open, list } = startHost();
+  const fail = (requestId: string, now: number) =>
+    send({
+      kind: "failed",
+      requestId,
+      attempt: 1,
+      failure: "connection_lost",
+      answerStarted: false,
+      resumable: false,
+    }, now);
+  open("a", 0, { repeatable: false });
+  open("b", 0, { repeatable: false });
+  const [{ server: serverOfA }, { server: serverOfB }] = list("start");
+  t.not(serverOfA.name, serverOfB.name);
+  fail("a", 10);
+  setReachable(false, 20);
+  fail("b", 30);
+  t.equal(list("suspect").length, 1, "before the cut was known");
+  t.same(list("suspects_withdrawn").flatMap(({ marks }) => marks), [
+    { fingerprint: "a", server: serverOfA.name },
+  ]);
+  setReachable(true, 3_000);
+  send({
+    kind: "responded",
+    server: serverOfA.name,
+    signals: core.NO_SIGNALS,
+    sentAt: 3_000,
+    succeeded: true,
+  }, 3_010);
+  const servers = dispatcher.inspect().servers.map(({ info }) => info)
+    .filter(({ name }) => name !== serverOfB.name);
+  send({ kind: "servers_changed", servers }, 3_020);
+  send({ kind: "ticked" }, 3_050);
+  t.same(list("suspect").slice(1).map(({ mark }) => mark), [
+    { fingerprint: "b", server: serverOfB.name },
+  ]);
+  t.end();
+});
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -55,6 +55,11 @@
     suspect.servers.add(mark.server);
   }
 
+  /** Removes a mark of this host whose server has not ended. */
+  remove({ fingerprint, server }: events.SuspectMark): void {
+    this.#suspects.get(fingerprint)?.servers.delete(server);
+  }
+
   /**
    * Adds a mark that another host made. That host may be retrying the request on
    * a second server now; a copy that ran here at the same time could crash a third.
@@ -131,6 +136,11 @@
     return true;
   }
 
+  /** Removes a mark that may be wrong. */
+  remove({ fingerprint, server }: events.SuspectMark): void {
+    this.#marks.delete(`${fingerprint}/${server}`);
+  }
+
   list(): PoisonMark[] {
     return [...this.#marks.values()];
   }
--- a/packages/core/server_links.ts
+++ b/packages/core/server_links.ts
@@ -41,6 +41,12 @@
   readonly at: number;
 }
 
+/** When a server was first and last found to send nothing, monotonic ms. */
+interface Silence {
+  readonly first: number;
+  readonly last: number;
+}
+
 /** Change of the state of the links. */
 export type LinkChange = "lost" | "restored";
 
@@ -48,8 +54,8 @@
 export class ServerLinks {
   /** Last connection attempt of each server, the oldest first. */
   readonly #outcomes = new Map<string, Outcome>();
-  /** When each server was last found to send nothing. */
-  readonly #silent = new Map<string, number>();
+  /** Servers that have sent nothing since they should have. */
+  readonly #silent = new Map<string, Silence>();
   #state: LinkState = { kind: "working" };
   #restoredAt = Number.NEGATIVE_INFINITY;
   #lastReachedAt = Number.NEGATIVE_INFINITY;
@@ -87,7 +93,8 @@
 
   /** Records that a server sent nothing for longer than it should have taken. */
   recordSilence(server: string, now: number): void {
-    this.#silent.set(server, now);
+    const first = this.#silent.get(server)?.first ?? now;
+    this.#silent.set(server, { first, last: now });
   }
 
   /** Records a connection attempt; returns the change of the links' state, if any. */
@@ -104,7 +111,7 @@
     this.#outcomes.set(server, { reachable, at: now });
     if (!reachable) {
       this.#reachableInRow.clear();
-      this.#silent.set(server, now);
+      this.recordSilence(server, now);
       return this.#decideLost({ servers, now });
     }
     this.#lastReachedAt = now;
@@ -136,8 +143,8 @@
 
   #findFirstSilence(now: number): number {
     const recent = [...this.#silent.values()]
-      .filter((at) => now - at <= OUTCOME_MS);
-    return Math.min(now, ...recent);
+      .filter(({ last }) => now - last <= OUTCOME_MS);
+    return Math.min(now, ...recent.map(({ first }) => first));
   }
 
   /** Lets the next round try connections although nothing is suspected. */
@@ -170,10 +177,10 @@
   }
 
   #countSilent(now: number): number {
-    [...this.#silent].filter(([, at]) => now - at > OUTCOME_MS)
+    [...this.#silent].filter(([, { last }]) => now - last > OUTCOME_MS)
       .forEach(([server]) => this.#silent.delete(server));
     return [...this.#silent.values()]
-      .filter((at) => now - at <= SILENT_MS).length;
+      .filter(({ last }) => now - last <= SILENT_MS).length;
   }
 }
 
--- a/packages/core/testing.ts
+++ b/packages/core/testing.ts
@@ -65,6 +65,10 @@
   readonly pools?: readonly core.PoolPart[];
   /** @default 1 */
   readonly seed?: number;
+  /** @default false */
+  readonly tracksLinks?: boolean;
+  /** @default a token bucket */
+  readonly budget?: core.RetryBudget;
 }
 
 /**
@@ -75,12 +79,13 @@
  * const dispatcher = startDispatcher({ pools: [POOL] });
  */
 export function startDispatcher(
-  { host = "h0", pools = [POOL], seed = 1 }: StartOptions = {},
+  { host = "h0", pools = [POOL], seed = 1, ...options }: StartOptions = {},
 ): core.Dispatcher {
   const dispatcher = new core.Dispatcher({
     failureDomain: "a",
     host,
     random: utils.createRandom(seed),
+    ...options,
   });
   const configuration = buildConfiguration([
     buildClass(1),
