Restart requests elsewhere that hang behind lost links

What callers saw: a repeatable request that was sent just before its host lost its links waited until the timeouts of its attempt, 1.5 times its target and more, and then went on to the next dead server. findSilence only restarts attempts while another failure domain answers, which none does then.

Change: an attempt that waits beyond its limit behind lost links is stopped, within the retry budget, and its request is handed over. What must run at most once stays. The test failed before: nothing was handed over.

--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -61,11 +61,23 @@
     (request.resumable ?? false);
   const attemptsLeft = (request.maxAttempts ?? constants.MAX_ATTEMPTS) -
     countSent(entry);
-  return isSafe && !request.handedOver && attemptsLeft > 0 &&
-    listPeers(state, request).length > 0 &&
+  return isSafe && attemptsLeft > 0 && isTakenElsewhere(state, request) &&
     (ownShare === 0 || drawFor(request.id) >= ownShare);
 }
 
+/**
+ * Whether another host takes requests such as this one.
+ *
+ * @example
+ * if (isTakenElsewhere(state, request)) stopAttempt(state, attempt);
+ */
+export function isTakenElsewhere(
+  state: hostState.HostState,
+  request: request.Request,
+): boolean {
+  return !request.handedOver && listPeers(state, request).length > 0;
+}
+
 /** Returns the same number in [0, 1) for a request each time. */
 function drawFor(requestId: string): number {
   return utils.hashSeed(requestId) / DRAW_VALUES;
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -66,6 +66,23 @@
   t.end();
 });
 
+// Guards against a booking that runs twice because its first attempt hangs behind
+// the cut, and against repeatable requests that wait there until their deadline.
+tap.test("requests that hang behind the cut move only if they may repeat", (t) => {
+  const { send, setReachable, open, list } = startHost();
+  open("lookup", 0);
+  open("booking", 0, { repeatable: false });
+  t.equal(list("start").length, 2);
+  setReachable(false, 100);
+  send({ kind: "peers_changed", peers: PEERS }, 110);
+  for (let now = 150; now <= 10_000; now += 50) send({ kind: "ticked" }, now);
+  const moved = list("hand_over").map((
+    { request, sent },
+  ) => [request.id, sent]);
+  t.same(moved, [["lookup", 1]]);
+  t.end();
+});
+
 // Guards against a retry budget that is filled by both hosts of a request.
 tap.test("the first attempt of a handed request is counted once", (t) => {
   const counted: string[] = [];
--- a/packages/core/server_checks.ts
+++ b/packages/core/server_checks.ts
@@ -7,6 +7,7 @@
 import * as constants from "./constants.ts";
 import * as dispatching from "./dispatching.ts";
 import * as linkChecks from "./link_checks.ts";
+import * as handover from "./handover.ts";
 import * as hostState from "./host_state.ts";
 import * as retry from "./retry.ts";
 import * as serverState from "./server_state.ts";
@@ -41,6 +42,7 @@
   if (sinceLastMs > MAX_CHECK_GAP_MS) return;
   const waiting = listWaiting(state);
   markOverdue(state, waiting);
+  restartHanging(state, waiting);
   const remote = waiting.filter(({ at: { info: { failureDomain } } }) =>
     failureDomain !== undefined && failureDomain !== state.failureDomain
   );
@@ -106,6 +108,54 @@
   });
 }
 
+/**
+ * Stops the attempts that hang behind lost links, if another host takes their
+ * requests, they may be sent again and the retry budget allows it.
+ */
+function restartHanging(
+  state: hostState.HostState,
+  waiting: readonly Waiting[],
+): void {
+  const hanging = waiting.filter(({ attempt, at, since, limitMs }) =>
+    at.lastResponseAt <= since && state.now - since > limitMs &&
+    linkChecks.isBehindLostLinks(state, attempt.server) &&
+    handover.isTakenElsewhere(state, attempt.request)
+  );
+  hanging.toSorted((a, b) => a.attempt.request.tier - b.attempt.request.tier)
+    .forEach(({ attempt }) => requeueHanging(state, attempt));
+  if (hanging.length > 0) dispatching.dispatchQueue(state);
+}
+
+function requeueHanging(
+  state: hostState.HostState,
+  current: attempts.Attempt,
+): void {
+  const { request } = current;
+  if (decideMove(state, current).kind === "give_up") return;
+  attemptEnd.stopAttempt(state, { requestId: request.id, reason: "moved" });
+  attemptEnd.requeueAttempt(state, {
+    ended: current,
+    avoid: current.server,
+    ran: retry.mergeRan(current.ranBefore, retry.resolveRan("timeout")),
+  });
+}
+
+/** Decides whether an attempt without an answer may be stopped and sent elsewhere. */
+function decideMove(
+  state: hostState.HostState,
+  current: attempts.Attempt,
+): retry.RetryDecision {
+  const { request } = current;
+  return retry.decideRetry({
+    failure: "timeout",
+    sent: current.attempt - current.unsentAttempts,
+    maxAttempts: request.maxAttempts,
+    repeatable: request.repeatable,
+    answerStarted: current.offset + current.tokens > 0,
+    resumable: request.resumable ?? false,
+  }, () => state.budget.take(request.target, state.now));
+}
+
 /** Finds when each failure domain last sent data to this host. */
 function findLastResponses(
   state: hostState.HostState,
@@ -205,15 +255,7 @@
   if (state.suspects.isPoison(request.fingerprint)) return;
   const choice = dispatching.findAlternative(state, current);
   if (choice === undefined) return;
-  const decision = retry.decideRetry({
-    failure: "timeout",
-    sent: current.attempt - current.unsentAttempts,
-    maxAttempts: request.maxAttempts,
-    repeatable: request.repeatable,
-    answerStarted: current.offset + current.tokens > 0,
-    resumable: request.resumable ?? false,
-  }, () => state.budget.take(request.target, state.now));
-  if (decision.kind === "give_up") return;
+  if (decideMove(state, current).kind === "give_up") return;
   attemptEnd.stopAttempt(state, { requestId: request.id, reason: "moved" });
   const queued = attemptEnd.buildNextAttempt(state, {
     ended: current,
