Report no failures of servers behind lost links

What callers of other hosts would see: a host that has lost its links reports failures of sound servers, and where several hosts have, all hosts send these servers less than their share (core/failure_shares.ts), although they serve well. Outcomes of a service are now forgotten when its links are lost, and failures are not counted until they are back. The test failed before: the failure at r2 was still listed.

--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -103,6 +103,7 @@
     readonly failed: boolean;
   },
 ): void {
+  if (failed && linkChecks.isBehindLostLinks(state, server)) return;
   const outcome = { name: server, service: pool, failed };
   state.failureShares.record(outcome, state.now);
 }
--- a/packages/core/failure_shares.ts
+++ b/packages/core/failure_shares.ts
@@ -196,6 +196,12 @@
     addOutcome(this.#services, { key: service, failed, now });
   }
 
+  /** Forgets this host's outcomes at a service and its servers. */
+  forget(service: string, servers: readonly string[]): void {
+    this.#services.delete(service);
+    servers.forEach((server) => this.#servers.delete(server));
+  }
+
   /** Lists the recent outcomes of this host, to share with other hosts. */
   list(now: number): HostOutcomes {
     const failing = listCounts(this.#servers, now)
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -242,6 +242,7 @@
   switch (change) {
     case "lost":
       withdrawSuspects(state, pool);
+      state.failureShares.forget(pool, listLive(state, pool));
       return scheduleTrials(state);
     case "restored":
       return;
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -99,6 +99,25 @@
   t.end();
 });
 
+// Guards against sound servers that all hosts use less because this host cannot
+// reach them.
+tap.test("a host without links reports no failures of servers", (t) => {
+  const { dispatcher, send, setReachable, open } = startHost();
+  open("a", 0);
+  send({
+    kind: "failed",
+    requestId: "a",
+    attempt: 1,
+    failure: "connection_lost",
+    answerStarted: false,
+    resumable: false,
+  }, 10);
+  t.not(Object.keys(dispatcher.listOutcomes(20).servers).length, 0);
+  setReachable(false, 20);
+  t.same(dispatcher.listOutcomes(30).servers, {});
+  t.end();
+});
+
 // Guards against requests that all hosts refuse as poison because their servers
 // were cut off from one host; and against poison that is forgotten by it.
 tap.test("suspects of a cut are withheld until their servers answer or are gone", (t) => {
