Leave requests out of the demand that other hosts serve

Once other hosts serve a target, they count its requests, and the host without links does not. While nobody takes them, it counts them as before. The test failed before (1 instead of 0).

--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -8,6 +8,7 @@
 import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
 import type * as failureShares from "./failure_shares.ts";
+import * as handover from "./handover.ts";
 import * as linkChecks from "./link_checks.ts";
 import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
@@ -49,7 +50,11 @@
     this.#state.router.setDivision(target, division);
   }
 
-  /** Counts the queued and running requests for each target, by prompt length, with the target's averages. */
+  /**
+   * Counts the queued and running requests for each target, by prompt length, with
+   * the target's averages. Targets that other hosts serve for this one are left
+   * out, because those hosts count the requests.
+   */
   countByTarget(): Record<string, engineDivision.PromptDemand> {
     const { queue, running, prompts, reading, pauses, now } = this.#state;
     const counts: Record<string, engineDivision.PromptDemand> = {};
@@ -69,7 +74,11 @@
     queue.listNonEmptyLanes().forEach((lane) =>
       add(lane.target, lane.className, lane.size)
     );
-    return counts;
+    return Object.fromEntries(
+      Object.entries(counts).filter(([target]) =>
+        !handover.isServedElsewhere(this.#state, target)
+      ),
+    );
   }
 
   /** Counts the requests that this host runs at each engine, to share with other hosts. */
--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -78,6 +78,20 @@
   return !request.handedOver && listPeers(state, request).length > 0;
 }
 
+/**
+ * Whether other hosts serve a target for this one, which has lost its links.
+ *
+ * @example
+ * targets.filter((target) => !isServedElsewhere(state, target));
+ */
+export function isServedElsewhere(
+  state: hostState.HostState,
+  target: string,
+): boolean {
+  return linkChecks.hasLostLinks(state, target) &&
+    state.peers.some(({ targets }) => targets.includes(target));
+}
+
 /** Returns the same number in [0, 1) for a request each time. */
 function drawFor(requestId: string): number {
   return utils.hashSeed(requestId) / DRAW_VALUES;
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -159,3 +159,20 @@
   ]);
   t.end();
 });
+
+// Guards against orders for more servers because requests hang behind a cut, or
+// because two hosts count them.
+tap.test("a host without links reports no demand that others serve", (t) => {
+  const { dispatcher, send, setReachable, open } = startHost();
+  open("a", 0);
+  const count = () => {
+    const { short = 0, long = 0 } = dispatcher.countByTarget().rooms ?? {};
+    return short + long;
+  };
+  t.equal(count(), 1);
+  setReachable(false, 20);
+  t.equal(count(), 1, "no other host serves it");
+  send({ kind: "peers_changed", peers: PEERS }, 30);
+  t.equal(count(), 0);
+  t.end();
+});
