Use servers again at once when the links to them are back

What callers would see: after a cut the servers that the host had ejected stay out of use for up to a minute, and count as cold, since they may have restarted. Neither is so: it was this host's links, and a restarted server has another name. They are in use again with a slow start; rests that they asked for and the cold times of their entries continue. The test failed with the change taken out.

--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -245,6 +245,6 @@
       state.failureShares.forget(pool, listLive(state, pool));
       return scheduleTrials(state);
     case "restored":
-      return;
+      return state.table.admitReachable(pool, state.now);
   }
 }
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -176,3 +176,29 @@
   t.equal(count(), 0);
   t.end();
 });
+
+// Guards against servers that stay ejected, or count as restarted and cold, for
+// seconds after the links are back.
+tap.test("servers are in use with a slow start once the links are back", (t) => {
+  const { dispatcher, setReachable, open, send } = startHost();
+  open("a", 0);
+  open("b", 0);
+  ["a", "b"].forEach((requestId) =>
+    send({
+      kind: "failed",
+      requestId,
+      attempt: 1,
+      failure: "not_sent",
+      answerStarted: false,
+      resumable: false,
+    }, 10)
+  );
+  setReachable(false, 10);
+  const list = () => dispatcher.inspect().servers;
+  t.ok(list().some(({ ejectedUntil }) => ejectedUntil > 100));
+  setReachable(true, 100);
+  t.same(list().map(({ ejectedUntil }) => ejectedUntil > 100), [false, false]);
+  t.same(list().map(({ admittedAt }) => admittedAt), [100, 100]);
+  t.same(list().map(({ coldUntil }) => coldUntil > 100), [false, false]);
+  t.end();
+});
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -38,6 +38,8 @@
   restUntil: number;
   /** Time until which the server is considered cold, monotonic ms. */
   coldUntil: number;
+  /** Time until which the server is cold by its entry in the list, monotonic ms. */
+  listedColdUntil: number;
   /** Whether the server has responded since its last ejection or its last attempt without a response. */
   isResponding: boolean;
   /** Earliest time of the next attempt if the server is ejected and does not respond, monotonic ms. */
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -72,6 +72,7 @@
       const server = this.#servers.get(name);
       if (server === undefined || coldMs === 0) return;
       server.coldUntil = Math.max(server.coldUntil, now + coldMs);
+      server.listedColdUntil = Math.max(server.listedColdUntil, now + coldMs);
     });
   }
 
@@ -210,6 +211,7 @@
       ejectedUntil: 0,
       restUntil: 0,
       admittedAt: Number.NEGATIVE_INFINITY,
+      listedColdUntil: 0,
       coldUntil: Number.NEGATIVE_INFINITY,
       isResponding: false,
       retryAt: Number.NEGATIVE_INFINITY,
@@ -345,6 +347,26 @@
     } else serverState.ejectServer(server, now + ms);
   }
 
+  /**
+   * Uses the servers of a pool again that were ejected while this host could not
+   * reach them, with a slow start. They have not restarted, or they would have
+   * another name. Rests that they asked for continue.
+   */
+  admitReachable(pool: string, now: number): void {
+    this.#listByPool(pool).forEach((server) => {
+      server.consecutiveFailures = 0;
+      server.ejections = 0;
+      server.untriedUntil = undefined;
+      server.overdueUntil = undefined;
+      server.coldUntil = server.listedColdUntil;
+      server.ejectedUntil = Math.min(
+        server.ejectedUntil,
+        Math.max(now, server.restUntil),
+      );
+      server.admittedAt = Math.max(now, server.ejectedUntil);
+    });
+  }
+
   /** Records a load report of a server. */
   recordReport(report: events.LoadReport): void {
     const server = this.#servers.get(report.server);
