Keep to what brittle servers bear

What callers would see (LIMIT): servers that say Server-Brittle: N crash if all hosts together make them refuse more than N requests in a second for want of room, and are away for seconds. No host read the header; a refused request went on to the next server, and new ones came at once.

Change: a host runs no more than its share of a brittle server's slots, at least one request; once refused it sends there only at a permit, the permits of all hosts being fewer than N with a margin for chance; served again, it begins with one request. Without the number of hosts there is one request at a time and no permit. Local, so an absent store changes nothing.

A malformed signal is logged once for each server and header.

--- a/packages/banyangrade/gateway/server_signals.ts
+++ b/packages/banyangrade/gateway/server_signals.ts
@@ -38,6 +38,8 @@
 type SignalChange =
   | "limit_named"
   | "limit_ended"
+  | "brittle_named"
+  | "brittle_ended"
   | "rest_requested"
   | "leaving"
   | "malformed";
@@ -52,10 +54,14 @@
   readonly #limits = new lru.LRUCache<string, number>(
     core.constants.SERVER_CACHE,
   );
+  readonly #brittle = new lru.LRUCache<string, number>(
+    core.constants.SERVER_CACHE,
+  );
   readonly #leaving = new lru.LRUCache<string, true>(
     core.constants.SERVER_CACHE,
   );
-  readonly #malformed = new lru.LRUCache<string, string>(
+  /** Servers and headers of which a malformed value was logged. */
+  readonly #malformed = new lru.LRUCache<string, true>(
     core.constants.SERVER_CACHE,
   );
 
@@ -68,7 +74,18 @@
 
   /** Records the signals of a response of a server. */
   record(server: string, signals: core.ServerSignals): void {
-    this.#recordLimit(server, core.findLimit(signals));
+    this.#recordRate(server, {
+      perSecond: core.findLimit(signals),
+      known: this.#limits,
+      changes: ["limit_named", "limit_ended"],
+      messages: ["Limit named.", "Limit no longer named."],
+    });
+    this.#recordRate(server, {
+      perSecond: core.findBrittleness(signals),
+      known: this.#brittle,
+      changes: ["brittle_named", "brittle_ended"],
+      messages: ["Brittleness named.", "Brittleness no longer named."],
+    });
     this.#recordRest(server, core.findRest(signals));
     if (signals.leaving) this.#recordLeaving(server);
     signals.malformed.forEach((malformed) =>
@@ -76,16 +93,23 @@
     );
   }
 
-  #recordLimit(server: string, perSecond: number | undefined): void {
-    const before = this.#limits.get(server);
+  /** Logs a rate that a server names, when it changes. */
+  #recordRate(
+    server: string,
+    { perSecond, known, changes, messages }: {
+      readonly perSecond: number | undefined;
+      readonly known: lru.LRUCache<string, number>;
+      readonly changes: readonly [named: SignalChange, ended: SignalChange];
+      readonly messages: readonly [named: string, ended: string];
+    },
+  ): void {
+    const before = known.get(server);
     if (perSecond === before) return;
-    if (perSecond === undefined) this.#limits.delete(server);
-    else this.#limits.set(server, perSecond);
+    if (perSecond === undefined) known.delete(server);
+    else known.set(server, perSecond);
+    const index = perSecond === undefined ? 1 : 0;
     const fields = { server, perSecond, before };
-    if (perSecond === undefined) {
-      return this.#write("limit_ended", fields, "Limit no longer named.");
-    }
-    this.#write("limit_named", fields, "Limit named.");
+    this.#write(changes[index], fields, messages[index]);
   }
 
   /** A rest is logged each time, because each one is a refusal with a time of its own. */
@@ -106,8 +130,8 @@
   ): void {
     const text = value.slice(0, MAX_VALUE_LENGTH);
     const key = `${server}/${header}`;
-    if (this.#malformed.get(key) === text) return;
-    this.#malformed.set(key, text);
+    if (this.#malformed.has(key)) return;
+    this.#malformed.set(key, true);
     this.#write(
       "malformed",
       { server, header, value: text },
--- a/packages/banyangrade/gateway_signals_test.ts
+++ b/packages/banyangrade/gateway_signals_test.ts
@@ -25,6 +25,9 @@
   log.record("s1@1", { ...core.NO_SIGNALS, malformed });
   log.record("s1@1", { ...core.NO_SIGNALS, malformed });
   t.same(lines.slice(3), ["Malformed signal ignored."]);
+  const other = [{ header: "server-limit", value: "y" }];
+  log.record("s1@1", { ...core.NO_SIGNALS, malformed: other });
+  t.equal(lines.length, 4, "one line for each server and header");
   log.record("s1@1", { ...core.NO_SIGNALS, restsMs: [1_000, 3_000] });
   t.same(lines.slice(4), ["Rest requested."]);
   log.record("s1@1", { ...core.NO_SIGNALS, leaving: true });
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -128,6 +128,7 @@
       serverAvailability.recordNoResponse(server, now);
       return recordUnresponsive(state, server);
     case "refused":
+      state.brittle.recordRefusal(server.info.name, now);
       recordFull(state, { server, request });
       return progress.recordResponse(state, server);
     case "server_error":
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -296,6 +296,7 @@
   const largest = state.hostCount.record(hosts, state.now);
   state.coldPermits.setHosts(largest);
   state.limits.setHosts(largest);
+  state.brittle.setHosts(largest);
 }
 
 /** Records what a response says about its server. */
@@ -310,6 +311,10 @@
   state.limits.recordResponse(server, { ...response, perSecond }, state.now);
   const responding = response.succeeded && state.table.get(server);
   if (responding) progress.recordResponse(state, responding);
+  state.brittle.recordResponse(server, {
+    ...response,
+    perSecond: serverSignals.findBrittleness(signals),
+  }, state.now);
   const restMs = serverSignals.findRest(signals);
   if (signals.leaving) state.table.recordLeaving(server);
   if (restMs !== undefined) serverWaits.recordRest(state, { server, restMs });
--- a/packages/core/dispatching.ts
+++ b/packages/core/dispatching.ts
@@ -215,6 +215,7 @@
   recordColdStart(state, server);
   recordTrial(state, server);
   state.limits.use(server.info.name);
+  state.brittle.use(server.info.name);
   if (queued.suspect) server.suspects += 1;
   server.prompting += queued.request.promptTokens;
   state.running.add({
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -2,6 +2,7 @@
 import type * as utils from "@banyangrade/utils";
 import type * as admissionEstimates from "./admission_estimates.ts";
 import * as attempts from "./attempts.ts";
+import * as brittleServers from "./brittle_servers.ts";
 import * as coldPermits from "./cold_permits.ts";
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
@@ -88,6 +89,8 @@
   readonly coldPermits: coldPermits.ColdServerPermits;
   /** Limits that servers name, and permits of this host for them. */
   readonly limits: serverLimits.ServerLimits;
+  /** Servers that crash if they must refuse too many requests. */
+  readonly brittle: brittleServers.BrittleServers;
   /** Targets of which requests are sent to ejected servers. */
   readonly panics: serverAvailability.PanicTargets;
   /** Whether calls may wait at servers whose slots are in use; false on hosts with slot grants. */
@@ -115,6 +118,7 @@
   const paces = new enginePaces.EnginePaces();
   const permits = new coldPermits.ColdServerPermits(options);
   const limits = new serverLimits.ServerLimits(options);
+  const brittle = new brittleServers.BrittleServers(options);
   const shares = new failureShares.FailureShares();
   return {
     now: 0,
@@ -141,6 +145,7 @@
     hostCount: new hostCount.HostCount(),
     coldPermits: permits,
     limits,
+    brittle,
     panics: new serverAvailability.PanicTargets(),
     mayExceedSlots: options.comparesPrompts ?? false,
     failureShares: shares,
@@ -155,6 +160,7 @@
       paces,
       coldPermits: permits,
       limits,
+      brittle,
       ...options,
     }),
   };
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -7,6 +7,7 @@
  */
 import * as lru from "lru-cache";
 import type * as utils from "@banyangrade/utils";
+import type * as brittleServers from "./brittle_servers.ts";
 import type * as coldPermits from "./cold_permits.ts";
 import * as constants from "./constants.ts";
 import * as engineChoice from "./engine_choice.ts";
@@ -36,6 +37,7 @@
   readonly paces: enginePaces.EnginePaces;
   readonly coldPermits: coldPermits.ColdServerPermits;
   readonly limits: serverLimits.ServerLimits;
+  readonly brittle: brittleServers.BrittleServers;
   readonly failureShares: failureShares.FailureShares;
   /** Whether engines are compared by prompt tokens that await prefill; used by hosts without slot grants. @default false */
   readonly comparesPrompts?: boolean;
@@ -82,6 +84,7 @@
   readonly #engines: engineTargets.EngineTargets;
   readonly #coldPermits: coldPermits.ColdServerPermits;
   readonly #limits: serverLimits.ServerLimits;
+  readonly #brittle: brittleServers.BrittleServers;
   readonly #failureShares: failureShares.FailureShares;
   readonly #comparesPrompts: boolean;
   readonly #isConnected: (server: string) => boolean;
@@ -98,6 +101,7 @@
     this.#engines = new engineTargets.EngineTargets(options);
     this.#coldPermits = options.coldPermits;
     this.#limits = options.limits;
+    this.#brittle = options.brittle;
     this.#failureShares = options.failureShares;
     this.#comparesPrompts = options.comparesPrompts ?? false;
     this.#isConnected = options.isConnected ?? (() => false);
@@ -313,7 +317,12 @@
       hasRoom(server) &&
       (!serverState.isCold(server, now) ||
         poolsWithColdTurn.has(server.info.pool)) &&
-      this.#limits.mayUse(server.info.name, options.now);
+      this.#limits.mayUse(server.info.name, now) &&
+      this.#brittle.mayUse(server.info.name, {
+        running: server.running,
+        slots: serverState.getSlots(server),
+        now,
+      });
   }
 
   #chooseUsable(
--- a/packages/core/server_signals.ts
+++ b/packages/core/server_signals.ts
@@ -7,6 +7,12 @@
    * value for each time that the response names it; empty if it names no limit.
    */
   readonly limitsPerSecond: readonly number[];
+  /**
+   * Requests per second that the server bears to refuse for want of room, from all
+   * hosts together, one value for each time that the response names it; empty if
+   * the server is not brittle.
+   */
+  readonly brittlePerSecond: readonly number[];
   /**
    * Times in ms for which the server, which refused the request, asks this host
    * to send it nothing; one value for each time that the response names one.
@@ -27,6 +33,7 @@
 /** Signals of a response that carries none. */
 export const NO_SIGNALS: ServerSignals = {
   limitsPerSecond: [],
+  brittlePerSecond: [],
   restsMs: [],
   leaving: false,
   malformed: [],
@@ -50,6 +57,19 @@
     : Math.min(MAX_REST_MS, Math.max(...restsMs));
 }
 
+/**
+ * Returns the lowest rate that a response names, in requests per second.
+ * Undefined if it names none.
+ *
+ * @example
+ * findLowestRate([3, 1.5]); // 1.5
+ */
+export function findLowestRate(
+  perSecond: readonly number[],
+): number | undefined {
+  return perSecond.length === 0 ? undefined : Math.min(...perSecond);
+}
+
 /**
  * Returns the limit that a response names, in requests per second: the lowest
  * one if it names several. Undefined if it names none.
@@ -60,7 +80,18 @@
 export function findLimit(
   { limitsPerSecond }: Pick<ServerSignals, "limitsPerSecond">,
 ): number | undefined {
-  return limitsPerSecond.length === 0
-    ? undefined
-    : Math.min(...limitsPerSecond);
+  return findLowestRate(limitsPerSecond);
+}
+
+/**
+ * Returns the refusals per second that a brittle server bears: the lowest number
+ * if it names several. Undefined if the server is not brittle.
+ *
+ * @example
+ * findBrittleness({ brittlePerSecond: [4] }); // 4
+ */
+export function findBrittleness(
+  { brittlePerSecond }: Pick<ServerSignals, "brittlePerSecond">,
+): number | undefined {
+  return findLowestRate(brittlePerSecond);
 }
--- a/packages/core/server_waits.ts
+++ b/packages/core/server_waits.ts
@@ -45,10 +45,11 @@
   state: hostState.HostState,
   selector: ServerSelector,
 ): number {
-  const { limits, now } = state;
+  const { limits, brittle, now } = state;
   return findShortest(state, {
     selector,
-    measure: (name) => limits.getWaitMs(name, now),
+    measure: (name) =>
+      Math.max(limits.getWaitMs(name, now), brittle.getWaitMs(name, now)),
   });
 }
 
