--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -34,6 +34,10 @@
 const UNEVEN_ENGINES = "packages/core/uneven_engines_test.ts";
 const PACES = "packages/core/engine_paces_test.ts";
 const HELD_BYTES = "packages/banyangrade/held_bytes_test.ts";
+const LINKS = "packages/core/server_links_test.ts";
+const LOST_LINKS = "packages/core/lost_links_test.ts";
+const HANDOVER = "platform/handover_test.ts";
+const BRITTLE = "packages/core/brittle_servers_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -355,7 +359,7 @@
   {
     name: "limits: a limited server is chosen without a permit",
     file: "packages/core/router.ts",
-    find: "this.#limits.mayUse(server.info.name, options.now)",
+    find: "this.#limits.mayUse(server.info.name, now)",
     replace: "true",
     test: LIMITS,
   },
@@ -441,8 +445,9 @@
   {
     name: "limits: requests wait for a permit that does not come in time",
     file: "packages/core/server_waits.ts",
-    find: "measure: (name) => limits.getWaitMs(name, now),",
-    replace: "measure: () => 0,",
+    find:
+      "Math.max(limits.getWaitMs(name, now), brittle.getWaitMs(name, now)),",
+    replace: "0,",
     test: LIMITS,
   },
   {
@@ -674,4 +679,116 @@
     also: { find: "&& this.#servedAt > this.#unreadySince", replace: "" },
     test: "packages/core/relay_candidacy_test.ts",
   },
+  {
+    name: "links: the end of one server counts as their loss",
+    file: "packages/core/server_links.ts",
+    find: "const MIN_UNREACHABLE = 2;",
+    replace: "const MIN_UNREACHABLE = 1;",
+    test: LINKS,
+  },
+  {
+    name: "links: silence alone counts as their loss",
+    file: "packages/core/server_links.ts",
+    find: "    if (!reachable) {",
+    replace: "    if (!reachable || this.#silent.size > 1) {",
+    test: LINKS,
+  },
+  {
+    name: "links: all requests return at once",
+    file: "packages/core/server_links.ts",
+    find: "const RETURN_MS = 2_000;",
+    replace: "const RETURN_MS = 1;",
+    test: LINKS,
+  },
+  {
+    name: "handover: a request is handed on and on",
+    file: "packages/core/handover.ts",
+    find: "return !request.handedOver && ",
+    replace: "return ",
+    test: LOST_LINKS,
+  },
+  {
+    name: "handover: a body leaves the regions of its route",
+    file: "packages/core/handover.ts",
+    find: "(allowedDomains?.includes(peer.failureDomain) ?? true)",
+    replace: "true",
+    test: LOST_LINKS,
+  },
+  {
+    name: "handover: a booking that hangs is sent again",
+    file: "packages/core/server_checks.ts",
+    find: "    repeatable: request.repeatable,",
+    replace: "    repeatable: true,",
+    test: LOST_LINKS,
+  },
+  {
+    name: "handover: both hosts count the first attempt",
+    file: "packages/core/admission_control.ts",
+    find: "if (!request.handedOver) {",
+    replace: "if (request.target !== undefined) {",
+    test: LOST_LINKS,
+  },
+  {
+    name: "handover: anyone passes as a host",
+    file: "packages/banyangrade/gateway/handover_protocol.ts",
+    find: "if (!utils.isSameDigest(digest, secretDigest)) return",
+    replace: "if (secretDigest === digest + digest) return",
+    test: HANDOVER,
+  },
+  {
+    name: "lost links: other hosts learn of suspects of the cut",
+    file: "packages/core/link_checks.ts",
+    find: "if (isBehindLostLinks(state, mark.server)) {",
+    replace: "if (mark.server === undefined) {",
+    test: LOST_LINKS,
+  },
+  {
+    name: "lost links: failures of servers out of reach are reported",
+    file: "packages/core/link_checks.ts",
+    find: "state.failureShares.forget(pool, listLive(state, pool));",
+    replace: "",
+    test: LOST_LINKS,
+  },
+  {
+    name: "lost links: demand is counted by two hosts",
+    file: "packages/core/dispatcher.ts",
+    find: "!handover.isServedElsewhere(this.#state, target)",
+    replace: 'target !== ""',
+    test: LOST_LINKS,
+  },
+  {
+    name: "lost links: servers stay ejected once they are back",
+    file: "packages/core/link_checks.ts",
+    find: "return state.table.admitReachable(pool, state.now);",
+    replace: "return;",
+    test: LOST_LINKS,
+  },
+  {
+    name: "brittle: each host takes all slots",
+    file: "packages/core/brittle_servers.ts",
+    find: "Math.floor(slots / (this.#hosts ?? slots))",
+    replace: "slots",
+    test: BRITTLE,
+  },
+  {
+    name: "brittle: a refusal changes nothing",
+    file: "packages/core/brittle_servers.ts",
+    find: "{ ...known, refusedAt: now, window: 1 }",
+    replace: "{ ...known, window: 1 }",
+    test: BRITTLE,
+  },
+  {
+    name: "brittle: permits use all that a server bears",
+    file: "packages/core/brittle_servers.ts",
+    find: "const MARGIN = 6;",
+    replace: "const MARGIN = 0;",
+    test: BRITTLE,
+  },
+  {
+    name: "brittle: the router ignores it",
+    file: "packages/core/router.ts",
+    find: "this.#brittle.mayUse(server.info.name, {",
+    replace: "true || this.#brittle.mayUse(server.info.name, {",
+    test: "platform/server_brittle_test.ts",
+  },
 ];
