--- a/packages/core/host_statuses_test.ts
+++ b/packages/core/host_statuses_test.ts
@@ -178,3 +178,29 @@
   t.ok(suspects.isPoison("f"), "lost again after the response");
   t.end();
 });
+
+// Guards against hosts that no other host ever learns how to reach, and against
+// summaries of the version before, which name none.
+tap.test("summaries name a few hosts each time, and all after some time", (t) => {
+  const hosts = Array.from({ length: 40 }, (_, index) => `h${index}`);
+  const received = new core.HostStatuses();
+  const seen = new Set<string>();
+  for (let second = 0; second < 200; second += 1) {
+    const now = second * 1_000;
+    hosts.forEach((host) =>
+      received.record(
+        buildStatus(host, {
+          at: now,
+          contact: { host, failureDomain: "a", address: "h:1", secret: "s" },
+        }),
+        { now, direct: true },
+      )
+    );
+    const { contacts: _contacts, ...earlier } = core.EMPTY_SUMMARY;
+    const sum = core.mergeSummaries([earlier, received.sum(now)]);
+    t.equal(sum.contacts?.length, 3);
+    sum.contacts?.forEach(({ host }) => seen.add(host));
+  }
+  t.equal(seen.size, hosts.length);
+  t.end();
+});
