Show handovers in explain, and test two guards that were not noticed

npm run mutate missed two removals: that a request bound to regions goes to no host outside them (the test's request was refused before), and that a booking that hangs stays (the test did not look at the host's own servers).

--- a/packages/banyangrade/request_trace.ts
+++ b/packages/banyangrade/request_trace.ts
@@ -24,6 +24,7 @@
   readonly step?: string;
   readonly peer?: string;
   readonly status?: number;
+  readonly outcome?: string;
   readonly proofAgeMs?: number;
   readonly stage?: string;
   readonly runningMs?: number;
@@ -35,7 +36,7 @@
 /** Time before a request's end in which its host's state changes are shown, in ms. */
 const BACKGROUND_MS = 10_000;
 /** Prefixes of the log lines that record changes of a host's state. */
-const BACKGROUND_PREFIX = /^(belief|roles): /;
+const BACKGROUND_PREFIX = /^(belief|roles|handover): |^server: Links /;
 /** Largest number of these lines that are shown. */
 const MAX_BACKGROUND = 12;
 
@@ -94,6 +95,13 @@
     case "Attempt failed.":
       return `${line.server} failed it (${line.failure}): ${line.reason} ` +
         `The caller had received ${line.events} events.`;
+    case "Request handed over.":
+      return `${line.host} has no links to the servers and handed it to ` +
+        `${line.peer} (route ${line.route}) after ${line.waitedMs} ms.`;
+    case "Handover failed.":
+      return `${line.peer} ${
+        line.outcome === "lost" ? "was lost, so it may have run" : "declined it"
+      }: ${line.reason}`;
     case "Request answered.":
       return `Answered completely after ${line.totalMs} ms, the first part after ` +
         `${line.firstMs} ms.`;
--- a/packages/banyangrade/request_trace_test.ts
+++ b/packages/banyangrade/request_trace_test.ts
@@ -47,3 +47,24 @@
   ]);
   t.end();
 });
+
+tap.test("the trace of a handed request names the hosts and the loss of links", (t) => {
+  const lines = [
+    `{"time":900,"host":"h1","service":"planner","msg":"server: Links to the servers lost."}`,
+    `{"time":1000,"host":"h1","requestId":"r1","peer":"h2","route":"chat","waitedMs":2,"msg":"request: Request handed over."}`,
+    `{"time":1003,"host":"h1","requestId":"r1","peer":"h2","outcome":"declined","reason":"refused","msg":"request: Handover failed."}`,
+    `{"time":1004,"host":"h1","requestId":"r1","peer":"h3","route":"chat","waitedMs":6,"msg":"request: Request handed over."}`,
+    `{"time":1006,"host":"h3","requestId":"r1","attempt":1,"server":"s1@7","route":"chat","version":3,"waitedMs":6,"msg":"request: Attempt started."}`,
+    `{"time":1200,"host":"h1","requestId":"r1","peer":"h3","outcome":"lost","reason":"other side closed","msg":"request: Handover failed."}`,
+  ];
+  t.same(requestTrace.formatRequestTrace(lines.join("\n"), "r1"), [
+    "+0 ms h1 has no links to the servers and handed it to h2 (route chat) after 2 ms.",
+    "+3 ms h2 declined it: refused",
+    "+4 ms h1 has no links to the servers and handed it to h3 (route chat) after 6 ms.",
+    "+6 ms h3 sent it to s1@7 (attempt 1, route chat, configuration 3) after 6 ms.",
+    "+200 ms h3 was lost, so it may have run: other side closed",
+    "State changes of h1 in the 10 s before:",
+    "-100 ms server: Links to the servers lost.",
+  ]);
+  t.end();
+});
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -13,6 +13,9 @@
 /** A dispatcher of a host, with the effects of all events so far. */
 function startHost() {
   const dispatcher = testing.startDispatcher({ tracksLinks: true });
+  const servers = dispatcher.inspect().servers
+    .map(({ info }) => ({ ...info, failureDomain: "a" }));
+  dispatcher.handle({ kind: "servers_changed", servers }, 0);
   const effects: core.DispatchEffect[] = [];
   const send = (event: core.DispatchEvent, now: number) => {
     const added = dispatcher.handle(event, now);
@@ -63,6 +66,8 @@
   open("b", 10, { allowedDomains: ["a"] });
   open("c", 10, { target: "other" });
   t.same(list("hand_over"), []);
+  open("d", 10, { allowedDomains: ["a", "b"] });
+  t.same(list("hand_over").map(({ request }) => request.id), ["d"]);
   t.end();
 });
 
@@ -80,6 +85,8 @@
     { request, sent },
   ) => [request.id, sent]);
   t.same(moved, [["lookup", 1]]);
+  t.same(list("stop").map(({ requestId }) => requestId), ["lookup"]);
+  t.equal(list("start").length, 2, "neither started again here");
   t.end();
 });
 
