Hand over requests with long headers

What callers would see: a request whose headers exceed 16 KB, which the operators may allow, gets 431 from the HTTP server of the other host, which counts against the caller. That server now accepts what the port for callers does, and a rejection that is not the worker's own is taken as declined. The test failed before (not 200).

--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -191,7 +191,10 @@
     readResponseMetadata: (status, headers) => {
       const metadata = wire.readResponseMetadata(status, headers);
       const ran = handoverProtocol.readRan(headers);
-      return { ...metadata, notRun: metadata.notRun || ran === "no" };
+      // The other host's HTTP server rejects what it cannot read, or a wrong secret.
+      const isRejected = ran === undefined && !metadata.genuine && status < 500;
+      const notRun = metadata.notRun || ran === "no" || isRejected;
+      return { ...metadata, notRun };
     },
     signal,
     toleratesUnread: true,
--- a/packages/peer/server.ts
+++ b/packages/peer/server.ts
@@ -11,6 +11,9 @@
 /** Maximum message size in bytes, enough for a configuration snapshot of 1,600 customers with their keys. */
 const MAX_MESSAGE_BYTES = 8 * 1024 * 1024;
 
+/** Hard limit on the headers of a plain HTTP request, in bytes: those that a caller may send, and those that the calling host adds. */
+const MAX_HEADER_BYTES = 66 * 1024;
+
 /** Certificate and private key of a host, and the CA certificate that signs the certificates of all hosts. */
 export interface PeerTls {
   readonly cert: string;
@@ -77,7 +80,9 @@
 }
 
 function createServer(tls: PeerTls | undefined): http.Server | https.Server {
-  if (tls === undefined) return http.createServer();
+  if (tls === undefined) {
+    return http.createServer({ maxHeaderSize: MAX_HEADER_BYTES });
+  }
   return https.createServer({
     ...tls,
     requestCert: true,
