Keep suspect requests at their host

A request that may have crashed two servers would be handed to hosts that know of neither, since marks of a time without links are withheld. It stays; the host's own quarantine applies.

--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -61,7 +61,10 @@
     (request.resumable ?? false);
   const attemptsLeft = (request.maxAttempts ?? constants.MAX_ATTEMPTS) -
     countSent(entry);
-  return isSafe && attemptsLeft > 0 && isTakenElsewhere(state, request) &&
+  // A request that may crash servers is not sent to further hosts, which count
+  // its suspects anew.
+  return isSafe && !entry.suspect && attemptsLeft > 0 &&
+    isTakenElsewhere(state, request) &&
     (ownShare === 0 || drawFor(request.id) >= ownShare);
 }
 
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -71,6 +71,19 @@
   t.end();
 });
 
+// Guards against a request that crashes servers and does so at further hosts too.
+tap.test("a suspect request is not handed over", (t) => {
+  const { send, setReachable, open, list } = startHost();
+  const marks = [{ fingerprint: "a", server: "r9" }];
+  send({ kind: "suspected", marks }, 0);
+  setReachable(false, 0);
+  send({ kind: "peers_changed", peers: PEERS }, 10);
+  open("a#1", 10_100);
+  open("b", 10_100);
+  t.same(list("hand_over").map(({ request }) => request.id), ["b"]);
+  t.end();
+});
+
 // Guards against a booking that runs twice because its first attempt hangs behind
 // the cut, and against repeatable requests that wait there until their deadline.
 tap.test("requests that hang behind the cut move only if they may repeat", (t) => {
