--- a/packages/core/failure_shares_test.ts
+++ b/packages/core/failure_shares_test.ts
@@ -109,6 +109,23 @@
   t.end();
 });
 
+// Guards against a limit that a single host keeps up, which cannot reach the server
+// for longer than the others.
+tap.test("a limit ends when only one host still sees failures", (t) => {
+  const outcome = {
+    servers: { s0: [9, 9] as const },
+    services: { model: [500, 9] as const },
+  };
+  const shares = new core.FailureShares();
+  const countLimited = (hosts: readonly core.HostOutcomes[]) => {
+    shares.update(core.sumOutcomes(hosts), { servers: SERVERS, now: 0 });
+    return shares.listLimited(0).size;
+  };
+  t.equal(countLimited([outcome, outcome]), 1);
+  t.equal(countLimited([outcome]), 0);
+  t.end();
+});
+
 /**
  * Guards against a host that cannot reach a server, or reports implausible counts,
  * and takes the server from all others because another host saw one failure.
