--- a/packages/utils/testing.ts
+++ b/packages/utils/testing.ts
@@ -1,20 +1,39 @@
 /** Helpers for tests and the playground. */
+import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as clock from "./clock.ts";
 
+/**
+ * Ports below those that operating systems assign by themselves. An assigned port
+ * could go to a connection of another process before the caller opens it.
+ */
+const FREE_PORTS = { from: 15_000, to: 32_000 } as const;
+/** Number of ports that are tried before the search fails. */
+const MAX_PORT_ATTEMPTS = 20;
+
 /**
  * Finds a free port on the loopback interface.
  *
  * @example
  * const port = await findFreePort();
  */
-export function findFreePort(): Promise<number> {
+export async function findFreePort(): Promise<number> {
+  for (let attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt += 1) {
+    const port = crypto.randomInt(FREE_PORTS.from, FREE_PORTS.to);
+    if (await isPortFree(port)) return port;
+  }
+  throw new Error(`No free port in ${MAX_PORT_ATTEMPTS} attempts.`);
+}
+
+function isPortFree(port: number): Promise<boolean> {
   return new Promise((resolve, reject) => {
     const server = net.createServer();
-    server.on("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as net.AddressInfo;
-      server.close(() => resolve(port));
+    server.on("error", (error: NodeJS.ErrnoException) => {
+      if (error.code === "EADDRINUSE") resolve(false);
+      else reject(error);
+    });
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => resolve(true));
     });
   });
 }
