--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -4,6 +4,7 @@
  */
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
+import * as admissionRefusals from "./admission_refusals.ts";
 import type * as clusterStateTask from "./cluster_state_task.ts";
 import type * as heldBytesModule from "./held_bytes.ts";
 import type * as ingress from "./ingress.ts";
@@ -12,12 +13,6 @@
 import * as requestExchange from "./request_exchange.ts";
 import type * as startupWaits from "./startup_waits.ts";
 
-/** Retry delay given by a host whose data from the store is stale, in ms; short, as another host is likely to be up to date. */
-const STALE_STORE_RETRY_MS = 100;
-/** Retry delay given by a host that is draining, in ms; short, as the retry uses a new connection, which leads to another host. */
-const DRAINING_RETRY_MS = 50;
-/** Retry delay given by a host that holds too many bytes, in ms; slow callers need about a second to read what is held for them. */
-const PRESSURE_RETRY_MS = 500;
 /** Share of the caller's timeout that a request may spend in the queue. */
 const QUEUE_SHARE = 0.4;
 
@@ -86,7 +81,7 @@
     if (!takesHandovers()) {
       return this.#refuse(arrival.incoming, {
         head: arrival.head,
-        refusal: refuseHandover(),
+        refusal: admissionRefusals.buildHandover(),
       });
     }
     metrics.recordHandover("taken");
@@ -115,7 +110,7 @@
         if (!this.#options.isDraining()) return this.#accept(arrival);
         return this.#refuse(arrival.incoming, {
           head: arrival.head,
-          refusal: refuseDraining(),
+          refusal: admissionRefusals.buildDraining(),
         });
       case "left":
         return this.#recordCallerLeft(arrival, { stage: "waiting" });
@@ -138,11 +133,15 @@
     const { belief, clock } = this.#options;
     const { incoming, head } = arrival;
     const { requestId } = head;
-    if (this.#options.isClosed()) return utils.Err(refuseDraining());
+    if (this.#options.isClosed()) {
+      return utils.Err(admissionRefusals.buildDraining());
+    }
     const table = belief.getTable();
-    if (table === undefined) return utils.Err(refuseStale("configuration"));
+    if (table === undefined) {
+      return utils.Err(admissionRefusals.buildStale("configuration"));
+    }
     if (requestId === undefined) {
-      return utils.Err(buildAdmissionRefusal("bad_request", {
+      return utils.Err(admissionRefusals.buildRefusal("bad_request", {
         message: "The request has no identifier; send one with each request.",
       }));
     }
@@ -153,16 +152,18 @@
     if (route === undefined) {
       return utils.Err(
         belief.isFresh()
-          ? buildAdmissionRefusal("not_found")
-          : refuseStale("routes"),
+          ? admissionRefusals.buildRefusal("not_found")
+          : admissionRefusals.buildStale("routes"),
       );
     }
     const grant = table.byKey.get(head.key ?? "");
     const keyless = route.anonymous ||
       table.configuration.customers === undefined;
-    if (!keyless && !belief.isFresh()) return utils.Err(refuseStale("keys"));
+    if (!keyless && !belief.isFresh()) {
+      return utils.Err(admissionRefusals.buildStale("keys"));
+    }
     if (!keyless && grant === undefined) {
-      return utils.Err(buildAdmissionRefusal("not_authenticated"));
+      return utils.Err(admissionRefusals.buildRefusal("not_authenticated"));
     }
     return utils.Ok({
       ...arrival,
@@ -178,7 +179,7 @@
     const { incoming, head, table } = arrived;
     const { maxBodyBytes, maxHeaderBytes } = table.configuration.limits;
     if (countHeaderBytes(incoming) > maxHeaderBytes) {
-      const refusal = buildAdmissionRefusal("too_large");
+      const refusal = admissionRefusals.buildRefusal("too_large");
       return this.#refuse(incoming, { head, refusal });
     }
     if (!await this.#waitForBody(arrived)) return;
@@ -196,7 +197,7 @@
       case "left":
         return this.#recordLeftWhileReading(admitted);
       case "too_large": {
-        const refusal = buildAdmissionRefusal("too_large");
+        const refusal = admissionRefusals.buildRefusal("too_large");
         return this.#refuse(incoming, { head, refusal });
       }
       case "late": {
@@ -229,7 +230,9 @@
       this.#recordLeftWhileReading(admitted);
       return false;
     }
-    const refusal = isClosed() ? refuseDraining() : refusePressed();
+    const refusal = isClosed()
+      ? admissionRefusals.buildDraining()
+      : admissionRefusals.buildPressed();
     this.#refuse(incoming, { head, refusal });
     return false;
   }
@@ -271,7 +274,10 @@
     }
     if (this.#options.isClosed()) {
       const { incoming, head } = admitted;
-      this.#refuse(incoming, { head, refusal: refuseDraining() });
+      this.#refuse(incoming, {
+        head,
+        refusal: admissionRefusals.buildDraining(),
+      });
       return false;
     }
     return this.#openExchange(admitted, complete);
@@ -297,14 +303,17 @@
     const { incoming, head, table, arrivedAt } = admitted;
     const service = core.drawService(admitted.route, this.#options.random);
     if (service === undefined) {
-      const refusal = buildAdmissionRefusal("no_capacity");
+      const refusal = admissionRefusals.buildRefusal("no_capacity");
       this.#refuse(incoming, { head, refusal });
       return false;
     }
     const isCut = incoming.handover !== undefined &&
       this.#options.dispatch.hasLostLinks(service);
     if (isCut) {
-      this.#refuse(incoming, { head, refusal: refuseHandover() });
+      this.#refuse(incoming, {
+        head,
+        refusal: admissionRefusals.buildHandover(),
+      });
       return false;
     }
     const request = this.#buildRequest(admitted, { service, body });
@@ -454,53 +463,3 @@
     path.length,
   );
 }
-
-function buildAdmissionRefusal(
-  code: core.RefusalCode,
-  { message }: { readonly message?: string } = {},
-): core.Refusal {
-  return core.buildRefusal({ code, ran: "no", step: "caller.admit", message });
-}
-
-/** Refuses a request before its body is read because the host holds too many bytes. */
-function refusePressed(): core.Refusal {
-  return core.buildRefusal({
-    code: "overloaded",
-    ran: "no",
-    step: "caller.admit",
-    waitMs: PRESSURE_RETRY_MS,
-    minRetryAfterMs: PRESSURE_RETRY_MS,
-    message:
-      "This host holds too much data for slow callers; retry, preferably on another host.",
-  });
-}
-
-/** Refuses a request of another host, which has no more servers than that one. */
-function refuseHandover(): core.Refusal {
-  return buildAdmissionRefusal("no_capacity", {
-    message: "This host takes no requests of other hosts now.",
-  });
-}
-
-function refuseDraining(): core.Refusal {
-  return core.buildRefusal({
-    code: "draining",
-    ran: "no",
-    step: "caller.admit",
-    waitMs: DRAINING_RETRY_MS,
-    minRetryAfterMs: DRAINING_RETRY_MS,
-  });
-}
-
-function refuseStale(what: string): core.Refusal {
-  return core.buildRefusal({
-    code: "store_unavailable",
-    ran: "no",
-    step: "caller.admit",
-    peer: "store",
-    waitMs: STALE_STORE_RETRY_MS,
-    minRetryAfterMs: STALE_STORE_RETRY_MS,
-    message:
-      `This host could not confirm its ${what} with the store recently; retry, preferably on another host.`,
-  });
-}
