Bound what a host keeps of its links

Found by reading: the servers reached in a row and the connection attempts grew with each server incarnation for as long as the host runs, withheld suspects had no bound, and links to a service whose last server went while they were lost stayed lost, so that the host asked others for good.

--- a/packages/core/doubtful_marks.ts
+++ b/packages/core/doubtful_marks.ts
@@ -9,6 +9,9 @@
 /** Time for which a mark is kept in case it turns out to be doubtful, in ms; longer than the time until a loss is noticed. */
 const RECENT_MS = 2_000;
 
+/** Maximum number of doubtful marks; the oldest are dropped first. */
+const MAX_DOUBTFUL = 1_000;
+
 /** A mark and when it was made, monotonic ms. */
 interface TimedMark {
   readonly mark: events.SuspectMark;
@@ -47,6 +50,7 @@
   /** Adds a mark that is withheld from other hosts. */
   add(mark: events.SuspectMark, now: number): void {
     this.#doubtful.push({ mark, at: now });
+    this.#doubtful = this.#doubtful.slice(-MAX_DOUBTFUL);
   }
 
   /** Makes the reported marks of these servers since a time doubtful, and returns them. */
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -156,6 +156,10 @@
 export function tryLinks(state: hostState.HostState): void {
   const { links, now, random } = state;
   if (links === undefined) return;
+  // Links to nothing could never be restored.
+  [...links].filter(([pool, one]) =>
+    one.isLost() && listLive(state, pool).length === 0
+  ).forEach(([pool]) => links.delete(pool));
   const servers = [...links].flatMap(([pool, one]) =>
     one.mayTry(now)
       ? one.drawTrials(listLive(state, pool), { random, now })
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -222,3 +222,15 @@
   t.same(list().map(({ coldUntil }) => coldUntil > 100), [false, false]);
   t.end();
 });
+
+// Guards against a host that looks for other hosts for good, because the last
+// servers of a service went while its links were lost.
+tap.test("links to a service without servers are not lost", (t) => {
+  const { dispatcher, setReachable, send } = startHost();
+  setReachable(false, 0);
+  t.equal(dispatcher.hasFullShare(10), false);
+  send({ kind: "servers_changed", servers: [] }, 20);
+  send({ kind: "ticked" }, 50);
+  t.equal(dispatcher.hasFullShare(60), true);
+  t.end();
+});
--- a/packages/core/server_links.ts
+++ b/packages/core/server_links.ts
@@ -52,7 +52,7 @@
 
 /** The links of one host to the backend servers of one pool. */
 export class ServerLinks {
-  /** Last connection attempt of each server, the oldest first. */
+  /** Last connection attempts of a few servers, the oldest first. */
   readonly #outcomes = new Map<string, Outcome>();
   /** Servers that have sent nothing since they should have. */
   readonly #silent = new Map<string, Silence>();
@@ -61,7 +61,7 @@
   #lastReachedAt = Number.NEGATIVE_INFINITY;
   #triedAt = Number.NEGATIVE_INFINITY;
   #isTrialScheduled = false;
-  /** Reachable servers since the last unreachable one. */
+  /** Reachable servers since the last unreachable one, while the links are lost. */
   readonly #reachableInRow = new Set<string>();
 
   /** Returns whether the links count as lost, and since when. */
@@ -109,14 +109,17 @@
   ): LinkChange | undefined {
     this.#outcomes.delete(server);
     this.#outcomes.set(server, { reachable, at: now });
+    const [oldest] = this.#outcomes.keys();
+    if (this.#outcomes.size > COMPARED_SERVERS) this.#outcomes.delete(oldest);
     if (!reachable) {
       this.#reachableInRow.clear();
       this.recordSilence(server, now);
       return this.#decideLost({ servers, now });
     }
     this.#lastReachedAt = now;
+    if (!this.isLost()) return undefined;
     this.#reachableInRow.add(server);
-    const isRestored = this.isLost() &&
+    const isRestored =
       this.#reachableInRow.size >= Math.min(RESTORED_SERVERS, servers);
     if (!isRestored) return undefined;
     this.#state = { kind: "working" };
@@ -132,7 +135,7 @@
     if (this.isLost()) return undefined;
     [...this.#outcomes].filter(([, { at }]) => now - at > OUTCOME_MS)
       .forEach(([server]) => this.#outcomes.delete(server));
-    const compared = [...this.#outcomes.values()].slice(-COMPARED_SERVERS);
+    const compared = [...this.#outcomes.values()];
     const unreachable = compared.filter(({ reachable }) => !reachable).length;
     const isLost = unreachable >= Math.min(MIN_UNREACHABLE, servers) &&
       unreachable >= LOST_SHARE * compared.length;
