--- a/packages/banyangrade/gateway/attempt_request.ts
+++ b/packages/banyangrade/gateway/attempt_request.ts
@@ -58,41 +58,69 @@
   };
 }
 
+/** Timeouts of a repeatable attempt. */
+export interface RepeatableTimeouts {
+  /** Time to the response head after which it is retried, as a multiple of the route's target. */
+  readonly headFactor: number;
+  /** Lower bound of that time, in ms. */
+  readonly minHeadMs: number;
+  /** Time between two events after which it is retried, as a multiple of the route's target gap. */
+  readonly gapFactor: number;
+  /** Lower bound of that time, in ms. */
+  readonly minGapMs: number;
+}
+
 /**
- * Time to the response head after which a repeatable attempt is retried on
- * another server, as a multiple of the route's target. Without this timeout, an
- * unresponsive server would hold a request until its deadline.
+ * Timeouts of an attempt at a server: the head may take several batching steps of
+ * a busy one. Without them an unresponsive server would hold a request until its
+ * deadline.
  */
-const HEAD_TIMEOUT_FACTOR = 1.5;
-/** Lower bound of that timeout, in ms; several batching steps of a busy server. */
-const MIN_HEAD_TIMEOUT_MS = 250;
-/** Time between two events after which a repeatable attempt is retried on another server, as a multiple of the route's target gap. */
-const GAP_TIMEOUT_FACTOR = 3;
-/** Lower bound of the timeout between two events, in ms. */
-const MIN_GAP_TIMEOUT_MS = 1_500;
+const SERVER_TIMEOUTS: RepeatableTimeouts = {
+  headFactor: 1.5,
+  minHeadMs: 250,
+  gapFactor: 3,
+  minGapMs: 1_500,
+};
 
 /** Computes the timeouts of an attempt; only one that may be repeated has shorter ones than the deadline. */
 function computeInactivityLimits(
   { exchange, attempt, now }: AttemptOptions,
 ): service.InactivityLimits {
   const { route, request, deadlineAt } = exchange;
-  const remainingMs = Math.max(1, deadlineAt - now);
   // Calls are short, so the server's other work does not explain a call that hangs.
   const sharesServer = route.kind === "stream";
-  if (!request.repeatable || attempt >= route.maxAttempts) {
-    return { headMs: remainingMs, betweenMs: remainingMs, sharesServer };
+  const timeouts = request.repeatable && attempt < route.maxAttempts
+    ? SERVER_TIMEOUTS
+    : undefined;
+  const remainingMs = Math.max(1, deadlineAt - now);
+  return { ...computeTimeouts(route, { remainingMs, timeouts }), sharesServer };
+}
+
+/**
+ * Computes the longest waits for the head of a response and between two parts of
+ * it, in ms: the remaining time, or shorter with timeouts.
+ *
+ * @example
+ * computeTimeouts(route, { remainingMs: 3_000, timeouts: undefined }).headMs; // 3_000
+ */
+export function computeTimeouts(
+  { targetLatencyMs, targetGapMs }: Pick<
+    core.Route,
+    "targetLatencyMs" | "targetGapMs"
+  >,
+  { remainingMs, timeouts }: {
+    readonly remainingMs: number;
+    readonly timeouts: RepeatableTimeouts | undefined;
+  },
+): Pick<service.InactivityLimits, "headMs" | "betweenMs"> {
+  if (timeouts === undefined) {
+    return { headMs: remainingMs, betweenMs: remainingMs };
   }
-  const headTimeoutMs = Math.max(
-    MIN_HEAD_TIMEOUT_MS,
-    HEAD_TIMEOUT_FACTOR * route.targetLatencyMs,
-  );
-  const gapTimeoutMs = Math.max(
-    MIN_GAP_TIMEOUT_MS,
-    GAP_TIMEOUT_FACTOR * route.targetGapMs,
-  );
+  const { headFactor, minHeadMs, gapFactor, minGapMs } = timeouts;
+  const headMs = Math.max(minHeadMs, headFactor * targetLatencyMs);
+  const betweenMs = Math.max(minGapMs, gapFactor * targetGapMs);
   return {
-    headMs: Math.min(remainingMs, headTimeoutMs),
-    betweenMs: Math.min(remainingMs, gapTimeoutMs),
-    sharesServer,
+    headMs: Math.min(remainingMs, headMs),
+    betweenMs: Math.min(remainingMs, betweenMs),
   };
 }
--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -2,6 +2,7 @@
 import * as core from "@banyangrade/core";
 import * as service from "@banyangrade/service";
 import * as utils from "@banyangrade/utils";
+import * as attemptRequest from "./attempt_request.ts";
 import type * as exchangeTelemetry from "./exchange_telemetry.ts";
 import * as handoverProtocol from "./handover_protocol.ts";
 import type * as handoverTask from "./handover_task.ts";
@@ -45,14 +46,13 @@
   | { readonly kind: "lost"; readonly peer: string }
   | { readonly kind: "aborted" };
 
-/** Time to the head of a response after which a repeatable request is sent to another host, as a multiple of the route's target; the other host tries a second server before. */
-const HEAD_TIMEOUT_FACTOR = 3;
-/** Lower bound of that timeout, in ms. */
-const MIN_HEAD_TIMEOUT_MS = 1_000;
-/** Longest pause of a repeatable stream, in ms; longer than that after which the other host tries a second server. */
-const MIN_GAP_TIMEOUT_MS = 4_000;
-/** That pause as a multiple of the route's target gap. */
-const GAP_TIMEOUT_FACTOR = 6;
+/** Timeouts of a repeatable request at another host, which tries a second server before they end. */
+const HOST_TIMEOUTS: attemptRequest.RepeatableTimeouts = {
+  headFactor: 3,
+  minHeadMs: 1_000,
+  gapFactor: 6,
+  minGapMs: 4_000,
+};
 
 /**
  * Sends a request to other hosts, one after another, until one takes it. The
@@ -185,9 +185,13 @@
     body,
     stream: route.kind === "stream",
     lastEventId,
-    inactivityLimits: computeInactivityLimits(exchange, {
-      remainingMs: Math.max(1, deadlineAt - now),
-    }),
+    inactivityLimits: {
+      ...attemptRequest.computeTimeouts(route, {
+        remainingMs: Math.max(1, deadlineAt - now),
+        timeouts: request.repeatable ? HOST_TIMEOUTS : undefined,
+      }),
+      sharesServer: false,
+    },
     readResponseMetadata: (status, headers) => {
       const metadata = wire.readResponseMetadata(status, headers);
       const ran = handoverProtocol.readRan(headers);
@@ -201,29 +205,6 @@
   };
 }
 
-function computeInactivityLimits(
-  { request, route }: requestExchange.ExchangeOptions,
-  { remainingMs }: { readonly remainingMs: number },
-): service.InactivityLimits {
-  const sharesServer = false;
-  if (!request.repeatable) {
-    return { headMs: remainingMs, betweenMs: remainingMs, sharesServer };
-  }
-  const headMs = Math.max(
-    MIN_HEAD_TIMEOUT_MS,
-    HEAD_TIMEOUT_FACTOR * route.targetLatencyMs,
-  );
-  const betweenMs = Math.max(
-    MIN_GAP_TIMEOUT_MS,
-    GAP_TIMEOUT_FACTOR * route.targetGapMs,
-  );
-  return {
-    headMs: Math.min(remainingMs, headMs),
-    betweenMs: Math.min(remainingMs, betweenMs),
-    sharesServer,
-  };
-}
-
 function resolveOutcome(
   outcome: service.ForwardOutcome,
   { peer, waitMs }: {
