--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -196,7 +196,8 @@
       const metadata = wire.readResponseMetadata(status, headers);
       const ran = handoverProtocol.readRan(headers);
       // The other host's HTTP server rejects what it cannot read, or a wrong secret.
-      const isRejected = ran === undefined && !metadata.genuine && status < 500;
+      const isRejected = ran === undefined && !metadata.genuine &&
+        status >= 400 && status < 500;
       const notRun = metadata.notRun || ran === "no" || isRejected;
       return { ...metadata, notRun };
     },
