--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -18,8 +18,8 @@
  * permits: hosts draw independently, and the number of hosts may be out of date.
  */
 const MARGIN = 6;
-/** Lifetime of a permit, in ms; a host that is not busy still has a request within it. */
-const PERMIT_MS = 1_000;
+/** Lifetime of a permit, in ms; long, because permits are rare and a host that is not busy must not lose them. */
+const PERMIT_MS = 5_000;
 /** Bounds of the bearable refusals per second; a host that never tries a server would not learn that it has room. */
 const PER_SECOND_BOUNDS = { min: 0.2, max: 1_000_000 } as const;
 
