Refuse no request as not run that runs at another host

What callers would see (REFUSED): a booking that was handed over and still ran at its deadline got 503, which says that it never ran, and callers repeat it. Cause: the exchange notes that an attempt may have run when it starts one, and did not for a handover. It does now, and takes it back if all hosts declined.

--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -128,6 +128,8 @@
     const key = this.#checkKey();
     if (key !== "valid") return this.#refuseKey(key);
     const { signal } = this.#attemptAbort = new AbortController();
+    const ranBefore = this.#ran;
+    this.#ran = core.mergeRan(ranBefore, "unknown");
     const result = await handoverExchange.runHandover(this.#context, {
       exchange: this.#options,
       effect,
@@ -136,7 +138,9 @@
       signal,
       onEvents: (batch) => this.#forwardHandedEvents(batch, signal),
     });
-    if (!signal.aborted && !this.#ended) this.#endHandover(effect, result);
+    if (signal.aborted || this.#ended) return;
+    if (result.kind === "declined") this.#ran = ranBefore;
+    this.#endHandover(effect, result);
   }
 
   async #forwardHandedEvents(
@@ -176,7 +180,6 @@
             sent,
         });
       case "lost":
-        this.#ran = "unknown";
         return this.#answerRefusal(core.buildRefusal({
           code: "backend_failed",
           ran: this.#ran,
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -735,6 +735,13 @@
     replace: "if (secretDigest === digest + digest) return",
     test: HANDOVER,
   },
+  {
+    name: "handover: a request that runs elsewhere is refused as not run",
+    file: "packages/banyangrade/gateway/request_exchange.ts",
+    find: 'this.#ran = core.mergeRan(ranBefore, "unknown");',
+    replace: "",
+    test: "platform/handover_ran_test.ts",
+  },
   {
     name: "lost links: other hosts learn of suspects of the cut",
     file: "packages/core/link_checks.ts",
