Log the software versions of servers and the streams that callers take up

What was missing to tell the hypotheses of ORDER apart: the logs said neither the version of a server nor which attempt a caller's stream names. Attempts say both now, `explain` shows them, and a counter says how many streams go on at the version that began them. No choice of a server changes.

--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -25,6 +25,9 @@
   #firstAt = 0;
   #events = 0;
   #lastServer = "";
+  #lastSoftware: string | undefined;
+  /** Software version of the server that sent the first event; undefined before it, and if it is not known. */
+  #begunBy: string | undefined;
   /** When the running attempt was sent; undefined while no attempt runs. */
   #attemptSentAt: number | undefined;
   /** The running attempt, until its first event; undefined if no time is expected. */
@@ -64,7 +67,10 @@
     const { head, route, request, table } = this.#exchange;
     this.#attempts += 1;
     this.#lastServer = server.name;
+    this.#lastSoftware = server.software;
     this.#attemptSentAt = now;
+    if (resumeAfter !== undefined) this.#recordResumed("host", server);
+    else if (head.lastEventId >= 0) this.#recordResumed("caller", server);
     this.#expected = expectedTokens === undefined
       ? undefined
       : { service: server.pool, tokens: expectedTokens };
@@ -80,13 +86,24 @@
       version: table.configuration.version,
       waitedMs: Math.round(now - request.arrivedAt),
       resumeAfter,
+      software: server.software,
+      resumes: head.resumes,
+      callerHas: head.lastEventId >= 0 ? head.lastEventId : undefined,
     }, "Attempt started.");
   }
 
+  #recordResumed(by: "host" | "caller", { software }: core.ServerInfo): void {
+    const isKnown = this.#begunBy !== undefined && software !== undefined;
+    const changed = software === this.#begunBy ? "same" : "other";
+    const version = isKnown ? changed : "unknown";
+    this.#options.metrics.recordStreamResumed({ by, version });
+  }
+
   /** Records events sent to the caller; a complete response counts as zero events. */
   recordEvents(count: number): void {
     const now = this.#options.clock.now();
     if (this.#firstAt === 0) this.#firstAt = now;
+    if (this.#events === 0) this.#begunBy = this.#lastSoftware;
     this.#events += count;
     if (this.#expected === undefined || this.#attemptSentAt === undefined) {
       return;
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -158,6 +158,7 @@
     ownLimit: limit,
     failureDomain: listed.failureDomain,
     coldMs,
+    ...(listed.software !== undefined && { software: listed.software }),
   };
 }
 
--- a/packages/banyangrade/gateway/platform_interface.ts
+++ b/packages/banyangrade/gateway/platform_interface.ts
@@ -27,6 +27,8 @@
   readonly key: string | undefined;
   /** Identifier of the last event that the caller has; -1 before the first. */
   readonly lastEventId: number;
+  /** Identifier of the caller's attempt that brought the first event of the stream; undefined unless the caller takes a stream up. */
+  readonly resumes: string | undefined;
   readonly promptTokens: number;
   /** Largest number of tokens to generate. */
   readonly maxTokens: number;
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -144,6 +144,11 @@
     "Requests that this host sent to other hosts because its links were lost, that these declined or lost, and that it took from other hosts.",
     ["outcome"],
   );
+  readonly #streamsResumed = this.#createCounter(
+    "banyangrade_streams_resumed_total",
+    "Attempts that go on with a stream, by who takes it up and by whether the server has the software version that began it.",
+    ["by", "version"],
+  );
   readonly #linkChanges = this.#createCounter(
     "banyangrade_link_changes_total",
     "Times at which this host lost its links to the backend servers or had them again.",
@@ -228,6 +233,13 @@
     this.#handovers.inc({ outcome });
   }
 
+  recordStreamResumed(resumed: {
+    readonly by: "host" | "caller";
+    readonly version: "same" | "other" | "unknown";
+  }): void {
+    this.#streamsResumed.inc(resumed);
+  }
+
   recordLinksChanged(change: "lost" | "restored"): void {
     this.#linkChanges.inc({ change });
   }
--- a/packages/banyangrade/request_trace.ts
+++ b/packages/banyangrade/request_trace.ts
@@ -13,6 +13,9 @@
   readonly version?: number;
   readonly waitedMs?: number;
   readonly resumeAfter?: number;
+  readonly software?: string;
+  readonly resumes?: string;
+  readonly callerHas?: number;
   readonly failure?: string;
   readonly reason?: string;
   readonly events?: number;
@@ -88,9 +91,12 @@
       const resumed = line.resumeAfter === undefined
         ? ""
         : `, to resume after event ${line.resumeAfter}`;
+      const software = line.software === undefined
+        ? ""
+        : `, software ${line.software}`;
       return `${line.host} sent it to ${line.server} (attempt ${line.attempt}` +
-        `, route ${line.route}, configuration ${line.version}) after ` +
-        `${line.waitedMs} ms${resumed}.`;
+        `${software}, route ${line.route}, configuration ${line.version}) ` +
+        `after ${line.waitedMs} ms${resumed}${describeTakenUp(line)}.`;
     }
     case "Attempt failed.":
       return `${line.server} failed it (${line.failure}): ${line.reason} ` +
@@ -123,6 +129,14 @@
   }
 }
 
+/** Describes which stream the caller takes up. */
+function describeTakenUp({ callerHas, resumes }: LogLine): string {
+  return callerHas === undefined
+    ? ""
+    : `; the caller takes up ${resumes ?? "an unnamed attempt"} after event ` +
+      `${callerHas}`;
+}
+
 function describeCallerLeft(
   { stage, runningMs, loopDelayMs }: LogLine,
 ): string {
--- a/packages/banyangrade/request_trace_test.ts
+++ b/packages/banyangrade/request_trace_test.ts
@@ -29,6 +29,17 @@
   t.end();
 });
 
+tap.test("the trace of a stream that is taken up names versions and attempt", (t) => {
+  const lines = [
+    `{"time":1000,"host":"h1","requestId":"r3","attempt":1,"server":"s1@7","software":"v1.1","route":"chat","version":3,"waitedMs":2,"resumes":"r1","callerHas":7,"msg":"request: Attempt started."}`,
+  ];
+  t.same(requestTrace.formatRequestTrace(lines.join("\n"), "r3"), [
+    "+0 ms h1 sent it to s1@7 (attempt 1, software v1.1, route chat, " +
+    "configuration 3) after 2 ms; the caller takes up r1 after event 7.",
+  ]);
+  t.end();
+});
+
 tap.test("the trace of an unknown request is empty", (t) => {
   t.same(requestTrace.formatRequestTrace(LINES.join("\n"), "r9"), []);
   t.end();
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -45,6 +45,8 @@
   readonly instance?: string;
   /** Time for which it is treated as cold, in ms. @default 0 */
   readonly coldMs?: number;
+  /** Version of its software. @default unknown */
+  readonly software?: string;
 }
 
 /** Load that an engine reports of itself, with some delay. */
--- a/packages/core/server_list.ts
+++ b/packages/core/server_list.ts
@@ -16,6 +16,8 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly state: "ready" | "draining";
+  /** Version of its software; undefined if the entry does not name one. */
+  readonly software?: string;
   /** Start time of this incarnation, Unix ms; a new incarnation has no state of the previous one. */
   readonly startedAt: number;
   /** Whether the server is spot capacity, which may be reclaimed at short notice. */
