Go on with a stream only at the software version that began it

Cause: no choice of a server knew versions, and nothing read Resumes.

From its first event on a request carries the version of the server that sent it, and runs only there. A host remembers which version began a stream and tells relays while versions differ; a host that does not know asks, and refuses as not run what nobody knows unless one version alone can have begun it.

--- a/packages/banyangrade/gateway/admission_refusals.ts
+++ b/packages/banyangrade/gateway/admission_refusals.ts
@@ -70,6 +70,20 @@
   });
 }
 
+/**
+ * Builds the refusal of a stream that its caller takes up, of which no host knows
+ * which software version began it.
+ *
+ * @example
+ * buildOriginUnknown().code; // "origin_unknown"
+ */
+export function buildOriginUnknown(): core.Refusal {
+  return buildTemporary({
+    code: "origin_unknown",
+    retryMs: STALE_STORE_RETRY_MS,
+  });
+}
+
 function buildTemporary(
   { retryMs, ...refusal }: TemporaryRefusal,
 ): core.Refusal {
--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -41,6 +41,7 @@
   ) {
     this.#options = options;
     this.#exchange = exchange;
+    this.#begunBy = exchange.request.software;
   }
 
   /** Returns the number of events that the caller received. */
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -38,6 +38,7 @@
   await parts.relay.start();
   parts.belief.start();
   parts.presence.start();
+  parts.streamOrigins.start();
   parts.roles.start();
   options.log.info({ host: options.settings.host }, "Host started.");
   return {
@@ -91,8 +92,16 @@
 
 /** Adds gauges for the age of the store's data, open requests and roles; they are read on each scrape. */
 function addGauges(
-  { metrics, belief, dispatch, roles, relay, heldBytes, handover }:
-    gatewayParts.GatewayParts,
+  {
+    metrics,
+    belief,
+    dispatch,
+    roles,
+    relay,
+    heldBytes,
+    handover,
+    streamOrigins,
+  }: gatewayParts.GatewayParts,
 ): void {
   metrics.addGauge("banyangrade_is_relay", {
     help: "1 while this host follows the store for its failure domain.",
@@ -137,6 +146,11 @@
     label: "kind",
     read: () => ({ ...heldBytes.getTotals() }),
   });
+  metrics.addGauge("banyangrade_stream_origins", {
+    help:
+      "Streams of which this host knows the software version that began them.",
+    read: () => streamOrigins.countStreams(),
+  });
   metrics.addGauge("banyangrade_has_role", {
     help: "1 while this host holds the control roles.",
     read: () => roles.hasRole() ? 1 : 0,
@@ -179,6 +193,7 @@
   { ingress, readiness, operations }: HostServers,
 ): Promise<void> {
   parts.belief.stop();
+  parts.streamOrigins.stop();
   parts.startupWaits.refuseAll();
   await Promise.all([
     parts.roles.stop(),
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -25,6 +25,7 @@
 import * as handoverTask from "./handover_task.ts";
 import * as linkTelemetry from "./link_telemetry.ts";
 import * as startupWaits from "./startup_waits.ts";
+import * as streamOriginsTask from "./stream_origins_task.ts";
 import * as heldBytes from "./held_bytes.ts";
 
 /** Options of {@link buildGatewayParts}. */
@@ -50,6 +51,8 @@
   /** Recently lost servers, with the requests that they ran. */
   readonly marks: core.MarkSet;
   readonly coldStarts: core.ColdStartTracker;
+  readonly versions: core.SoftwareVersions;
+  readonly streamOrigins: streamOriginsTask.StreamOriginsTask;
   readonly signalLog: serverSignals.SignalLog;
   readonly relay: relayTask.RelayTask;
   readonly feed: relayedFeed.RelayedFeed;
@@ -100,6 +103,7 @@
   addRelay(draft);
   addClusterState(draft);
   addHostStatus(draft);
+  addStreamOrigins(draft);
   addRoles(draft);
   addRequestHandler(draft);
   return draft;
@@ -158,6 +162,7 @@
       admission: new core.StartupAdmission({ startedAt: clock.now() }),
     }),
     coldStarts: new core.ColdStartTracker(),
+    versions: new core.SoftwareVersions(),
     signalLog: new serverSignals.SignalLog({
       log: utils.createPartLogger(options.log, "server"),
       metrics,
@@ -276,6 +281,8 @@
         };
       },
       acceptRelay: (relay) => draft.relay.acceptRelay(relay),
+      shareOrigins: (share) => draft.streamOrigins.acceptShare(share),
+      findOrigin: (question) => draft.streamOrigins.answer(question),
       getSummary: () => draft.presence.getSummary(),
     }),
   });
@@ -331,6 +338,19 @@
   });
 }
 
+function addStreamOrigins(draft: Draft): void {
+  const { clocks, log, metrics, versions, relay, belief, presence } = draft;
+  draft.streamOrigins = new streamOriginsTask.StreamOriginsTask({
+    clock: clocks.lease,
+    log: utils.createPartLogger(log, "origins"),
+    metrics,
+    versions,
+    isFresh: () => belief.isFresh(),
+    relay,
+    listRelays: () => presence.listRelays(),
+  });
+}
+
 function addRoles(draft: Draft): void {
   const { settings, platform, clocks, log, incarnation } = draft;
   draft.roles = new controlRolesTask.RolesTask({
--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -161,7 +161,7 @@
 
 function buildCall(
   { wire, clock }: HandoverContext,
-  { exchange, reached, sent, signal, getLastEventId }: HandedRequest & {
+  { exchange, effect, reached, sent, signal, getLastEventId }: HandedRequest & {
     readonly reached: handoverTask.ReachedHost;
     readonly sent: number;
   },
@@ -178,7 +178,7 @@
     headers: {
       ...wire.buildHandoverHeaders(incoming.headers, { lastEventId }),
       ...handoverProtocol.buildRequestHeaders(
-        { elapsedMs, sent },
+        { elapsedMs, sent, software: effect.request.software },
         reached.contact,
       ),
     },
--- a/packages/banyangrade/gateway/handover_protocol.ts
+++ b/packages/banyangrade/gateway/handover_protocol.ts
@@ -18,6 +18,8 @@
   elapsedMs: "x-handover-elapsed-ms",
   /** Number of attempts of the request that were sent to servers. */
   sent: "x-handover-sent",
+  /** Software version that began the stream, encoded like a part of a URL. */
+  software: "x-handover-software",
   /** Whether a refused request ran; in responses. */
   ran: "x-handover-ran",
 } as const;
@@ -62,13 +64,15 @@
  * const headers = buildRequestHeaders({ elapsedMs: 40, sent: 0 }, { secret });
  */
 export function buildRequestHeaders(
-  { elapsedMs, sent }: ingress.Handover,
+  { elapsedMs, sent, software }: ingress.Handover,
   { secret }: { readonly secret: string },
 ): Record<string, string> {
   return {
     [HEADERS.secret]: secret,
     [HEADERS.elapsedMs]: String(Math.round(elapsedMs)),
     [HEADERS.sent]: String(sent),
+    ...(software !== undefined &&
+      { [HEADERS.software]: encodeURIComponent(software) }),
   };
 }
 
@@ -115,11 +119,15 @@
   const digest = utils.computeDigest(String(headers[HEADERS.secret] ?? ""));
   if (!utils.isSameDigest(digest, secretDigest)) return { kind: "stranger" };
   if (headers[HEADERS.question] !== undefined) return { kind: "question" };
+  const software = headers[HEADERS.software];
   return {
     kind: "request",
     handover: {
       elapsedMs: readCount(headers[HEADERS.elapsedMs], MAX_ELAPSED_MS),
       sent: readCount(headers[HEADERS.sent], MAX_SENT),
+      ...(typeof software === "string" && {
+        software: decodeURIComponent(software),
+      }),
     },
   };
 }
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -147,6 +147,11 @@
     return this.#contacts.length + 1;
   }
 
+  /** Lists the other relays, as far as this host reads the published statuses. */
+  listRelays(): readonly store.RoleContact[] {
+    return this.#contacts;
+  }
+
   /** Estimates the number of hosts of this failure domain, this host included. */
   countDomainHosts(): number {
     return Math.ceil(this.#hosts / this.#options.failureDomains);
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -52,7 +52,7 @@
  * applyServers(parts, belief.listServers());
  */
 export function applyServers(
-  { belief, pools, dispatch, coldStarts, clock }: Parts,
+  { belief, pools, dispatch, coldStarts, clock, clocks, ...parts }: Parts,
   listed: readonly core.ListedServer[],
 ): void {
   const services = new Map(
@@ -60,7 +60,10 @@
       .map((one) => [one.name, one]),
   );
   coldStarts.setAll(listed.map(toColdReport), clock.now());
-  const servers = listed.map((server) => {
+  parts.versions.record(listed, clocks.lease.now());
+  parts.streamOrigins.recordVersions([...services.keys()]);
+  const software = core.resolveSoftware(listed);
+  const servers = listed.map((server, index) => {
     const name = getServerName(server);
     const service = services.get(server.service);
     const limit = pools.getLimit(name, service?.connectionLimit ?? 0);
@@ -70,7 +73,13 @@
       now: clock.now(),
     });
     const isEvacuated = belief.isEvacuated(server.failureDomain);
-    return toServerInfo(server, { name, limit, isEvacuated, coldMs });
+    return toServerInfo(server, {
+      name,
+      limit,
+      isEvacuated,
+      coldMs,
+      software: software[index],
+    });
   });
   pools.closeUnlisted(new Set(servers.map((server) => server.name)));
   dispatch.send({ kind: "servers_changed", servers });
@@ -141,8 +150,9 @@
 
 function toServerInfo(
   listed: core.ListedServer,
-  { name, limit, isEvacuated, coldMs }: {
+  { name, limit, isEvacuated, coldMs, software }: {
     readonly name: string;
+    readonly software: string;
     readonly limit: number;
     readonly isEvacuated: boolean;
     readonly coldMs: number;
@@ -158,7 +168,7 @@
     ownLimit: limit,
     failureDomain: listed.failureDomain,
     coldMs,
-    ...(listed.software !== undefined && { software: listed.software }),
+    software,
   };
 }
 
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -19,6 +19,8 @@
   readonly elapsedMs: number;
   /** Number of its attempts that were sent to servers. */
   readonly sent: number;
+  /** Software version that began its stream; undefined if it has not begun, or began at a host that did not say. */
+  readonly software?: string;
 }
 
 /** A caller's request. */
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -13,6 +13,8 @@
 import * as refusalResponse from "./refusal_response.ts";
 import type * as connectionPools from "./connection_pools.ts";
 import type * as serverSignals from "./server_signals.ts";
+import type * as streamOriginsTask from "./stream_origins_task.ts";
+import * as takenStreams from "./taken_streams.ts";
 
 /** Services of the host that an exchange uses. */
 export interface ExchangeContext extends handoverExchange.HandoverContext {
@@ -21,6 +23,10 @@
   readonly metrics: metrics.Metrics;
   readonly heldBytes: heldBytes.HeldBytes;
   readonly pools: connectionPools.ConnectionPools;
+  readonly streamOrigins: Pick<
+    streamOriginsTask.StreamOriginsTask,
+    "record" | "find"
+  >;
   /** Checks whether an API key that was valid on arrival may still start an attempt. */
   readonly checkKey: (key: string, customer: string) => KeyCheck;
   /** Applies the signals of a response of a server. */
@@ -317,6 +323,7 @@
     batch: service.EventBatch,
   ): Promise<void> {
     const { incoming, request } = this.#options;
+    if (this.#telemetry.getEvents() === 0) this.#recordOrigin(effect);
     this.#telemetry.recordEvents(batch.count);
     this.#lastEventId = batch.lastEventId;
     this.#context.dispatch.send({
@@ -332,6 +339,17 @@
     this.#sendBlocked(effect, false);
   }
 
+  /** Records which software version began a stream that may be taken up. */
+  #recordOrigin({ server: { software = "" } }: StartEffect): void {
+    const { head, request } = this.#options;
+    if (!request.resumable) return;
+    this.#context.streamOrigins.record({
+      attemptId: takenStreams.getStreamId(head),
+      service: request.target,
+      software,
+    });
+  }
+
   /** Reports whether the caller has stopped reading, so that the server does not count as silent. */
   #sendBlocked({ attempt }: StartEffect, blocked: boolean): void {
     const requestId = this.#options.request.id;
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -12,6 +12,7 @@
 import * as refusalResponse from "./refusal_response.ts";
 import * as requestExchange from "./request_exchange.ts";
 import type * as startupWaits from "./startup_waits.ts";
+import * as takenStreams from "./taken_streams.ts";
 
 /** Share of the caller's timeout that a request may spend in the queue. */
 const QUEUE_SHARE = 0.4;
@@ -268,6 +269,10 @@
     },
   ): Promise<boolean> {
     await this.#waitForPendingReads();
+    const service = core.drawService(admitted.route, this.#options.random);
+    const version = service === undefined
+      ? undefined
+      : await takenStreams.findVersion(this.#options, { ...admitted, service });
     if (admitted.incoming.isDisconnected()) {
       this.#recordLeftWhileReading(admitted);
       return false;
@@ -280,7 +285,7 @@
       });
       return false;
     }
-    return this.#openExchange(admitted, complete);
+    return this.#openExchange(admitted, { ...complete, service, version });
   }
 
   /**
@@ -295,13 +300,20 @@
   /** Returns false if the request was refused. */
   #openExchange(
     admitted: AdmittedRequest,
-    { body, account }: {
+    { body, account, service, version }: {
       readonly body: Buffer;
       readonly account: heldBytesModule.HeldAccount;
+      readonly service: string | undefined;
+      /** Version that began the stream that the caller takes up; undefined if it begins one. */
+      readonly version: core.StreamVersion | undefined;
     },
   ): boolean {
     const { incoming, head, table, arrivedAt } = admitted;
-    const service = core.drawService(admitted.route, this.#options.random);
+    if (version?.kind === "unknown") {
+      const refusal = admissionRefusals.buildOriginUnknown();
+      this.#refuse(incoming, { head, refusal });
+      return false;
+    }
     if (service === undefined) {
       const refusal = admissionRefusals.buildRefusal("no_capacity");
       this.#refuse(incoming, { head, refusal });
@@ -316,7 +328,8 @@
       });
       return false;
     }
-    const request = this.#buildRequest(admitted, { service, body });
+    const software = version?.software;
+    const request = this.#buildRequest(admitted, { service, body, software });
     requestExchange.openExchange(this.#options, {
       incoming,
       head,
@@ -357,7 +370,11 @@
 
   #buildRequest(
     admitted: AdmittedRequest,
-    { service, body }: { readonly service: string; readonly body: Buffer },
+    { service, body, software }: {
+      readonly service: string;
+      readonly body: Buffer;
+      readonly software: string | undefined;
+    },
   ): core.Request {
     const { head, route, grant, arrivedAt, admittedAt, incoming } = admitted;
     const customer = grant?.customer ?? "";
@@ -401,6 +418,7 @@
       ),
       handedOver: incoming.handover !== undefined,
       resumable: route.kind === "stream" && route.resumable,
+      ...(software !== undefined && { software }),
       allowedDomains: core.listAllowedDomains({
         route,
         customer: grant,
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -149,6 +149,11 @@
     "Attempts that go on with a stream, by who takes it up and by whether the server has the software version that began it.",
     ["by", "version"],
   );
+  readonly #originLookups = this.#createCounter(
+    "banyangrade_origin_lookups_total",
+    "Streams that callers took up, by whether the software version that began them is known.",
+    ["outcome"],
+  );
   readonly #linkChanges = this.#createCounter(
     "banyangrade_link_changes_total",
     "Times at which this host lost its links to the backend servers or had them again.",
@@ -240,6 +245,10 @@
     this.#streamsResumed.inc(resumed);
   }
 
+  recordOriginLookup(outcome: "known" | "unknown"): void {
+    this.#originLookups.inc({ outcome });
+  }
+
   recordLinksChanged(change: "lost" | "restored"): void {
     this.#linkChanges.inc({ change });
   }
--- a/packages/caller/caller_response.ts
+++ b/packages/caller/caller_response.ts
@@ -14,6 +14,7 @@
   draining: 503,
   key_withdrawn: 401,
   conflict: 409,
+  origin_unknown: 503,
   poison_request: 422,
   store_unavailable: 503,
   backend_failed: 502,
--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -6,8 +6,9 @@
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
 import * as serverAvailability from "./server_availability.ts";
-import * as serverState from "./server_state.ts";
+import type * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
+import * as strandedRequests from "./stranded_requests.ts";
 import * as dispatching from "./dispatching.ts";
 
 /**
@@ -58,23 +59,12 @@
   if (holdMs > 0) return { code: "poison_request", waitMs: holdMs };
   const isServed = overflow.hasLocalServer(state, request) ||
     overflow.mayOverflow(state, request);
-  if (!isServed || !hasEligibleServer(state, request)) {
+  if (!isServed || !strandedRequests.hasEligibleServer(state, request)) {
     return { code: "no_capacity", waitMs: Number.POSITIVE_INFINITY };
   }
   return undefined;
 }
 
-/** Whether a live server is in one of the failure domains to which the request is restricted, if any. */
-function hasEligibleServer(
-  state: hostState.HostState,
-  request: request.Request,
-): boolean {
-  return request.allowedDomains === undefined ||
-    state.table.listFor(request.target).some((server) =>
-      server.info.state === "live" && serverState.mayRunAt(server, request)
-    );
-}
-
 /**
  * Sheds load if the request would start too late or the queue is full. A full
  * queue drops a queued request of a lower tier first. The request itself is refused
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -12,6 +12,7 @@
 import * as serverAvailability from "./server_availability.ts";
 import * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
+import * as strandedRequests from "./stranded_requests.ts";
 import * as dispatching from "./dispatching.ts";
 
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
@@ -229,7 +230,7 @@
     readonly ended: attempts.Attempt;
   },
 ): void {
-  const request = ended.request;
+  const request = attempts.setSoftware(ended);
   const decision = retry.decideRetry({
     failure: event.failure,
     sent: ended.attempt - ended.unsentAttempts,
@@ -242,7 +243,8 @@
     ended.ranBefore,
     retry.resolveRan(event.failure),
   );
-  if (decision.kind === "give_up") {
+  const isStranded = !strandedRequests.hasEligibleServer(state, request);
+  if (decision.kind === "give_up" || isStranded) {
     return hostState.refuse(state, {
       refused: request,
       code: "backend_failed",
@@ -298,7 +300,7 @@
   state: hostState.HostState,
   { ended, avoid, ran, notSent = false }: NextAttemptOptions,
 ): queue.QueuedRequest {
-  const request = ended.request;
+  const request = attempts.setSoftware(ended);
   // A request whose answer has begun has met its start deadline, so the next
   // attempt gets a new one.
   const hasBegun = ended.offset + ended.tokens > 0;
--- a/packages/core/attempts.ts
+++ b/packages/core/attempts.ts
@@ -9,6 +9,8 @@
   /** Earlier attempts of the request of which no byte was sent. */
   readonly unsentAttempts: number;
   readonly server: string;
+  /** Software version of its server; empty if the server names none. */
+  readonly software: string;
   readonly pool: string;
   readonly startedAt: number;
   /** Tokens that the caller already had when this attempt started. */
@@ -31,6 +33,19 @@
   readonly ranBefore: request.Ran;
 }
 
+/**
+ * Returns the request for its next attempt: once its answer has begun, only the
+ * software version that began it may go on.
+ *
+ * @example
+ * setSoftware(attempt).software; // "v1.1"
+ */
+export function setSoftware(attempt: Attempt): request.Request {
+  const { request, offset, tokens, software } = attempt;
+  const isBound = offset + tokens === 0 || request.software !== undefined;
+  return isBound ? request : { ...request, software };
+}
+
 /** The current attempt of each running request. */
 export class AttemptTable {
   readonly #attempts = new Map<string, Attempt>();
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -19,6 +19,7 @@
 import * as serverSignals from "./server_signals.ts";
 import * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
+import * as strandedRequests from "./stranded_requests.ts";
 import * as overflow from "./overflow.ts";
 import * as dispatching from "./dispatching.ts";
 import * as deadlineChecks from "./deadline_checks.ts";
@@ -240,6 +241,7 @@
       state.paces.keep(
         new Set(state.table.listServers().map(({ info }) => info.name)),
       );
+      strandedRequests.refuseStranded(state);
       return dispatching.dispatchQueue(state);
     case "hosts_changed":
       return state.table.setHosts(event.hosts);
--- a/packages/core/dispatching.ts
+++ b/packages/core/dispatching.ts
@@ -1,6 +1,6 @@
 /** Dispatching: which queued request starts next, and at which backend server. */
 import * as admissionEstimates from "./admission_estimates.ts";
-import type * as attempts from "./attempts.ts";
+import * as attempts from "./attempts.ts";
 import * as constants from "./constants.ts";
 import * as handover from "./handover.ts";
 import * as hostState from "./host_state.ts";
@@ -59,7 +59,7 @@
 function hasWaitingCall(lane: queue.Lane): boolean {
   const next = lane.peek();
   return next !== undefined && !next.suspect && next.request.kind === "call" &&
-    next.request.pools.length === 0 &&
+    next.request.pools.length === 0 && next.request.software === undefined &&
     next.request.allowedDomains === undefined;
 }
 
@@ -154,7 +154,8 @@
   state: hostState.HostState,
   current: attempts.Attempt,
 ): router.RouteChoice | undefined {
-  const { request, server: avoid } = current;
+  const { server: avoid } = current;
+  const request = attempts.setSoftware(current);
   const suspect = state.suspects.isSuspect(request.fingerprint);
   const isRunningElsewhere = state.running.list().some((other) =>
     other !== current && other.request.fingerprint === request.fingerprint
@@ -223,6 +224,7 @@
     attempt: queued.attempt,
     unsentAttempts: queued.unsentAttempts,
     server: server.info.name,
+    software: server.info.software ?? "",
     pool: server.info.pool,
     startedAt: state.now,
     offset: queued.offset,
--- a/packages/core/queue.ts
+++ b/packages/core/queue.ts
@@ -44,6 +44,8 @@
   readonly pools: readonly string[];
   /** Whether its requests have already missed their latency target. */
   readonly missedTarget: boolean;
+  /** Whether its requests may run at one software version only. */
+  readonly isBound: boolean;
   readonly #waiting = new Map<string, QueuedRequest[]>();
   readonly #virtualTimes = new Map<string, number>();
   readonly #schedule = new tinyqueue.default<ScheduledCustomer>(
@@ -60,6 +62,7 @@
     this.target = first.request.target;
     this.pools = first.request.pools;
     this.missedTarget = first.missedTarget;
+    this.isBound = first.request.software !== undefined;
   }
 
   get size(): number {
@@ -233,6 +236,8 @@
     let lane = this.#lanes.get(key);
     if (lane === undefined) {
       lane = new Lane(key, queued);
+      // Software versions come and go for as long as the host runs.
+      if (lane.isBound) this.#dropBoundLanes();
       this.#lanes.set(key, lane);
       const lanes = this.#byTarget.get(lane.target) ?? [];
       this.#byTarget.set(lane.target, [...lanes, lane]);
@@ -241,6 +246,17 @@
     this.#size += 1;
   }
 
+  /** Drops the empty lanes that are bound to a software version. */
+  #dropBoundLanes(): void {
+    const isDropped = (lane: Lane) => lane.isBound && lane.size === 0;
+    this.#lanes.forEach((lane, key) => {
+      if (isDropped(lane)) this.#lanes.delete(key);
+    });
+    this.#byTarget.forEach((lanes, target) =>
+      this.#byTarget.set(target, lanes.filter((lane) => !isDropped(lane)))
+    );
+  }
+
   /** Removes and returns the next request of a lane, and charges its customer `cost`. */
   take(lane: Lane, cost: number): QueuedRequest | undefined {
     const taken = lane.take(cost);
--- a/packages/core/refusals.ts
+++ b/packages/core/refusals.ts
@@ -22,6 +22,8 @@
     "An operation with this idempotency key already exists; use a new key only for a different operation.",
   poison_request:
     "Backend servers were lost while running this request; do not send it again unchanged.",
+  origin_unknown:
+    "No host knows which software version began this stream, and another one must not go on with it; retry, or begin the stream anew.",
   store_unavailable:
     "The operation cannot be claimed because the store is unavailable; retry with the same idempotency key.",
   backend_failed:
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -17,6 +17,7 @@
   | "key_withdrawn"
   | "conflict"
   | "poison_request"
+  | "origin_unknown"
   | "store_unavailable"
   | "backend_failed"
   | "cancelled";
@@ -74,6 +75,8 @@
   readonly resumable?: boolean;
   /** Failure domains in which it may run. @default any */
   readonly allowedDomains?: readonly string[];
+  /** Software version at which it may run, because that version began its stream. @default any */
+  readonly software?: string;
   /** Whether a host handed it to another one. It is not handed over again, and its first attempt is counted already. @default false */
   readonly handedOver?: boolean;
 }
@@ -86,9 +89,11 @@
  * getLaneKey(request); // "counter|1|status|"
  */
 export function getLaneKey(request: Request): string {
-  const { className, tier, target, pools, allowedDomains } = request;
+  const { className, tier, target, pools, allowedDomains, software } = request;
   const lane = `${className}|${tier}|${target}|${pools.join(",")}`;
-  return allowedDomains === undefined
-    ? lane
-    : `${lane}|${allowedDomains.join(",")}`;
+  const domains = allowedDomains === undefined
+    ? ""
+    : `|${allowedDomains.join(",")}`;
+  const version = software === undefined ? "" : `|software ${software}`;
+  return `${lane}${domains}${version}`;
 }
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -318,15 +318,20 @@
 }
 
 /**
- * Whether a server is in a failure domain in which a request may run.
+ * Whether a server is in a failure domain in which a request may run, and has the
+ * software version that began its stream, if it has begun.
  *
  * @example
  * servers.filter((server) => mayRunAt(server, request));
  */
 export function mayRunAt(
-  { info: { failureDomain } }: ServerState,
-  { allowedDomains }: Pick<request.Request, "allowedDomains">,
+  { info: { failureDomain, software: version = "" } }: ServerState,
+  { allowedDomains, software }: Pick<
+    request.Request,
+    "allowedDomains" | "software"
+  >,
 ): boolean {
+  if (software !== undefined && software !== version) return false;
   if (allowedDomains === undefined) return true;
   return failureDomain !== undefined && allowedDomains.includes(failureDomain);
 }
--- a/packages/core/server_waits.ts
+++ b/packages/core/server_waits.ts
@@ -12,7 +12,10 @@
 import * as serverState from "./server_state.ts";
 
 /** Selects the servers that may run a request. */
-type ServerSelector = Pick<request.Request, "target" | "allowedDomains">;
+type ServerSelector = Pick<
+  request.Request,
+  "target" | "allowedDomains" | "software"
+>;
 
 /**
  * Grants a server its rest, and refuses the queued requests that would start too
--- a/packages/core/servers.ts
+++ b/packages/core/servers.ts
@@ -252,7 +252,10 @@
 
   /** Lists the servers in the pools and failure domains in which a request may run, including leaving and ejected ones. */
   listEligible(
-    request: Pick<request.Request, "target" | "pools" | "allowedDomains">,
+    request: Pick<
+      request.Request,
+      "target" | "pools" | "allowedDomains" | "software"
+    >,
   ): readonly serverState.ServerState[] {
     const { target, pools } = request;
     return this.listFor(target).filter((server) =>
--- a/packages/peer/client_test.ts
+++ b/packages/peer/client_test.ts
@@ -26,6 +26,8 @@
       report: () => ({ others: EMPTY, publishes: true }),
       getSummary: () => EMPTY,
       acceptRelay: () => undefined,
+      shareOrigins: () => ({ relays: [] }),
+      findOrigin: () => Promise.resolve({ views: [], relays: [] }),
     }),
   });
   const address = `127.0.0.1:${server.port}`;
--- a/packages/peer/relay_protocol.ts
+++ b/packages/peer/relay_protocol.ts
@@ -47,6 +47,36 @@
   readonly relay?: RelayRecord;
 }
 
+/** Streams with the software versions that began them. */
+export interface OriginShare {
+  readonly origins: readonly core.OriginRecord[];
+  /** Whether another relay has stored them too, so that they are not sent further. */
+  readonly isCopy: boolean;
+}
+
+/** Response of a relay that has stored the beginnings of streams. */
+export interface OriginShareResponse {
+  /** The other relays, which are used if this one is lost. */
+  readonly relays: readonly store.RoleContact[];
+}
+
+/** A question for the software version that began a stream. */
+export interface OriginQuestion {
+  readonly stream: number;
+  readonly service: string;
+  /** Whether a relay asks, which asks the other relays itself. */
+  readonly isForwarded: boolean;
+}
+
+/** What a relay, and the other relays that it asked, know of a stream. */
+export interface OriginResponse {
+  /** Absent if the stream is not known. */
+  readonly software?: string;
+  /** Views of the relays that answered. */
+  readonly views: readonly core.VersionView[];
+  readonly relays: readonly store.RoleContact[];
+}
+
 /** Handlers of a relay for the calls of other hosts. */
 export interface RelayHandlers {
   readonly readAll: (prefix: string) => RelayedSnapshot;
@@ -55,6 +85,9 @@
   readonly report: (statuses: readonly core.HostStatus[]) => ReportResponse;
   /** Returns the summary of the relay's followers, for other relays. */
   readonly getSummary: () => core.HostsSummary;
+  /** Stores streams that other hosts began. */
+  readonly shareOrigins: (share: OriginShare) => OriginShareResponse;
+  readonly findOrigin: (question: OriginQuestion) => Promise<OriginResponse>;
   /** Accepts the relay that has replaced this host, which the store may still reject. */
   readonly acceptRelay: (relay: RelayRecord) => void;
 }
@@ -74,6 +107,10 @@
     report: procedure.input(accept<readonly core.HostStatus[]>())
       .mutation(({ input }) => handlers.report(input)),
     summary: procedure.query(() => handlers.getSummary()),
+    shareOrigins: procedure.input(accept<OriginShare>())
+      .mutation(({ input }) => handlers.shareOrigins(input)),
+    findOrigin: procedure.input(accept<OriginQuestion>())
+      .query(({ input }) => handlers.findOrigin(input)),
     announceRelay: procedure.input(accept<RelayRecord>())
       .mutation(({ input }) => handlers.acceptRelay(input)),
   });
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -38,6 +38,9 @@
 const LOST_LINKS = "packages/core/lost_links_test.ts";
 const HANDOVER = "platform/handover_test.ts";
 const BRITTLE = "packages/core/brittle_servers_test.ts";
+const VERSIONS = "packages/core/software_versions_test.ts";
+const VERSIONS_FUZZ = "packages/core/software_versions_fuzz_test.ts";
+const VERSIONS_AT_HOSTS = "platform/software_versions_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -798,4 +801,68 @@
     replace: "(true ||",
     test: "platform/server_brittle_test.ts",
   },
+  {
+    name: "versions: a stream that has begun is not bound to its version",
+    file: "packages/core/attempts.ts",
+    find: "return isBound ? request : { ...request, software };",
+    replace: "return isBound ? request : { ...request };",
+    test: VERSIONS,
+  },
+  {
+    name: "versions: a server of any version may run a bound request",
+    file: "packages/core/server_state.ts",
+    find: "if (software !== undefined && software !== version) return false;",
+    replace: "void [software, version];",
+    test: VERSIONS,
+  },
+  {
+    name: "versions: streams of a version without servers wait",
+    file: "packages/core/dispatcher.ts",
+    find: "strandedRequests.refuseStranded(state);",
+    replace: "void strandedRequests;",
+    test: VERSIONS,
+  },
+  {
+    name: "versions: a version is forgotten when its last server goes",
+    file: "packages/core/software_versions.ts",
+    find: "if (!next.has(software)) known.goneAt.set(software, now);",
+    replace: "void software;",
+    test: VERSIONS_FUZZ,
+  },
+  {
+    name:
+      "versions: a host that has just started takes its list for the whole past",
+    file: "packages/core/software_versions.ts",
+    find: 'kind: isYoung ? "young" : "single"',
+    replace: 'kind: isYoung ? "single" : "single"',
+    test: VERSIONS_FUZZ,
+  },
+  {
+    name: "versions: a host that reaches no other one guesses",
+    file: "packages/core/software_versions.ts",
+    find: 'if (asked && !isAnswered) return { kind: "unknown" };',
+    replace: "void [asked, isAnswered];",
+    test: VERSIONS_FUZZ,
+  },
+  {
+    name: "versions: a host trusts its list, whatever others know",
+    file: "packages/core/software_versions.ts",
+    find: "const views = [own, ...others];",
+    replace: "const views = [own];",
+    test: VERSIONS,
+  },
+  {
+    name: "versions: a host shares no streams",
+    file: "packages/banyangrade/gateway/stream_origins_task.ts",
+    find: "const origins = [...pending, ...copies];",
+    replace: "const origins = [...pending, ...copies].slice(0, 0);",
+    test: VERSIONS_AT_HOSTS,
+  },
+  {
+    name: "versions: a stream is handed over without its version",
+    file: "packages/banyangrade/gateway/handover_exchange.ts",
+    find: "{ elapsedMs, sent, software: effect.request.software },",
+    replace: "{ elapsedMs, sent, software: (void effect, undefined) },",
+    test: VERSIONS_AT_HOSTS,
+  },
 ];
