--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -167,6 +167,10 @@
       failure,
       reason,
       events: this.#events,
+      // A part that several lost requests share may have crashed their servers.
+      parts: failure === "connection_lost" && this.#events === 0
+        ? this.#exchange.head.parts.map(({ id }) => id).join(",")
+        : undefined,
     }, "Attempt failed.");
   }
 
--- a/packages/banyangrade/request_trace.ts
+++ b/packages/banyangrade/request_trace.ts
@@ -19,6 +19,7 @@
   readonly failure?: string;
   readonly reason?: string;
   readonly events?: number;
+  readonly parts?: string;
   readonly attempts?: number;
   readonly totalMs?: number;
   readonly firstMs?: number;
@@ -100,7 +101,7 @@
     }
     case "Attempt failed.":
       return `${line.server} failed it (${line.failure}): ${line.reason} ` +
-        `The caller had received ${line.events} events.`;
+        `The caller had received ${line.events} events.${describeParts(line)}`;
     case "Request handed over.":
       return `${line.host} has no links to the servers and handed it to ` +
         `${line.peer} (route ${line.route}) after ${line.waitedMs} ms.`;
@@ -129,6 +130,10 @@
   }
 }
 
+function describeParts({ parts = "" }: LogLine): string {
+  return parts === "" ? "" : ` Its prompt has the parts ${parts}.`;
+}
+
 /** Describes which stream the caller takes up. */
 function describeTakenUp({ callerHas, resumes }: LogLine): string {
   return callerHas === undefined
--- a/packages/banyangrade/request_trace_test.ts
+++ b/packages/banyangrade/request_trace_test.ts
@@ -40,6 +40,17 @@
   t.end();
 });
 
+tap.test("the trace of an attempt that was lost names the parts of its prompt", (t) => {
+  const lines = [
+    `{"time":1000,"host":"h1","requestId":"r4","attempt":1,"server":"s1@7","failure":"connection_lost","reason":"read ECONNRESET","events":0,"parts":"a1,b2","msg":"request: Attempt failed."}`,
+  ];
+  t.same(requestTrace.formatRequestTrace(lines.join("\n"), "r4"), [
+    "+0 ms s1@7 failed it (connection_lost): read ECONNRESET The caller had " +
+    "received 0 events. Its prompt has the parts a1,b2.",
+  ]);
+  t.end();
+});
+
 tap.test("the trace of an unknown request is empty", (t) => {
   t.same(requestTrace.formatRequestTrace(LINES.join("\n"), "r9"), []);
   t.end();
