Refuse the parts of prompts that crash servers, at all hosts

Cause: the quarantine marks the digest of the whole request, and these requests differ in all but one part.

Hosts mark the shared parts of requests that waited for their first event when their server was lost, and share marks and answers with their statuses. A part with three crashes one after the other and no answer since is blamed: refused at once as not run, also from the queue and on retries. Two trials at most, by the host with the control roles, end a wrong blame.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -30,6 +30,10 @@
   readonly onSuspectsWithdrawn?: (
     effect: Extract<core.DispatchEffect, { kind: "suspects_withdrawn" }>,
   ) => void;
+  /** Called when the parts of prompts that crash servers change. @default ignored */
+  readonly onPartsBlamed?: (
+    effect: Extract<core.DispatchEffect, { kind: "parts_blamed" }>,
+  ) => void;
   readonly onAskCapacity: () => void;
   /** Called when a server is overdue or answers again. @default ignored */
   readonly onOverdueChanged?: (
@@ -175,6 +179,18 @@
     return this.#options.dispatcher.listOutcomes(this.#options.clock.now());
   }
 
+  /** Lists the suspect parts of prompts with which answers of this host have begun, with monotonic times. */
+  listAnsweredParts(): core.PartAnswers {
+    return this.#options.dispatcher.listAnsweredParts(
+      this.#options.clock.now(),
+    );
+  }
+
+  /** Counts the parts of prompts that are refused because they crash servers. */
+  countBlamedParts(): number {
+    return this.#options.dispatcher.countBlamedParts();
+  }
+
   /** Sets how the engines of a service are divided between short and long prompts. */
   setDivision(target: string, division: core.EngineDivision): void {
     this.#options.dispatcher.setDivision(target, division);
@@ -245,6 +261,8 @@
       }
       case "suspect":
         return this.#options.onSuspect(effect);
+      case "parts_blamed":
+        return this.#options.onPartsBlamed?.(effect);
       case "suspects_withdrawn":
         return this.#options.onSuspectsWithdrawn?.(effect);
       case "overdue_changed":
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -127,6 +127,10 @@
     help: "Backend servers that are avoided because they send nothing.",
     read: () => dispatch.countOverdueServers(),
   });
+  metrics.addGauge("banyangrade_blamed_parts", {
+    help: "Parts of prompts that are refused because they crash servers.",
+    read: () => dispatch.countBlamedParts(),
+  });
   metrics.addGauge("banyangrade_links_lost", {
     help: "Services to whose backend servers this host has lost its links.",
     read: () => dispatch.listLostLinks().length,
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -187,9 +187,13 @@
       comparesPrompts: true,
       isConnected: (server) => draft.pools.hasIdleConnection(server),
       tracksLinks: true,
+      // One host at a time, so that all hosts together try a part no more often.
+      mayTryParts: () => draft.roles.hasRole(),
     }),
     onSuspect: ({ mark }) =>
       void draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS }),
+    onPartsBlamed: ({ parts }) =>
+      serverLog.warn({ parts }, "Parts that crash servers changed."),
     onSuspectsWithdrawn: ({ marks }) =>
       marks.forEach((mark) => draft.marks.remove(mark)),
     onAskCapacity: () => undefined,
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -17,6 +17,8 @@
     parts;
   marks.removeExpired(clock.now());
   const contact = parts.handover.getContact();
+  const offsetMs = clocks.getTrueTime() - clock.now();
+  const answered = dispatch.listAnsweredParts();
   return {
     host: settings.host,
     incarnation,
@@ -26,23 +28,37 @@
     prompting: dispatch.countPendingPrefill(),
     outcomes: dispatch.listOutcomes(),
     usage: counter.list(),
-    suspects: marks.list()
-      .map(({ fingerprint, server }) => ({ fingerprint, server })),
-    limits: applyOffset(
-      dispatch.listLimits(),
-      clocks.getTrueTime() - clock.now(),
+    suspects: applyOffset(
+      marks.list()
+        .map(({ fingerprint, server, at }) => ({ fingerprint, server, at })),
+      offsetMs,
     ),
+    limits: applyOffset(dispatch.listLimits(), offsetMs),
+    ...(Object.keys(answered).length > 0 && {
+      answeredParts: applyOffsetToParts(answered, offsetMs),
+    }),
     paces: dispatch.listPaces(),
     ...(contact && { contact }),
   };
 }
 
-/** Converts the times of limits between the monotonic clock and the time of day. */
-function applyOffset(
-  limits: readonly core.LimitRecord[],
+/** Converts the times of records between the monotonic clock and the time of day; some have none. */
+function applyOffset<Record extends { readonly at?: number }>(
+  records: readonly Record[],
   offsetMs: number,
-): core.LimitRecord[] {
-  return limits.map((limit) => ({ ...limit, at: limit.at + offsetMs }));
+): Record[] {
+  return records.map((record) =>
+    record.at === undefined ? record : { ...record, at: record.at + offsetMs }
+  );
+}
+
+function applyOffsetToParts(
+  parts: core.PartAnswers,
+  offsetMs: number,
+): core.PartAnswers {
+  return Object.fromEntries(
+    Object.entries(parts).map(([part, at]) => [part, at + offsetMs]),
+  );
 }
 
 /**
@@ -112,6 +128,7 @@
   { budget, clock, clocks, dispatch, handover, log, pools }: Parts,
   others: core.HostsSummary,
 ): void {
+  const offsetMs = clock.now() - clocks.getTrueTime();
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
   handover.recordContacts(others.contacts ?? []);
@@ -125,14 +142,15 @@
     hosts: others.hosts + 1,
     asOf: clock.now(),
     ...(others.outcomes && { outcomes: others.outcomes }),
-    limits: applyOffset(
-      others.limits ?? [],
-      clock.now() - clocks.getTrueTime(),
-    ),
+    limits: applyOffset(others.limits ?? [], offsetMs),
     paces: others.paces ?? {},
+    answeredParts: applyOffsetToParts(others.answeredParts ?? {}, offsetMs),
   });
   if (others.suspects.length > 0) {
-    dispatch.send({ kind: "suspected", marks: others.suspects });
+    dispatch.send({
+      kind: "suspected",
+      marks: applyOffset(others.suspects, offsetMs),
+    });
   }
   const movedMs = clocks.updateTrueTime({ others: others.times });
   if (movedMs !== 0) {
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -398,6 +398,7 @@
       promptTokens: head.promptTokens,
       maxTokens: head.maxTokens,
       prefix: findSharedPart(head.parts),
+      parts: core.listSharedParts(head.parts.map(({ id }) => id)),
       fingerprint: utils.computeDigest(
         `${incoming.path}\n${customer}\n${body.toString("latin1")}`,
       ),
--- a/packages/banyangrade/request_trace.ts
+++ b/packages/banyangrade/request_trace.ts
@@ -40,7 +40,7 @@
 /** Time before a request's end in which its host's state changes are shown, in ms. */
 const BACKGROUND_MS = 10_000;
 /** Prefixes of the log lines that record changes of a host's state. */
-const BACKGROUND_PREFIX = /^(belief|roles|handover): |^server: Links /;
+const BACKGROUND_PREFIX = /^(belief|roles|handover): |^server: (Links|Parts) /;
 /** Largest number of these lines that are shown. */
 const MAX_BACKGROUND = 12;
 
--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -1,6 +1,7 @@
 /** Admission control: refuses an arriving request at once, or queues it. */
 import * as admissionEstimates from "./admission_estimates.ts";
 import * as constants from "./constants.ts";
+import * as crashingParts from "./crashing_parts.ts";
 import * as hostState from "./host_state.ts";
 import * as overflow from "./overflow.ts";
 import type * as refusals from "./refusals.ts";
@@ -55,6 +56,9 @@
   if (state.suspects.isPoison(request.fingerprint)) {
     return { code: "poison_request" };
   }
+  if (crashingParts.isRefused(state, request)) {
+    return { code: "poison_request" };
+  }
   const holdMs = state.suspects.getHoldMs(request.fingerprint, state.now);
   if (holdMs > 0) return { code: "poison_request", waitMs: holdMs };
   const isServed = overflow.hasLocalServer(state, request) ||
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -1,5 +1,6 @@
 /** Ends of attempts: completed answers, failures, retries, cancellation and preemption. */
 import * as attempts from "./attempts.ts";
+import * as crashingParts from "./crashing_parts.ts";
 import * as domainFailureDetector from "./domain_failure_detector.ts";
 import type * as events from "./events.ts";
 import * as failureShares from "./failure_shares.ts";
@@ -60,6 +61,7 @@
   const ended = endAttempt(state, event);
   if (ended === undefined) return;
   state.suspects.clear(ended.request.fingerprint);
+  crashingParts.recordAnswer(state, ended.request);
   state.lengths.record(hostState.getEstimateKey(ended.request), {
     tokens: event.tokens,
     serviceMs: state.now - ended.startedAt,
@@ -220,6 +222,7 @@
   linkChecks.reportSuspect(state, mark);
   state.suspects.add(mark);
   separateSuspects(state, [mark]);
+  crashingParts.markParts(state, ended);
 }
 
 /** Queues the request of a failed attempt for a retry, or refuses it. */
@@ -259,6 +262,10 @@
     const poison = { refused: request, code: "poison_request" } as const;
     return hostState.refuse(state, { ...poison, ran: "unknown" });
   }
+  if (state.parts.find(request.parts) !== undefined) {
+    const refused = { refused: request, ran } as const;
+    return hostState.refuse(state, { ...refused, code: "poison_request" });
+  }
   // A request whose answer has begun gets a new start deadline instead.
   const hasBegun = ended.offset + ended.tokens > 0;
   if (!hasBegun && !serverWaits.mayStartInTime(state, request)) {
--- a/packages/core/deadline_checks.ts
+++ b/packages/core/deadline_checks.ts
@@ -2,6 +2,7 @@
 import * as admissionEstimates from "./admission_estimates.ts";
 import * as constants from "./constants.ts";
 import * as attemptEnd from "./attempt_end.ts";
+import * as crashingParts from "./crashing_parts.ts";
 import * as linkChecks from "./link_checks.ts";
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
@@ -24,6 +25,7 @@
   serverChecks.checkServers(state);
   linkChecks.tryLinks(state);
   linkChecks.decideDoubtfulMarks(state);
+  crashingParts.forgetParts(state);
   dispatching.dispatchQueue(state);
   preemptForDelayed(state);
   handleOverdue(state);
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -5,6 +5,7 @@
  * the benchmark run the same code.
  */
 import * as attemptEnd from "./attempt_end.ts";
+import * as crashingParts from "./crashing_parts.ts";
 import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
 import type * as failureShares from "./failure_shares.ts";
@@ -13,6 +14,7 @@
 import * as grants from "./grants.ts";
 import * as hostState from "./host_state.ts";
 import * as admissionControl from "./admission_control.ts";
+import type * as partBlames from "./part_blames.ts";
 import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
 import type * as serverLimits from "./server_limits.ts";
@@ -115,6 +117,16 @@
     return this.#state.router.listSpeeds(now);
   }
 
+  /** Lists the parts of prompts with which answers of this host have begun and that are suspect, with monotonic times, to share with other hosts. */
+  listAnsweredParts(now: number): partBlames.PartAnswers {
+    return this.#state.parts.listAnswers(now);
+  }
+
+  /** Counts the parts of prompts that crash servers and are refused. */
+  countBlamedParts(): number {
+    return this.#state.parts.listBlamed().length;
+  }
+
   /** Lists the outcomes of this host's recent attempts, to share with other hosts. */
   listOutcomes(now: number): failureShares.HostOutcomes {
     return this.#state.failureShares.list(now);
@@ -224,6 +236,7 @@
       setHosts(state, event.hosts);
       state.limits.merge(event.limits ?? []);
       state.paces.merge(event.paces ?? {});
+      crashingParts.mergeAnswers(state, event.answeredParts ?? {});
       updateFailureShares(state, event);
       return dispatching.dispatchQueue(state);
     case "responded":
@@ -256,8 +269,7 @@
     case "overflow_granted":
       return grants.setOverflow(state, event);
     case "suspected":
-      event.marks.forEach((mark) => state.suspects.addRemote(mark, state.now));
-      return attemptEnd.separateSuspects(state, event.marks);
+      return addSuspects(state, event.marks);
     case "cleared":
       event.fingerprints.forEach((fingerprint) =>
         state.suspects.clear(fingerprint)
@@ -273,6 +285,16 @@
   }
 }
 
+/** Adds the marks of other hosts. */
+function addSuspects(
+  state: hostState.HostState,
+  marks: readonly events.SuspectMark[],
+): void {
+  const requests = crashingParts.addMarks(state, marks);
+  requests.forEach((mark) => state.suspects.addRemote(mark, state.now));
+  attemptEnd.separateSuspects(state, requests);
+}
+
 /** Finds the servers that fail over all hosts. */
 function updateFailureShares(
   state: hostState.HostState,
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -3,6 +3,7 @@
 import type * as enginePaces from "./engine_paces.ts";
 import type * as failureShares from "./failure_shares.ts";
 import type * as handover from "./handover.ts";
+import type * as partBlames from "./part_blames.ts";
 import type * as request from "./request.ts";
 import type * as serverLinks from "./server_links.ts";
 import type * as serverLimits from "./server_limits.ts";
@@ -120,6 +121,8 @@
 export interface SuspectMark {
   readonly fingerprint: string;
   readonly server: string;
+  /** When the server was lost, monotonic ms; between hosts, Unix ms. @default not known */
+  readonly at?: number;
 }
 
 /** An event that the dispatcher handles. */
@@ -173,6 +176,8 @@
     readonly paces?: enginePaces.SharedPaces;
     /** Outcomes of the recent attempts of other hosts. @default none */
     readonly outcomes?: failureShares.SharedOutcomes;
+    /** Parts of prompts with which answers of other hosts have begun, with monotonic times. @default none */
+    readonly answeredParts?: partBlames.PartAnswers;
   }
   | {
     /** A server sent the head of a response. */
@@ -279,6 +284,8 @@
     readonly kind: "suspects_withdrawn";
     readonly marks: readonly SuspectMark[];
   }
+  /** The parts of prompts that crash servers have changed. */
+  | { readonly kind: "parts_blamed"; readonly parts: readonly string[] }
   /** A server is overdue, or answers again. */
   | {
     readonly kind: "overdue_changed";
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -16,6 +16,7 @@
 import type * as handover from "./handover.ts";
 import * as hostCount from "./host_count.ts";
 import * as lengths from "./length_estimates.ts";
+import * as partBlames from "./part_blames.ts";
 import * as pauses from "./pauses.ts";
 import * as preemption from "./preemption.ts";
 import * as quarantine from "./quarantine.ts";
@@ -48,6 +49,8 @@
   readonly suspects?: quarantine.SuspectOptions;
   /** Whether this host has an idle connection to a server. @default none */
   readonly isConnected?: (server: string) => boolean;
+  /** Whether this host may let a request try a part of prompts that is blamed. @default never */
+  readonly mayTryParts?: () => boolean;
   /** Whether this host finds out if it has lost its links to the servers. @default false */
   readonly tracksLinks?: boolean;
 }
@@ -74,6 +77,9 @@
   readonly lengths: lengths.LengthEstimator;
   readonly credits: fairness.ShareCredits;
   readonly suspects: quarantine.SuspectTable;
+  /** Parts of prompts that may crash servers. */
+  readonly parts: partBlames.PartBlames;
+  readonly mayTryParts: () => boolean;
   readonly prompts: engineChoice.PromptLengths;
   /** Times between the events of streams, by engine process. */
   readonly paces: enginePaces.EnginePaces;
@@ -137,6 +143,8 @@
     lengths: new lengths.LengthEstimator(),
     credits: new fairness.ShareCredits(),
     suspects: new quarantine.SuspectTable(options.suspects),
+    parts: new partBlames.PartBlames(),
+    mayTryParts: options.mayTryParts ?? (() => false),
     prompts,
     paces,
     reading: new prefillAverages.PrefillAverages(),
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -9,6 +9,7 @@
 import * as enginePaces from "./engine_paces.ts";
 import type * as events from "./events.ts";
 import * as failureShares from "./failure_shares.ts";
+import * as partBlames from "./part_blames.ts";
 import * as pauses from "./pauses.ts";
 import type * as serverLimits from "./server_limits.ts";
 import type * as windowCounts from "./window_counts.ts";
@@ -50,6 +51,8 @@
   readonly paces?: enginePaces.Paces;
   /** Outcomes of the host's recent attempts; absent from hosts of earlier versions. */
   readonly outcomes?: failureShares.HostOutcomes;
+  /** Suspect parts of prompts with which answers have begun, in Unix ms; absent from hosts of earlier versions. */
+  readonly answeredParts?: partBlames.PartAnswers;
   /** Absent from hosts that take no requests of others, and from hosts of earlier versions. */
   readonly contact?: HostContact;
 }
@@ -77,6 +80,8 @@
   readonly paces?: enginePaces.SharedPaces;
   /** Outcomes of recent attempts; absent from hosts of earlier versions. */
   readonly outcomes?: failureShares.SharedOutcomes;
+  /** Suspect parts of prompts with which answers have begun, in Unix ms; absent from hosts of earlier versions. */
+  readonly answeredParts?: partBlames.PartAnswers;
   /** Some hosts of the group in turn; absent from hosts of earlier versions. */
   readonly contacts?: readonly HostContact[];
   /** Newest decision; absent until one has been received. */
@@ -176,6 +181,7 @@
         running: status.running,
         prompting: status.prompting,
         limits: status.limits ?? [],
+        ...(status.answeredParts && { answeredParts: status.answeredParts }),
         ...shared,
         ...(status.contact && { contacts: [status.contact] }),
         times: [status.at + now - at],
@@ -212,6 +218,8 @@
     summaries.flatMap(({ suspects }) => suspects)
       .map((mark) => [`${mark.fingerprint}/${mark.server}`, mark]),
   );
+  const answered = summaries.map(({ answeredParts }) => answeredParts)
+    .filter((parts) => parts !== undefined);
   const divisions = findNewestDecision(
     summaries.flatMap((one) => one.divisions ?? []),
   );
@@ -223,6 +231,9 @@
     prompting: sumCounts(summaries.map(({ prompting }) => prompting)),
     times: summaries.flatMap(({ times }) => times).slice(0, MAX_CLOCK_READINGS),
     suspects: [...marks.values()],
+    ...(answered.length > 0 && {
+      answeredParts: partBlames.mergePartAnswers(answered),
+    }),
     contacts: summaries.flatMap(({ contacts }) => contacts ?? []),
     outcomes: failureShares.mergeOutcomes(
       summaries.flatMap(({ outcomes }) => outcomes ?? []),
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -215,7 +215,10 @@
   const { doubtfulMarks, table, suspects } = state;
   if (doubtfulMarks.size === 0) return;
   const { confirmed, wrong } = doubtfulMarks.decide((name) => table.get(name));
-  wrong.forEach((mark) => suspects.remove(mark));
+  wrong.forEach((mark) => {
+    suspects.remove(mark);
+    state.parts.remove(mark);
+  });
   confirmed.forEach((mark) => state.effects.push({ kind: "suspect", mark }));
 }
 
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -28,6 +28,7 @@
 export * from "./operations.ts";
 export * from "./overflow.ts";
 export * from "./partition.ts";
+export * from "./part_blames.ts";
 export * from "./pauses.ts";
 export * from "./quarantine.ts";
 export * from "./rate_permits.ts";
--- /dev/null
+++ b/packages/core/part_blames.ts
@@ -0,0 +1,265 @@
+/**
+ * Parts of prompts that crash the servers which begin to write an answer on them.
+ * The requests differ in all else, so they are not recognised as one poison
+ * request; see `quarantine.ts`. A part is blamed if several servers were lost, one
+ * after the other, while requests with the part waited there for their first
+ * event, and no answer has begun with it since. The hosts share crashes, answers
+ * and trials.
+ */
+import type * as events from "./events.ts";
+
+/** Crashes at which a part is blamed; two below those after which hardly any more are borne. */
+const BLAME_AFTER = 3;
+/** Time within which lost servers count as one crash, in ms; one part does not crash several servers at the same moment. */
+const SAME_MOMENT_MS = 150;
+/** Time for which a part is remembered since a crash or a request with it, in ms. */
+const REMEMBER_MS = 120_000;
+/** Time since the last crash, and since the last trial, after which one request tries a blamed part, in ms. */
+const TRIAL_AFTER_MS = [10_000, 60_000];
+/** Largest number of parts that are remembered; the oldest are dropped first. */
+const MAX_PARTS = 1_000;
+/** Largest number of parts of one prompt that count. */
+const MAX_PROMPT_PARTS = 16;
+/** Interval at which the crashes of a part are shared again while requests with it come, in ms; shorter than shared marks last. */
+const RENEW_MS = 4_000;
+/** Time for which an answer is shared, in ms; longer than the marks that it clears. */
+const SHARE_ANSWER_MS = 30_000;
+
+const CRASH_PREFIX = "part:";
+const TRIAL_PREFIX = "trial:";
+
+/** Parts of prompts with the time at which an answer last began with them, in ms. */
+export type PartAnswers = Readonly<Record<string, number>>;
+
+interface SuspectPart {
+  /** Lost servers, with the time of the loss, monotonic ms. */
+  readonly crashes: Map<string, number>;
+  /** Trials, with their time, monotonic ms. */
+  readonly trials: Map<string, number>;
+  /** When an answer last began with the part, monotonic ms. */
+  answeredAt: number;
+  /** When a crash or a request with the part was last noticed, monotonic ms. */
+  noticedAt: number;
+  renewedAt: number;
+}
+
+/**
+ * Lists the parts of a prompt that may be blamed. The last one belongs to the
+ * request or its session.
+ *
+ * @example
+ * listSharedParts(["a1", "b2", "c3"]); // ["a1", "b2"]
+ */
+export function listSharedParts(parts: readonly string[]): readonly string[] {
+  return parts.slice(0, -1).slice(0, MAX_PROMPT_PARTS);
+}
+
+/**
+ * Merges the answers of several hosts; the latest one of each part counts.
+ *
+ * @example
+ * mergePartAnswers([{ a1: 1 }, { a1: 2 }]); // { a1: 2 }
+ */
+export function mergePartAnswers(
+  answers: readonly PartAnswers[],
+): PartAnswers {
+  const latest: Record<string, number> = {};
+  answers.flatMap((one) => Object.entries(one)).forEach(([part, at]) => {
+    latest[part] = Math.max(at, latest[part] ?? at);
+  });
+  return latest;
+}
+
+/** The parts that may crash servers, as one host knows them. */
+export class PartBlames {
+  readonly #parts = new Map<string, SuspectPart>();
+  #blamed: ReadonlySet<string> = new Set();
+
+  /** Whether any part is suspect; most checks end here. */
+  hasAny(): boolean {
+    return this.#parts.size > 0;
+  }
+
+  /** Builds the marks of a crash, one for each part of a request that waited for its first event. */
+  buildMarks(
+    parts: readonly string[],
+    { server, at }: { readonly server: string; readonly at: number },
+  ): events.SuspectMark[] {
+    return parts.map((part) => ({
+      fingerprint: `${CRASH_PREFIX}${part}`,
+      server,
+      at,
+    }));
+  }
+
+  /** Adds a mark of this host or another one; returns false if it is no mark of a part. */
+  add(
+    { fingerprint, server, at }: events.SuspectMark,
+    now: number,
+  ): boolean {
+    const isTrial = fingerprint.startsWith(TRIAL_PREFIX);
+    if (!isTrial && !fingerprint.startsWith(CRASH_PREFIX)) return false;
+    const prefix = isTrial ? TRIAL_PREFIX : CRASH_PREFIX;
+    const part = this.#get(fingerprint.slice(prefix.length));
+    const markedAt = at ?? now;
+    if (markedAt <= part.answeredAt) return true;
+    part.noticedAt = now;
+    const marks = isTrial ? part.trials : part.crashes;
+    marks.set(server, Math.min(markedAt, marks.get(server) ?? markedAt));
+    this.#update();
+    return true;
+  }
+
+  /** Removes a mark of this host whose server has not ended. */
+  remove({ fingerprint, server }: events.SuspectMark): void {
+    if (!fingerprint.startsWith(CRASH_PREFIX)) return;
+    const part = this.#parts.get(fingerprint.slice(CRASH_PREFIX.length));
+    if (part?.crashes.delete(server)) this.#update();
+  }
+
+  /** Records that an answer has begun: none of its parts crashes servers. */
+  recordAnswer(parts: readonly string[], at: number): void {
+    if (this.#parts.size === 0) return;
+    parts.forEach((part) => this.#clear(part, at));
+  }
+
+  /** Merges the answers of other hosts. */
+  mergeAnswers(answers: PartAnswers): void {
+    Object.entries(answers).forEach(([part, at]) => this.#clear(part, at));
+  }
+
+  /** Lists the answers to share, by part. */
+  listAnswers(now: number): PartAnswers {
+    return Object.fromEntries(
+      [...this.#parts].filter(([, { answeredAt }]) =>
+        now - answeredAt <= SHARE_ANSWER_MS
+      ).map(([part, { answeredAt }]) => [part, answeredAt]),
+    );
+  }
+
+  #clear(name: string, at: number): void {
+    const part = this.#parts.get(name);
+    if (part === undefined || at <= part.answeredAt) return;
+    part.answeredAt = at;
+    [part.crashes, part.trials].forEach((marks) =>
+      marks.forEach((markedAt, server) => {
+        if (markedAt <= at) marks.delete(server);
+      })
+    );
+    this.#update();
+  }
+
+  /** Finds a blamed part of a prompt; undefined if there is none. */
+  find(parts: readonly string[] | undefined): string | undefined {
+    if (this.#blamed.size === 0) return undefined;
+    return parts?.find((part) => this.#blamed.has(part));
+  }
+
+  /** Lists the blamed parts. */
+  listBlamed(): readonly string[] {
+    return [...this.#blamed];
+  }
+
+  /**
+   * Records that a request with a blamed part has come, so that the part is
+   * remembered; returns the marks that other hosts must be told of again.
+   */
+  recordRequest(name: string, now: number): readonly events.SuspectMark[] {
+    const part = this.#parts.get(name);
+    if (part === undefined) return [];
+    part.noticedAt = now;
+    if (now - part.renewedAt < RENEW_MS) return [];
+    part.renewedAt = now;
+    return [
+      ...listMarks(`${CRASH_PREFIX}${name}`, part.crashes),
+      ...listMarks(`${TRIAL_PREFIX}${name}`, part.trials),
+    ];
+  }
+
+  /**
+   * Lets one request try a blamed part, which ends a wrong blame. There are two
+   * trials, some time after the crashes and after each other. Returns the mark of
+   * the trial; undefined if there is none now.
+   */
+  takeTrial(name: string, now: number): events.SuspectMark | undefined {
+    const part = this.#parts.get(name);
+    const afterMs = TRIAL_AFTER_MS[part?.trials.size ?? 0];
+    if (part === undefined || afterMs === undefined) return undefined;
+    const last = Math.max(...part.crashes.values(), ...part.trials.values());
+    if (now - last < afterMs) return undefined;
+    const mark = {
+      fingerprint: `${TRIAL_PREFIX}${name}`,
+      server: String(part.trials.size + 1),
+      at: now,
+    };
+    this.add(mark, now);
+    return mark;
+  }
+
+  /** Forgets the parts of which neither a crash nor a request was noticed for long. */
+  forget(now: number): void {
+    if (this.#parts.size === 0) return;
+    const old = [...this.#parts].filter(([, { noticedAt }]) =>
+      now - noticedAt > REMEMBER_MS
+    );
+    old.forEach(([name]) => this.#parts.delete(name));
+    if (old.length > 0) this.#update();
+  }
+
+  #get(name: string): SuspectPart {
+    const known = this.#parts.get(name);
+    if (known !== undefined) return known;
+    if (this.#parts.size >= MAX_PARTS) {
+      const [oldest] = this.#parts.keys();
+      this.#parts.delete(oldest);
+    }
+    const part = {
+      crashes: new Map<string, number>(),
+      trials: new Map<string, number>(),
+      answeredAt: Number.NEGATIVE_INFINITY,
+      noticedAt: Number.NEGATIVE_INFINITY,
+      renewedAt: Number.NEGATIVE_INFINITY,
+    };
+    this.#parts.set(name, part);
+    return part;
+  }
+
+  /**
+   * Blames the parts with most crashes, and others only for crashes that those do
+   * not explain: sound requests share parts with guilty ones.
+   */
+  #update(): void {
+    const counted = [...this.#parts].map(([name, { crashes }]) => ({
+      name,
+      crashes,
+      count: countMoments(crashes.values()),
+    })).filter(({ count }) => count >= BLAME_AFTER);
+    const blamed = counted.filter(({ crashes, count }) => {
+      const better = counted.filter((other) => other.count > count);
+      const left = [...crashes].filter(([server]) =>
+        !better.some((other) => other.crashes.has(server))
+      );
+      return countMoments(left.map(([, at]) => at)) >= BLAME_AFTER;
+    });
+    this.#blamed = new Set(blamed.map(({ name }) => name));
+  }
+}
+
+function listMarks(
+  fingerprint: string,
+  marks: ReadonlyMap<string, number>,
+): events.SuspectMark[] {
+  return [...marks].map(([server, at]) => ({ fingerprint, server, at }));
+}
+
+/** Counts the times at which servers were lost; those at the same moment are one. */
+function countMoments(times: Iterable<number>): number {
+  let last = Number.NEGATIVE_INFINITY;
+  let count = 0;
+  [...times].toSorted((a, b) => a - b).forEach((at) => {
+    if (at - last < SAME_MOMENT_MS) return;
+    last = at;
+    count += 1;
+  });
+  return count;
+}
--- /dev/null
+++ b/packages/core/part_blames_test.ts
@@ -0,0 +1,223 @@
+/** Tests of the blame of parts of prompts that crash servers. */
+import * as tapModule from "tap";
+import * as core from "./mod.ts";
+import * as testing from "./testing.ts";
+
+const tap = tapModule.default;
+
+/** Time between two crashes, in ms. */
+const GAP_MS = 500;
+const FIRST = "first";
+const BAD = "bad";
+
+/** Adds the crashes of requests with some parts, one after the other. */
+function addCrashes(
+  blames: core.PartBlames,
+  { parts, count, from = 0, gapMs = GAP_MS, name = "s" }: {
+    readonly parts: readonly string[];
+    readonly count: number;
+    readonly from?: number;
+    readonly gapMs?: number;
+    readonly name?: string;
+  },
+): void {
+  Array.from({ length: count }, (_, index) => from + index * gapMs)
+    .forEach((at, index) =>
+      blames.buildMarks(parts, { server: `${name}${index}`, at })
+        .forEach((mark) => blames.add(mark, at))
+    );
+}
+
+tap.test("the last part of a prompt is not shared", (t) => {
+  t.same(core.listSharedParts(["a", "b", "c"]), ["a", "b"]);
+  t.same(core.listSharedParts(["a"]), []);
+  t.same(core.listSharedParts([]), []);
+  t.end();
+});
+
+tap.test("a part is blamed after crashes one after the other", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [BAD], count: 2 });
+  t.equal(blames.find([BAD]), undefined);
+  addCrashes(blames, { parts: [BAD], count: 3 });
+  t.equal(blames.find(["x", BAD]), BAD);
+  t.equal(blames.find(["x"]), undefined);
+  t.equal(blames.find(undefined), undefined);
+  t.end();
+});
+
+// Guards against the loss of a failure domain, which takes many requests with the
+// same parts along at once.
+tap.test("servers that are lost at the same moment are one crash", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [BAD], count: 12, gapMs: 5 });
+  t.equal(blames.find([BAD]), undefined);
+  t.end();
+});
+
+// Guards against sound requests that share parts with those that crash servers.
+tap.test("a part with which an answer has begun since is not blamed", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [FIRST, BAD], count: 4 });
+  blames.recordAnswer([FIRST, "good"], 4 * GAP_MS);
+  t.same(blames.listBlamed(), [BAD]);
+  // Other hosts go on sending the marks for some time.
+  addCrashes(blames, { parts: [FIRST, BAD], count: 4 });
+  t.same(blames.listBlamed(), [BAD]);
+  t.same(blames.listAnswers(4 * GAP_MS), { [FIRST]: 4 * GAP_MS });
+  t.end();
+});
+
+// Guards against a host that sees no answers with the first part, because few
+// requests come to it.
+tap.test("answers of other hosts clear a part", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [FIRST, BAD], count: 4 });
+  blames.mergeAnswers({ [FIRST]: 4 * GAP_MS, unknown: 5 });
+  t.same(blames.listBlamed(), [BAD]);
+  t.end();
+});
+
+// Guards against parts that are rare and come with the blamed one.
+tap.test("crashes that a blamed part explains count for no other part", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [BAD], count: 1, name: "x" });
+  addCrashes(blames, { parts: ["rare", BAD], count: 3, from: GAP_MS });
+  t.same(blames.listBlamed(), [BAD]);
+  t.end();
+});
+
+// Guards against a wrong blame that never ends, and against trials that crash
+// further servers.
+tap.test("a blamed part is tried twice at most", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [BAD], count: 3 });
+  const last = 2 * GAP_MS;
+  t.equal(blames.takeTrial(BAD, last + 9_000), undefined, "too early");
+  t.ok(blames.takeTrial(BAD, last + 10_000));
+  t.equal(blames.takeTrial(BAD, last + 60_000), undefined, "one at a time");
+  const second = blames.takeTrial(BAD, last + 70_000);
+  t.ok(second);
+  t.equal(blames.takeTrial(BAD, last + 1_000_000), undefined, "no third");
+  blames.recordAnswer([BAD], last + 70_100);
+  t.same(blames.listBlamed(), [], "an answer ends the blame");
+  t.end();
+});
+
+tap.test("a part is remembered while requests with it come", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [BAD], count: 3 });
+  t.equal(blames.recordRequest(BAD, 100_000).length, 3, "shared again");
+  t.equal(blames.recordRequest(BAD, 100_100).length, 0, "not each time");
+  blames.forget(200_000);
+  t.same(blames.listBlamed(), [BAD]);
+  blames.forget(300_000);
+  t.same(blames.listBlamed(), []);
+  t.notOk(blames.hasAny());
+  t.end();
+});
+
+const POOL: core.PoolPart = { ...testing.POOL, slots: 8 };
+
+function buildPrompt(id: string, parts: readonly string[]): core.Request {
+  return { ...testing.buildRequest(id, { tier: 1 }), parts, resumable: true };
+}
+
+function findRefusals(effects: readonly core.DispatchEffect[]) {
+  return effects.flatMap((effect) => effect.kind === "refuse" ? [effect] : []);
+}
+
+/** Starts a dispatcher that has heard of crashes of the part. */
+function startBlaming(): core.Dispatcher {
+  const dispatcher = testing.startDispatcher({ pools: [POOL] });
+  const marks = [0, 1, 2].map((index) => ({
+    fingerprint: `part:${BAD}`,
+    server: `gone${index}`,
+    at: index * GAP_MS,
+  }));
+  dispatcher.handle({ kind: "suspected", marks }, 2 * GAP_MS);
+  return dispatcher;
+}
+
+// Guards against requests that wait in the queue, and against retries, after a part
+// is blamed at another host.
+tap.test("requests with a blamed part are refused as not run, also queued ones and retries", (t) => {
+  const dispatcher = startBlaming();
+  const [refused] = findRefusals(dispatcher.handle({
+    kind: "arrived",
+    request: buildPrompt("new", [FIRST, BAD]),
+  }, 2 * GAP_MS));
+  t.match(refused.refusal, { code: "poison_request", ran: "no" });
+  const sound = buildPrompt("sound", [FIRST, "good"]);
+  t.equal(
+    findRefusals(
+      dispatcher.handle({ kind: "arrived", request: sound }, 2 * GAP_MS),
+    ).length,
+    0,
+  );
+
+  const late = testing.startDispatcher({ pools: [testing.POOL] });
+  Array.from({ length: 6 }, (_, index) =>
+    late.handle({
+      kind: "arrived",
+      request: buildPrompt(`r${index}`, [FIRST, BAD]),
+    }, 0));
+  t.equal(late.countOpen().queued, 2);
+  const marks = [0, 1, 2].map((index) => ({
+    fingerprint: `part:${BAD}`,
+    server: `gone${index}`,
+    at: index * GAP_MS,
+  }));
+  const effects = late.handle({ kind: "suspected", marks }, 2 * GAP_MS);
+  t.equal(findRefusals(effects).length, 2);
+  const [lost] = findRefusals(late.handle({
+    kind: "failed",
+    requestId: "r0",
+    attempt: 1,
+    failure: "connection_lost",
+    answerStarted: false,
+    resumable: true,
+  }, 2 * GAP_MS + 1));
+  t.match(lost.refusal, { code: "poison_request", ran: "unknown" });
+  t.end();
+});
+
+// Guards against streams in the middle of an answer, and servers that end as
+// announced, which are lost with the guilty request or without any.
+tap.test("only requests without an event at a server that was not leaving are suspect", (t) => {
+  const countMarks = (
+    options: { readonly begun: boolean; readonly leaving: boolean },
+  ) => {
+    const dispatcher = testing.startDispatcher({ pools: [POOL] });
+    const request = buildPrompt("r", [FIRST, "x"]);
+    dispatcher.handle({ kind: "arrived", request }, 0);
+    const attempt = { requestId: "r", attempt: 1 } as const;
+    if (options.begun) {
+      dispatcher.handle({ kind: "progressed", ...attempt, tokens: 1 }, 5);
+    }
+    if (options.leaving) {
+      dispatcher.handle({
+        kind: "servers_changed",
+        servers: ["r1", "r2"].map((name) => ({
+          name,
+          pool: POOL.name,
+          url: "",
+          state: "leaving",
+        })),
+      }, 6);
+    }
+    return dispatcher.handle({
+      kind: "failed",
+      ...attempt,
+      failure: "connection_lost",
+      answerStarted: options.begun,
+      resumable: true,
+    }, 10).filter((effect) =>
+      effect.kind === "suspect" && effect.mark.fingerprint.startsWith("part:")
+    ).length;
+  };
+  t.equal(countMarks({ begun: false, leaving: false }), 2);
+  t.equal(countMarks({ begun: true, leaving: false }), 0);
+  t.equal(countMarks({ begun: false, leaving: true }), 0);
+  t.end();
+});
--- a/packages/core/progress.ts
+++ b/packages/core/progress.ts
@@ -1,6 +1,7 @@
 /** Updates of the state from the progress of running attempts. */
 import * as attempts from "./attempts.ts";
 import * as constants from "./constants.ts";
+import * as crashingParts from "./crashing_parts.ts";
 import type * as events from "./events.ts";
 import * as linkChecks from "./link_checks.ts";
 import type * as hostState from "./host_state.ts";
@@ -24,7 +25,10 @@
   if (recorded === undefined) return;
   const server = state.table.get(recorded.current.server);
   if (server !== undefined) recordResponse(state, server);
-  if (recorded.first) endPrefill(state, recorded.current);
+  if (recorded.first) {
+    endPrefill(state, recorded.current);
+    crashingParts.recordAnswer(state, recorded.current.request);
+  }
   recordStreamPause(state, recorded);
   recordSpeed(state, {
     attempt: recorded.current,
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -55,6 +55,8 @@
   readonly prefix: string;
   /** Digest of customer, target and body, by which a repeated request is recognised. */
   readonly fingerprint: string;
+  /** Parts of its prompt that other requests may share. @default none */
+  readonly parts?: readonly string[];
   /** Whether it may run more than once. */
   readonly repeatable: boolean;
   /** Time of arrival, monotonic ms. */
--- a/packages/core/server_checks.ts
+++ b/packages/core/server_checks.ts
@@ -146,6 +146,9 @@
   current: attempts.Attempt,
 ): retry.RetryDecision {
   const { request } = current;
+  if (state.parts.find(request.parts) !== undefined) {
+    return { kind: "give_up", ran: "unknown" };
+  }
   return retry.decideRetry({
     failure: "timeout",
     sent: current.attempt - current.unsentAttempts,
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -41,6 +41,9 @@
 const VERSIONS = "packages/core/software_versions_test.ts";
 const VERSIONS_FUZZ = "packages/core/software_versions_fuzz_test.ts";
 const VERSIONS_AT_HOSTS = "platform/software_versions_test.ts";
+const PARTS = "packages/core/part_blames_test.ts";
+const PARTS_FUZZ = "packages/core/part_blames_fuzz_test.ts";
+const PARTS_AT_HOSTS = "platform/crashing_parts_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -865,4 +868,60 @@
     replace: "{ elapsedMs, sent, software: (void effect, undefined) },",
     test: VERSIONS_AT_HOSTS,
   },
+  {
+    name: "parts: an answer does not clear the parts of its prompt",
+    file: "packages/core/part_blames.ts",
+    find: "if (markedAt <= at) marks.delete(server);",
+    replace: "void [markedAt, marks, server];",
+    test: PARTS_FUZZ,
+  },
+  {
+    name: "parts: servers that are lost at once count one by one",
+    file: "packages/core/part_blames.ts",
+    find: "if (at - last < SAME_MOMENT_MS) return;",
+    replace: "void last;",
+    test: PARTS,
+  },
+  {
+    name: "parts: crashes that a blamed part explains count for others too",
+    file: "packages/core/part_blames.ts",
+    find: "!better.some((other) => other.crashes.has(server))",
+    replace: 'better.length >= 0 || server === ""',
+    test: PARTS,
+  },
+  {
+    name: "parts: a blamed part is tried again and again",
+    file: "packages/core/part_blames.ts",
+    find: "TRIAL_AFTER_MS[part?.trials.size ?? 0]",
+    replace: "TRIAL_AFTER_MS[0 * (part?.trials.size ?? 0)]",
+    test: PARTS,
+  },
+  {
+    name: "parts: a request in the middle of its answer is suspect",
+    file: "packages/core/crashing_parts.ts",
+    find: "const hasBegun = offset + tokens > 0 ||",
+    replace: "const hasBegun = offset + tokens < 0 ||",
+    test: PARTS,
+  },
+  {
+    name: "parts: queued requests with a blamed part are sent",
+    file: "packages/core/crashing_parts.ts",
+    find: "state.parts.find(parts) !== undefined\n  ).forEach",
+    replace: 'state.parts.find(parts) === ""\n  ).forEach',
+    test: PARTS,
+  },
+  {
+    name: "parts: a request with a blamed part is sent again",
+    file: "packages/core/attempt_end.ts",
+    find: "if (state.parts.find(request.parts) !== undefined) {",
+    replace: 'if (state.parts.find(request.parts) === "") {',
+    test: PARTS,
+  },
+  {
+    name: "parts: hosts do not tell each other when a part crashed a server",
+    file: "packages/core/crashing_parts.ts",
+    find: "marks.forEach((mark) => linkChecks.reportSuspect(state, mark));",
+    replace: "void linkChecks;",
+    test: PARTS_AT_HOSTS,
+  },
 ];
