Accept answers that end with their connection

Cause: such an answer was failed as possibly truncated, since the HTTP client takes a reset for the end of the body. Connections count their resets now, and an answer without a length fails only if a connection to its server was reset before its end. A stream that ends inside an event fails as before.

What remains: a server that crashes and whose system closes the connection cannot be told from one that ended.

--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -22,6 +22,8 @@
   readonly hasIdleConnection: () => boolean;
   /** Records that the server sent data on one of the connections. */
   readonly recordReceived: () => void;
+  /** Counts the connections that were reset so far. */
+  readonly countResets: () => number;
   /** Time since the server last sent data on any connection, in ms. */
   readonly getInactiveMs: () => number;
   /** Closes each connection when its running request has ended. */
@@ -52,11 +54,21 @@
 ): ServerConnections {
   const { clock, maySend = () => true } = options;
   let lastReceivedAt = Number.NEGATIVE_INFINITY;
+  let resets = 0;
+  const connector = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
   const pool = new undici.Pool(url, {
     connections: options.connections,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: (connectOptions, callback) =>
+      connector(connectOptions, (...outcome) => {
+        // Counted before the client ends the response whose connection it was.
+        outcome[1]?.on("error", (error) => {
+          // The client ends a connection that the server closed with its own error.
+          if ("syscall" in error) resets += 1;
+        });
+        callback(...outcome);
+      }),
     factory: utils.createResettingClient,
   });
   if (options.onConnected !== undefined) {
@@ -69,6 +81,7 @@
     recordReceived: () => {
       lastReceivedAt = clock.now();
     },
+    countResets: () => resets,
     getInactiveMs: () => clock.now() - lastReceivedAt,
     close: () => pool.close(),
     destroy: () => pool.destroy(),
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -141,13 +141,16 @@
       signal: watch.signal,
     });
     watch.recordReceived();
+    const resetsBefore = call.connections.countResets();
     const outcome = await readResponse(response, {
       call,
       sink,
       watch,
       reading,
     });
-    return isFramed(response.headers) ? outcome : failUnframedSuccess(outcome);
+    const isReset = !isFramed(response.headers) &&
+      call.connections.countResets() > resetsBefore;
+    return isReset ? failReset(outcome) : outcome;
   } catch (thrown) {
     if (call.signal.aborted) return { kind: "aborted" };
     if (watch.signal.aborted) {
@@ -167,19 +170,20 @@
   }
 }
 
-/** Whether the headers delimit the body; otherwise the body ends when the connection closes. */
+/** Whether the headers delimit the body; otherwise the body ends when the server closes the connection. */
 function isFramed(headers: undici.Dispatcher.ResponseData["headers"]): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
 }
 
 /**
- * Turns a successful response without a content length and without chunked
- * encoding into a failure. Such a response ends when the connection closes, and
- * the connection of a crashed server may be closed normally too, so the caller
- * would receive a truncated response as a complete one.
+ * Turns a successful response that ended by a reset into a failure. A response
+ * without a content length and without chunked encoding ends when the server
+ * closes the connection, and the HTTP client takes a reset for the same, so the
+ * caller would receive a truncated response as a complete one. A reset of another
+ * connection to the same server counts too, because it may have crashed.
  */
-function failUnframedSuccess(outcome: ForwardOutcome): ForwardOutcome {
+function failReset(outcome: ForwardOutcome): ForwardOutcome {
   switch (outcome.kind) {
     case "whole":
     case "streamed":
@@ -187,7 +191,7 @@
         kind: "failed",
         failure: "connection_lost",
         reason:
-          "The response has neither a content length nor chunked encoding, so it may be truncated.",
+          "The response has no length, and a connection to the server was reset before its end.",
       };
     case "failed":
     case "aborted":
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -44,6 +44,7 @@
 const PARTS = "packages/core/part_blames_test.ts";
 const PARTS_FUZZ = "packages/core/part_blames_fuzz_test.ts";
 const PARTS_AT_HOSTS = "platform/crashing_parts_test.ts";
+const FORWARD = "packages/service/forward_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -924,4 +925,11 @@
     replace: "void linkChecks;",
     test: PARTS_AT_HOSTS,
   },
+  {
+    name: "framing: a response without a length is complete when it is reset",
+    file: "packages/service/forward.ts",
+    find: "return isReset ? failReset(outcome) : outcome;",
+    replace: "void isReset;\n    return outcome;",
+    test: FORWARD,
+  },
 ];
