--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -41,6 +41,7 @@
 const VERSIONS = "packages/core/software_versions_test.ts";
 const VERSIONS_FUZZ = "packages/core/software_versions_fuzz_test.ts";
 const VERSIONS_AT_HOSTS = "platform/software_versions_test.ts";
+const HANDOVER_VERSIONS = "platform/handover_versions_test.ts";
 const PARTS = "packages/core/part_blames_test.ts";
 const PARTS_FUZZ = "packages/core/part_blames_fuzz_test.ts";
 const PARTS_AT_HOSTS = "platform/crashing_parts_test.ts";
@@ -867,7 +868,7 @@
     file: "packages/banyangrade/gateway/handover_exchange.ts",
     find: "{ elapsedMs, sent, software: effect.request.software },",
     replace: "{ elapsedMs, sent, software: (void effect, undefined) },",
-    test: VERSIONS_AT_HOSTS,
+    test: HANDOVER_VERSIONS,
   },
   {
     name: "parts: an answer does not clear the parts of its prompt",
