Blame the later of two parts that always came together

Where no answer had begun with the first part of a prompt yet, it was blamed together with the part that crashes servers, and sound requests that share it would have been refused until an answer cleared it. Found by a test that a host refuses a part which crashed servers under other hosts only: two parts were blamed, one now.

--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -30,7 +30,7 @@
     usage: counter.list(),
     suspects: applyOffset(
       marks.list()
-        .map(({ fingerprint, server, at }) => ({ fingerprint, server, at })),
+        .map(({ until: _until, ...mark }) => mark),
       offsetMs,
     ),
     limits: applyOffset(dispatch.listLimits(), offsetMs),
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -123,6 +123,8 @@
   readonly server: string;
   /** When the server was lost, monotonic ms; between hosts, Unix ms. @default not known */
   readonly at?: number;
+  /** Place in the prompt of the part that the mark concerns; 0 is the first. @default 0 */
+  readonly place?: number;
 }
 
 /** An event that the dispatcher handles. */
--- a/packages/core/part_blames.ts
+++ b/packages/core/part_blames.ts
@@ -41,6 +41,8 @@
   /** When a crash or a request with the part was last noticed, monotonic ms. */
   noticedAt: number;
   renewedAt: number;
+  /** Place in the prompt; 0 is the first. */
+  place: number;
 }
 
 /**
@@ -85,16 +87,17 @@
     parts: readonly string[],
     { server, at }: { readonly server: string; readonly at: number },
   ): events.SuspectMark[] {
-    return parts.map((part) => ({
+    return parts.map((part, place) => ({
       fingerprint: `${CRASH_PREFIX}${part}`,
       server,
       at,
+      place,
     }));
   }
 
   /** Adds a mark of this host or another one; returns false if it is no mark of a part. */
   add(
-    { fingerprint, server, at }: events.SuspectMark,
+    { fingerprint, server, at, place = 0 }: events.SuspectMark,
     now: number,
   ): boolean {
     const isTrial = fingerprint.startsWith(TRIAL_PREFIX);
@@ -104,6 +107,7 @@
     const markedAt = at ?? now;
     if (markedAt <= part.answeredAt) return true;
     part.noticedAt = now;
+    part.place = Math.max(part.place, place);
     const marks = isTrial ? part.trials : part.crashes;
     marks.set(server, Math.min(markedAt, marks.get(server) ?? markedAt));
     this.#update();
@@ -173,7 +177,7 @@
     return [
       ...listMarks(`${CRASH_PREFIX}${name}`, part.crashes),
       ...listMarks(`${TRIAL_PREFIX}${name}`, part.trials),
-    ];
+    ].map((mark) => ({ ...mark, place: part.place }));
   }
 
   /**
@@ -219,6 +223,7 @@
       answeredAt: Number.NEGATIVE_INFINITY,
       noticedAt: Number.NEGATIVE_INFINITY,
       renewedAt: Number.NEGATIVE_INFINITY,
+      place: 0,
     };
     this.#parts.set(name, part);
     return part;
@@ -226,16 +231,20 @@
 
   /**
    * Blames the parts with most crashes, and others only for crashes that those do
-   * not explain: sound requests share parts with guilty ones.
+   * not explain: sound requests share parts with guilty ones. Of two parts that
+   * always came together the later one is blamed, since fewer requests share it.
    */
   #update(): void {
-    const counted = [...this.#parts].map(([name, { crashes }]) => ({
+    const counted = [...this.#parts].map(([name, { crashes, place }]) => ({
       name,
+      place,
       crashes,
       count: countMoments(crashes.values()),
     })).filter(({ count }) => count >= BLAME_AFTER);
-    const blamed = counted.filter(({ crashes, count }) => {
-      const better = counted.filter((other) => other.count > count);
+    const blamed = counted.filter(({ crashes, count, place }) => {
+      const better = counted.filter((other) =>
+        other.count > count || (other.count === count && other.place > place)
+      );
       const left = [...crashes].filter(([server]) =>
         !better.some((other) => other.crashes.has(server))
       );
--- a/packages/core/part_blames_test.ts
+++ b/packages/core/part_blames_test.ts
@@ -87,6 +87,22 @@
   t.end();
 });
 
+// Guards against sound requests that are refused for a first part that all share,
+// where no answer has begun yet.
+tap.test("of two parts that always came together the later one is blamed", (t) => {
+  const blames = new core.PartBlames();
+  addCrashes(blames, { parts: [FIRST, BAD], count: 3 });
+  t.same(blames.listBlamed(), [BAD]);
+  addCrashes(blames, {
+    parts: [FIRST, "other"],
+    count: 3,
+    from: 5_000,
+    name: "t",
+  });
+  t.same(blames.listBlamed(), [FIRST], "it explains all crashes");
+  t.end();
+});
+
 // Guards against a wrong blame that never ends, and against trials that crash
 // further servers.
 tap.test("a blamed part is tried twice at most", (t) => {
