--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -40,7 +40,7 @@
 const BRITTLE = "packages/core/brittle_servers_test.ts";
 const VERSIONS = "packages/core/software_versions_test.ts";
 const VERSIONS_FUZZ = "packages/core/software_versions_fuzz_test.ts";
-const VERSIONS_AT_HOSTS = "platform/software_versions_test.ts";
+const STREAM_ORIGINS = "platform/stream_origins_test.ts";
 const HANDOVER_VERSIONS = "platform/handover_versions_test.ts";
 const PARTS = "packages/core/part_blames_test.ts";
 const PARTS_FUZZ = "packages/core/part_blames_fuzz_test.ts";
@@ -861,7 +861,7 @@
     file: "packages/banyangrade/gateway/stream_origins_task.ts",
     find: "const origins = [...pending, ...copies];",
     replace: "const origins = [...pending, ...copies].slice(0, 0);",
-    test: VERSIONS_AT_HOSTS,
+    test: STREAM_ORIGINS,
   },
   {
     name: "versions: a stream is handed over without its version",
