--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -356,10 +356,9 @@
 }
 
 function addStreamOrigins(draft: Draft): void {
-  const { clocks, log, metrics, versions, relay, belief, presence } = draft;
+  const { clocks, metrics, versions, relay, belief, presence } = draft;
   draft.streamOrigins = new streamOriginsTask.StreamOriginsTask({
     clock: clocks.lease,
-    log: utils.createPartLogger(log, "origins"),
     metrics,
     versions,
     isFresh: () => belief.isFresh(),
--- a/packages/banyangrade/gateway/stream_origins_task.ts
+++ b/packages/banyangrade/gateway/stream_origins_task.ts
@@ -30,8 +30,7 @@
 /** Options of {@link StreamOriginsTask}. */
 export interface StreamOriginsOptions {
   readonly clock: utils.Clock;
-  readonly log: utils.Logger;
-  readonly metrics: metrics.Metrics;
+  readonly metrics: Pick<metrics.Metrics, "recordOriginLookup">;
   readonly versions: core.SoftwareVersions;
   /** Whether the list of servers is current. */
   readonly isFresh: () => boolean;
