Share streams that began while others were being sent

A host sent the streams that it had begun 50 ms after the first one, but not those that began while the relay's answer was awaited, nor those that no relay took, until another stream began. Both tests failed: the second stream, and the one that was kept, were never shared. What is left is sent after the next 50 ms, or after 500 ms if no relay took it.

--- a/packages/banyangrade/gateway/stream_origins_task.ts
+++ b/packages/banyangrade/gateway/stream_origins_task.ts
@@ -14,6 +14,8 @@
 
 /** Time for which streams are collected before they are sent, in ms; shorter than most streams last. */
 const FLUSH_MS = 50;
+/** Time after which streams that no relay took are sent again, in ms. */
+const RETRY_MS = 500;
 /** Number of other relays to which a relay sends the streams of its failure domain. */
 const COPIES = 2;
 /** Time for which a relay that did not answer is not asked again, in ms; one of an earlier build never answers. */
@@ -61,6 +63,7 @@
   readonly #backoffs = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
   #asking: NodeJS.Timeout | undefined;
+  #stopped = false;
 
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
@@ -71,9 +74,9 @@
   }
 
   stop(): void {
+    this.#stopped = true;
     clearTimeout(this.#timer);
     clearInterval(this.#asking);
-    this.#timer = undefined;
   }
 
   /** Records the version that began a stream. */
@@ -251,33 +254,42 @@
     this.#relays = relays.filter(({ secret }) => secret !== own.secret);
   }
 
-  #scheduleFlush(): void {
-    this.#timer ??= setTimeout(() => {
-      void this.#flush().finally(() => {
-        this.#timer = undefined;
-      });
-    }, FLUSH_MS);
-    this.#timer.unref();
+  #scheduleFlush(delayMs = FLUSH_MS): void {
+    if (this.#stopped || this.#timer !== undefined) return;
+    this.#timer = setTimeout(() => void this.#runFlush(), delayMs).unref();
+  }
+
+  /** Sends what is collected; what arrives meanwhile is sent after it. */
+  async #runFlush(): Promise<void> {
+    const isSent = await this.#flush();
+    this.#timer = undefined;
+    const isEmpty = this.#origins.countPending() + this.#copies.length === 0;
+    if (!isEmpty) this.#scheduleFlush(isSent ? FLUSH_MS : RETRY_MS);
   }
 
-  async #flush(): Promise<void> {
+  /** Returns whether there was nothing to send or a relay took it. */
+  async #flush(): Promise<boolean> {
     const pending = this.#origins.takePending();
     const copies = this.#copies;
     this.#copies = [];
     const origins = [...pending, ...copies];
-    if (origins.length === 0) return;
-    const isRelay = this.#options.relay.getContact() !== undefined;
+    if (origins.length === 0) return true;
     const contacts = this.#listContacts();
-    if (isRelay) return await this.#sendCopies(contacts, origins);
+    if (this.#options.relay.getContact() !== undefined) {
+      await this.#sendCopies(contacts, origins);
+      return true;
+    }
     for (const contact of contacts) {
       const answer = await this.#sendOrigins(contact, {
         origins,
         isCopy: false,
       });
       if (answer === undefined) continue;
-      return this.#recordRelays(contact, answer.relays);
+      this.#recordRelays(contact, answer.relays);
+      return true;
     }
     this.#origins.addPending(origins);
+    return false;
   }
 
   async #sendCopies(
--- a/packages/core/stream_origins.ts
+++ b/packages/core/stream_origins.ts
@@ -69,6 +69,11 @@
     this.#pending = [...origins, ...this.#pending].slice(-MAX_PENDING);
   }
 
+  /** Counts the streams that have not been shared. */
+  countPending(): number {
+    return this.#pending.length;
+  }
+
   countStreams(): number {
     return this.#young.size + this.#old.size;
   }
