Take over from the store which versions served before all hosts were lost

Cause: each host had just started and asked others that had just started too, so none could say that no other version began them.

The entry that relays publish under a lease of 15 s says now which versions they see. A host reads it at its start and takes over that one version served alone, if no entry says otherwise and its own list has no other one.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -351,6 +351,8 @@
     describe: () => hostUpdates.describeHost(draft),
     hasRole: () => draft.roles.hasRole(),
     getDivisions: () => draft.roles.getDivisions(),
+    describeVersions: () => draft.streamOrigins.describeVersions(),
+    onVersions: (published) => draft.streamOrigins.acceptPublished(published),
     onSummary: (summary) => hostUpdates.applyHostsSummary(draft, summary),
   });
 }
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -35,6 +35,8 @@
   /** How other relays reach the publishing host; absent if it is no relay. */
   readonly contact?: store.RoleContact;
   readonly statuses: readonly core.HostStatus[];
+  /** Software versions of the services as the host sees them; absent from hosts of earlier versions. */
+  readonly versions?: core.PublishedViews;
 }
 
 /** Options of {@link HostStatusTask}. */
@@ -56,6 +58,10 @@
   readonly hasRole: () => boolean;
   /** Returns how engines are divided between short and long prompts; undefined if another host decides it. */
   readonly getDivisions: () => core.EngineDivisionDecision | undefined;
+  /** Describes the software versions of the services. */
+  readonly describeVersions: () => core.PublishedViews;
+  /** Called with the versions that the other processes published, in the first read that succeeds. */
+  readonly onVersions: (published: readonly core.PublishedViews[]) => void;
   /** Called with the summary of all other hosts. */
   readonly onSummary: (summary: core.HostsSummary) => void;
 }
@@ -324,6 +330,7 @@
     const contact = relay.getContact();
     const published: PublishedStatuses = {
       ...(contact && { contact }),
+      versions: this.#options.describeVersions(),
       statuses: this.#statuses.list(clock.now()),
     };
     const swapped = await client.swap({
@@ -370,6 +377,13 @@
       key,
       ...utils.parseJson(value) as PublishedStatuses | undefined,
     }));
+    if (this.#readAt === Number.NEGATIVE_INFINITY) {
+      this.#options.onVersions(
+        published.flatMap(({ key, versions }) =>
+          versions === undefined || key === own ? [] : [versions]
+        ),
+      );
+    }
     this.#published = keepNewest(
       published.flatMap(({ statuses = [] }) => statuses),
     );
--- a/packages/banyangrade/gateway/stream_origins_task.ts
+++ b/packages/banyangrade/gateway/stream_origins_task.ts
@@ -64,6 +64,8 @@
   #timer: NodeJS.Timeout | undefined;
   #asking: NodeJS.Timeout | undefined;
   #stopped = false;
+  /** Views that hosts published before this one started. */
+  #published: readonly core.PublishedViews[] = [];
 
   constructor(options: StreamOriginsOptions) {
     this.#options = options;
@@ -100,6 +102,23 @@
     if (differs) this.#scheduleFlush();
   }
 
+  /** Describes the versions of all services, to publish. */
+  describeVersions(): core.PublishedViews {
+    const { versions, clock, isFresh } = this.#options;
+    return versions.describeAll({ now: clock.now(), fresh: isFresh() });
+  }
+
+  /** Takes over the views that hosts published before this one started; the first ones that it reads count. */
+  acceptPublished(published: readonly core.PublishedViews[]): void {
+    if (this.#published.length === 0) this.#published = published;
+    this.#applyPublished();
+  }
+
+  #applyPublished(): void {
+    const { versions, clock } = this.#options;
+    versions.acceptPublished(this.#published, clock.now());
+  }
+
   /** Finds the version at which a stream may go on. */
   async find(
     { attemptId, service }: TakenStream,
@@ -320,6 +339,8 @@
   /** Asks hosts that have run for longer which services one version has served alone. */
   async #askViews(): Promise<void> {
     const { versions, clock } = this.#options;
+    // The list of servers may have arrived after the published views.
+    this.#applyPublished();
     const young = versions.listYoung(clock.now());
     await Promise.all(
       young.map((service) => this.#askVersions({ stream: NO_STREAM, service })),
--- a/packages/banyangrade/host_status_test.ts
+++ b/packages/banyangrade/host_status_test.ts
@@ -46,6 +46,8 @@
     describe: () => STATUS,
     hasRole: () => true,
     getDivisions: () => undefined,
+    describeVersions: () => ({}),
+    onVersions: () => undefined,
     onSummary: (summary) => void received.push(summary),
   });
   presence.start();
@@ -53,3 +55,56 @@
   t.same(received[0], others);
   void presence.stop();
 });
+
+// Guards against the refusal of all streams that callers take up after all hosts
+// were lost together: only what was published tells which versions served before.
+tap.test("a host reads which versions served before it started, once", async (t) => {
+  const single = { kind: "single", software: "v1" } as const;
+  const entries = [
+    { key: "banyangrade/hosts/host-1/first", versions: { planner: single } },
+    { key: "banyangrade/hosts/host-2/old", versions: { rooms: single } },
+    { key: "banyangrade/hosts/host-3/of-the-build-before" },
+  ].map(({ key, ...fields }) => ({
+    key,
+    value: JSON.stringify({ ...fields, statuses: [] }),
+    modRevision: 1,
+  }));
+  const published: string[] = [];
+  const client = {
+    list: () => Promise.resolve(utils.Ok(entries)),
+    grantLease: () => Promise.resolve(utils.Ok("lease")),
+    swap: ({ value }: store.Swap) => {
+      published.push(value ?? "");
+      return Promise.resolve(utils.Ok({ kind: "won", modRevision: 2 }));
+    },
+    renewLease: () => Promise.resolve(utils.Ok(true)),
+  } as unknown as store.KeyValueClient;
+  const received: (readonly core.PublishedViews[])[] = [];
+  const presence = new hostStatusTask.HostStatusTask({
+    store: client,
+    clock: utils.SYSTEM_CLOCK,
+    log: utils.createLogger({ level: "silent" }),
+    random: utils.createRandom(1),
+    failureDomains: 1,
+    host: STATUS.host,
+    incarnation: STATUS.incarnation,
+    relay: {
+      callRelay: () => Promise.resolve(undefined),
+      callContact: () => Promise.resolve(undefined),
+      getContact: () => ({ address: "127.0.0.1:1", secret: "s" }),
+      closeIdle: () => undefined,
+    },
+    describe: () => STATUS,
+    hasRole: () => true,
+    getDivisions: () => undefined,
+    describeVersions: () => ({ planner: single }),
+    onVersions: (versions) => void received.push(versions),
+    onSummary: () => undefined,
+  });
+  presence.start();
+  await utils.waitFor(2_500);
+  await presence.stop();
+  t.same(received, [[{ rooms: single }]], "those of others, in the first read");
+  t.ok(published.length > 0);
+  t.match(JSON.parse(published[0]), { versions: { planner: single } });
+});
--- a/packages/core/software_versions.ts
+++ b/packages/core/software_versions.ts
@@ -18,6 +18,9 @@
   /** The host is not in touch with the store, or knows no server. */
   | { readonly kind: "unsure" };
 
+/** Views of one host, by service. */
+export type PublishedViews = Readonly<Record<string, VersionView>>;
+
 /** Versions of one service. */
 interface ServiceVersions {
   /** Versions that are listed now. */
@@ -121,6 +124,34 @@
     if (known !== undefined && isSame) known.since = Number.NEGATIVE_INFINITY;
   }
 
+  /**
+   * Takes over what hosts published before this one started, which may be the only
+   * word of the time before if all hosts were lost together.
+   */
+  acceptPublished(published: readonly PublishedViews[], now: number): void {
+    this.listYoung(now).forEach((service) => {
+      const views = published.flatMap((one) => one[service] ?? []);
+      const singles = views.flatMap((view) =>
+        view.kind === "single" ? [view.software] : []
+      );
+      const isSeveral = views.some(({ kind }) => kind === "several") ||
+        new Set(singles).size > 1;
+      if (!isSeveral && singles.length > 0) {
+        this.acceptView(service, singles[0]);
+      }
+    });
+  }
+
+  /** Describes all services. */
+  describeAll(
+    options: { readonly now: number; readonly fresh: boolean },
+  ): PublishedViews {
+    return Object.fromEntries(
+      [...this.#services.keys()]
+        .map((service) => [service, this.describe(service, options)]),
+    );
+  }
+
   /** Lists the services of which this host has not known the versions for long. */
   listYoung(now: number): string[] {
     return [...this.#services]
--- a/packages/core/software_versions_test.ts
+++ b/packages/core/software_versions_test.ts
@@ -67,6 +67,33 @@
   t.end();
 });
 
+// Guards against the refusal of all streams after all hosts were lost together,
+// where only the store has a word of the time before.
+tap.test("a young host takes over what was published before it started", (t) => {
+  const single = { kind: "single", software: "v1" } as const;
+  const accept = (published: readonly core.PublishedViews[]) => {
+    const versions = new core.SoftwareVersions();
+    versions.record(listServers("v1"), 0);
+    versions.acceptPublished(published, 100);
+    return versions.describe("planner", { now: 100, fresh: true }).kind;
+  };
+  t.equal(accept([]), "young");
+  t.equal(accept([{ planner: single }, { other: single }]), "single");
+  t.equal(
+    accept([{ planner: single }, { planner: { kind: "several" } }]),
+    "young",
+  );
+  t.equal(accept([{ planner: { kind: "young", software: "v1" } }]), "young");
+  t.equal(accept([{ planner: { kind: "single", software: "v2" } }]), "young");
+  t.equal(
+    accept([{ planner: single }, {
+      planner: { kind: "single", software: "v2" },
+    }]),
+    "young",
+  );
+  t.end();
+});
+
 // Guards against a host that guesses: one that is cut off, one that has just
 // started, and one that has not seen a version that others know.
 tap.test("a stream that no host knows goes on only where no version can have begun it but one", (t) => {
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -963,4 +963,12 @@
     replace: "void socket;",
     test: CONNECTION_LIMIT,
   },
+  {
+    name:
+      "versions: a host takes over a version although another one served too",
+    file: "packages/core/software_versions.ts",
+    find: "if (!isSeveral && singles.length > 0) {",
+    replace: "void isSeveral;\n      if (singles.length > 0) {",
+    test: VERSIONS,
+  },
 ];
