--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -66,13 +66,11 @@
 ): Promise<HostServers> {
   const { settings, platform, state, belief, dispatch, metrics } = parts;
   const isReady = () => gatewayParts.isReady(parts);
-  const { connectionLimit } = parts;
   const ingress = await ingressModule.startIngress({
     ...utils.splitAddress(settings.callerAddress),
     onRequest: (request) => parts.requestHandler.handle(request),
     heldBytes: parts.heldBytes,
     closesConnections: () => state.draining || !belief.isReady(),
-    takesConnection: () => connectionLimit.mayTake(),
   });
   parts.ingress = ingress;
   const readiness = await readinessModule.startReadiness({
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -21,7 +21,6 @@
 import * as requestExchange from "./request_exchange.ts";
 import * as requestHandler from "./request_handler.ts";
 import * as serverSignals from "./server_signals.ts";
-import * as connectionLimit from "./connection_limit.ts";
 import * as connectionPools from "./connection_pools.ts";
 import * as handoverTask from "./handover_task.ts";
 import * as linkTelemetry from "./link_telemetry.ts";
@@ -61,7 +60,6 @@
   readonly presence: hostStatusTask.HostStatusTask;
   readonly roles: controlRolesTask.RolesTask;
   readonly heldBytes: heldBytes.HeldBytes;
-  readonly connectionLimit: connectionLimit.ConnectionLimit;
   readonly handover: handoverTask.HandoverTask;
   readonly startupWaits: startupWaits.StartupWaits;
   readonly requestHandler: requestHandler.RequestHandler;
@@ -101,7 +99,6 @@
     (ended) => draft.relay.recordStoreCall(ended),
   ) as Draft;
   addDispatch(draft);
-  addConnectionLimit(draft);
   addHandover(draft);
   addRelay(draft);
   addClusterState(draft);
@@ -241,16 +238,6 @@
   dispatch.send({ kind: "connection_tried", server: name, reachable });
 }
 
-function addConnectionLimit(draft: Draft): void {
-  const { clock, dispatch, metrics, log } = draft;
-  draft.connectionLimit = new connectionLimit.ConnectionLimit({
-    clock,
-    dispatch,
-    metrics,
-    log: utils.createPartLogger(log, "callers"),
-  });
-}
-
 function addHandover(draft: Draft): void {
   const { settings, clock, random, log, dispatch, heldBytes } = draft;
   draft.handover = new handoverTask.HandoverTask({
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -125,14 +125,13 @@
  * applyHostsSummary(parts, summary);
  */
 export function applyHostsSummary(
-  { budget, clock, clocks, dispatch, handover, log, pools, ...parts }: Parts,
+  { budget, clock, clocks, dispatch, handover, log, pools }: Parts,
   others: core.HostsSummary,
 ): void {
   const offsetMs = clock.now() - clocks.getTrueTime();
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
   handover.recordContacts(others.contacts ?? []);
-  parts.connectionLimit.recordOthers(others);
   Object.entries(others.divisions?.byService ?? {}).forEach(
     ([service, division]) => dispatch.setDivision(service, division),
   );
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -86,8 +86,6 @@
   readonly onRequest: (request: IncomingRequest) => void;
   /** Whether responses carry "connection: close", so that callers open new connections. */
   readonly closesConnections: () => boolean;
-  /** Whether a new connection is taken; otherwise it is closed unread, so that its caller tries another host. @default always */
-  readonly takesConnection?: () => boolean;
   readonly heldBytes: heldBytesModule.HeldBytes;
 }
 
@@ -120,9 +118,6 @@
     const { heldBytes } = options;
     options.onRequest(buildIncomingRequest(request, { response, heldBytes }));
   });
-  server.on("connection", (socket: net.Socket) => {
-    if (options.takesConnection?.() === false) socket.destroy();
-  });
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(options.port, options.hostname, 1_024, resolve);
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -154,11 +154,6 @@
     "Streams that callers took up, by whether the software version that began them is known.",
     ["outcome"],
   );
-  readonly #connectionsClosed = this.#createCounter(
-    "banyangrade_connections_closed_unread_total",
-    "New connections of callers that were closed unread, because this host got more than it could read.",
-    [],
-  );
   readonly #linkChanges = this.#createCounter(
     "banyangrade_link_changes_total",
     "Times at which this host lost its links to the backend servers or had them again.",
@@ -254,10 +249,6 @@
     this.#originLookups.inc({ outcome });
   }
 
-  recordConnectionClosed(): void {
-    this.#connectionsClosed.inc();
-  }
-
   recordLinksChanged(change: "lost" | "restored"): void {
     this.#linkChanges.inc({ change });
   }
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -9,7 +9,6 @@
 export * from "./cold_permits.ts";
 export * from "./config.ts";
 export * from "./config_log.ts";
-export * from "./connection_admission.ts";
 export * from "./dispatcher.ts";
 export * from "./domain_orders.ts";
 export * from "./domain_failure_detector.ts";
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -46,8 +46,6 @@
 const PARTS_FUZZ = "packages/core/part_blames_fuzz_test.ts";
 const SHARED_BLAMES = "platform/shared_blames_test.ts";
 const FORWARD = "packages/service/forward_test.ts";
-const CONNECTIONS = "packages/core/connection_admission_test.ts";
-const CONNECTION_LIMIT = "packages/banyangrade/connection_limit_test.ts";
 const CALLER_DISCONNECTS = "platform/caller_disconnects_test.ts";
 
 /** All mutations. */
@@ -935,34 +933,6 @@
     replace: "void isReset;\n    return outcome;",
     test: FORWARD,
   },
-  {
-    name: "connections: a hot host takes all",
-    file: "packages/core/connection_admission.ts",
-    find: "if (this.#tokens < 1) return false;",
-    replace: "",
-    test: CONNECTIONS,
-  },
-  {
-    name: "connections: a host that is as busy as all others closes some",
-    file: "packages/core/connection_admission.ts",
-    find: "return isAhead && (loopDelayMs",
-    replace: "void isAhead;\n  return (loopDelayMs",
-    test: CONNECTIONS,
-  },
-  {
-    name: "connections: a limit never ends",
-    file: "packages/core/connection_admission.ts",
-    find: "this.#perSecond = next >= MAX_PER_SECOND ? undefined : next;",
-    replace: "void next;",
-    test: CONNECTIONS,
-  },
-  {
-    name: "connections: a connection that is not taken is read",
-    file: "packages/banyangrade/gateway/ingress.ts",
-    find: "if (options.takesConnection?.() === false) socket.destroy();",
-    replace: "void socket;",
-    test: CONNECTION_LIMIT,
-  },
   {
     name:
       "versions: a host takes over a version although another one served too",
