--- /dev/null
+++ b/packages/core/brittle_service_testing.ts
@@ -0,0 +1,652 @@
+/**
+ * Simulates the hosts of a deployment and a brittle service whose servers crash if
+ * they must refuse too many requests in a second: dispatchers, statuses over the
+ * relays of the failure domains, callers that come again, and faults of hosts.
+ */
+import * as tinyqueue from "tinyqueue";
+import * as utils from "@banyangrade/utils";
+import * as core from "./mod.ts";
+import * as testing from "./testing.ts";
+
+/** Time between the first answer that names a server brittle and the loss of its room, in ms. */
+const WARNING_MS = 3_000;
+/** Time for which a server is down after a crash, in ms. */
+const DOWN_MS = 3_000;
+/** Time until hosts learn of a change of the servers, in ms. */
+const LIST_MS = 800;
+const LINK_MS = 1;
+const ROUND_MS = 1_000;
+/** Time without a relay after one was lost, in ms. */
+const ELECTION_MS = 3_000;
+const TARGET_MS = 300;
+const DEADLINE_MS = 1_500;
+const USUAL_ROOM = 24;
+const BUSY_TICK_MS = 20;
+const CALM_TICK_MS = 50;
+const SERVICE = "rooms";
+
+/** A deployment with one service. */
+export interface Fleet {
+  readonly hosts: number;
+  readonly domains: number;
+  readonly servers: number;
+  readonly slots: number;
+  readonly serves: "service" | "engine";
+  /** Requests that may wait at a server with little room. */
+  readonly room: number;
+  /** Refusals per second that a server bears. */
+  readonly perSecond: number;
+  /** Requests as a share of what all slots serve. */
+  readonly load: number;
+  readonly serviceMs: number;
+  /** Largest share of the requests that a host gets, relative to the smallest. */
+  readonly uneven: number;
+  /** Whether a server that crashed is back under its name. */
+  readonly keepsName: boolean;
+  /** Whether the hosts share what they know through relays. */
+  readonly relayed: boolean;
+  readonly totalMs: number;
+  readonly faults: readonly HostFault[];
+  readonly seed: number;
+}
+
+/** A fault of a host, at a time in ms. */
+export type HostFault =
+  | { readonly kind: "killed"; readonly host: number; readonly at: number }
+  | { readonly kind: "joined"; readonly at: number }
+  /** Its relay, and the other hosts, do not reach it. */
+  | {
+    readonly kind: "cut_off";
+    readonly host: number;
+    readonly at: number;
+    readonly forMs: number;
+  }
+  /** It runs the build before, which shares nothing of brittle servers. */
+  | { readonly kind: "old_build"; readonly host: number };
+
+/** What happened from the time at which the servers had little room. */
+export interface Outcome {
+  readonly crashes: number;
+  readonly refusals: number;
+  /** Requests of callers, and those that were served before their deadline. */
+  readonly requests: number;
+  readonly served: number;
+  readonly handedOver: number;
+  /** Times of the crashes since the first request, in ms. */
+  readonly crashedAt: readonly number[];
+}
+
+interface Host {
+  readonly name: string;
+  readonly domain: string;
+  readonly weight: number;
+  readonly dispatcher: core.Dispatcher;
+  readonly calls: Map<string, Call>;
+  readonly startedAt: number;
+  statuses: core.HostStatuses;
+  alive: boolean;
+}
+
+interface Server {
+  readonly index: number;
+  name: string;
+  domain: string;
+  upFrom: number;
+  running: Attempt[];
+  waiting: Attempt[];
+  refusedAt: number[];
+}
+
+interface Attempt {
+  readonly host: Host;
+  readonly request: core.Request;
+  readonly attempt: number;
+  readonly sentAt: number;
+  ended: boolean;
+}
+
+/** A request of a caller. */
+interface Call {
+  readonly id: string;
+  readonly sentAt: number;
+  triesLeft: number;
+  done: boolean;
+  readonly onRefused?: (waitMs: number | undefined) => void;
+}
+
+interface Timer {
+  readonly at: number;
+  readonly run: () => void;
+}
+
+/**
+ * Runs a fleet and counts what happened.
+ *
+ * @example
+ * const { crashes, served, requests } = replayFleet(fleet);
+ */
+export function replayFleet(fleet: Fleet): Outcome {
+  return new Simulation(fleet).run();
+}
+
+class Simulation {
+  readonly #fleet: Fleet;
+  readonly #random: utils.Random;
+  readonly #timers = new tinyqueue.default<Timer>([], (a, b) => a.at - b.at);
+  readonly #hosts: Host[] = [];
+  readonly #servers: Server[];
+  readonly #relays = new Map<string, { host: Host; until: number }>();
+  #now = 0;
+  #ids = 0;
+  readonly #crashedAt: number[] = [];
+  readonly #counts = { refusals: 0, requests: 0, served: 0, handedOver: 0 };
+
+  constructor(fleet: Fleet) {
+    this.#fleet = fleet;
+    this.#random = utils.createRandom(fleet.seed);
+    this.#servers = Array.from({ length: fleet.servers }, (_, index) => ({
+      index,
+      name: `s${index}@0`,
+      domain: `d${index % fleet.domains}`,
+      upFrom: 0,
+      running: [],
+      waiting: [],
+      refusedAt: [],
+    }));
+    Array.from({ length: fleet.hosts }, () => this.#startHost());
+  }
+
+  run(): Outcome {
+    const { faults, totalMs } = this.#fleet;
+    faults.forEach((fault) => this.#scheduleFault(fault));
+    this.#scheduleCall();
+    for (
+      let next = this.#timers.pop();
+      next !== undefined && next.at < totalMs;
+      next = this.#timers.pop()
+    ) {
+      this.#now = next.at;
+      next.run();
+    }
+    const crashes = this.#crashedAt.filter((at) => at >= WARNING_MS).length;
+    return { crashes, ...this.#counts, crashedAt: this.#crashedAt };
+  }
+
+  #schedule(ms: number, run: () => void): void {
+    this.#timers.push({ at: this.#now + ms, run });
+  }
+
+  #isCounted(at: number): boolean {
+    return at >= WARNING_MS;
+  }
+
+  #startHost(): Host {
+    const { domains, uneven } = this.#fleet;
+    const index = this.#hosts.length;
+    const host: Host = {
+      name: `h${index}`,
+      domain: `d${index % domains}`,
+      weight: 1 + this.#random.next() * (uneven - 1),
+      dispatcher: new core.Dispatcher({
+        failureDomain: `d${index % domains}`,
+        host: `h${index}`,
+        random: utils.createRandom(this.#random.below(2 ** 31)),
+        preempts: false,
+        minRetryAfterMs: 50,
+        comparesPrompts: true,
+        tracksLinks: true,
+      }),
+      calls: new Map(),
+      startedAt: this.#now,
+      statuses: new core.HostStatuses(),
+      alive: true,
+    };
+    this.#hosts.push(host);
+    const { serves, slots } = this.#fleet;
+    const pool = { ...testing.POOL, failureDomain: host.domain, slots, serves };
+    const configuration = testing.buildConfiguration([
+      testing.buildClass(1),
+      pool,
+    ]);
+    this.#send(host, { kind: "configured", configuration });
+    this.#sendServers(host);
+    this.#schedule(this.#random.below(BUSY_TICK_MS), () => this.#tick(host));
+    this.#schedule(
+      300 + this.#random.below(ROUND_MS / 2),
+      () => this.#runRound(host),
+    );
+    return host;
+  }
+
+  #scheduleFault(fault: HostFault): void {
+    switch (fault.kind) {
+      case "killed":
+        return this.#schedule(fault.at, () => this.#stopHost(fault.host));
+      case "joined":
+        return this.#schedule(fault.at, () => void this.#startHost());
+      case "cut_off":
+      case "old_build":
+        return;
+    }
+  }
+
+  #stopHost(index: number): void {
+    const host = this.#hosts[index % this.#fleet.hosts];
+    host.alive = false;
+    this.#servers.forEach((server) => {
+      server.running.concat(server.waiting)
+        .filter((attempt) => attempt.host === host)
+        .forEach((attempt) => this.#leaveServer(server, attempt));
+    });
+    host.calls.forEach((call) => call.onRefused?.(undefined));
+  }
+
+  #isCutOff(host: Host): boolean {
+    const index = this.#hosts.indexOf(host);
+    return this.#fleet.faults.some((fault) =>
+      fault.kind === "cut_off" && fault.host % this.#fleet.hosts === index &&
+      this.#now >= fault.at && this.#now < fault.at + fault.forMs
+    );
+  }
+
+  #isOld(host: Host): boolean {
+    const index = this.#hosts.indexOf(host);
+    return this.#fleet.faults.some((fault) =>
+      fault.kind === "old_build" && fault.host % this.#fleet.hosts === index
+    );
+  }
+
+  #tick(host: Host): void {
+    if (!host.alive) return;
+    this.#send(host, { kind: "ticked" });
+    const isBusy = host.dispatcher.countOpen().queued > 0;
+    this.#schedule(
+      isBusy ? BUSY_TICK_MS : CALM_TICK_MS,
+      () => this.#tick(host),
+    );
+  }
+
+  #send(host: Host, event: core.DispatchEvent): void {
+    if (!host.alive) return;
+    host.dispatcher.handle(event, this.#now)
+      .forEach((effect) => this.#applyEffect(host, effect));
+  }
+
+  #applyEffect(host: Host, effect: core.DispatchEffect): void {
+    switch (effect.kind) {
+      case "start":
+        return this.#sendAttempt(host, effect);
+      case "stop":
+        return this.#servers.forEach((server) =>
+          server.running.concat(server.waiting).filter(({ request }) =>
+            request.id === effect.requestId
+          ).forEach((attempt) => this.#leaveServer(server, attempt))
+        );
+      case "refuse":
+        return this.#endCall(host, effect.requestId, {
+          waitMs: effect.refusal.retryAfterMs,
+        });
+      case "hand_over":
+        return this.#forwardToPeers(host, effect);
+      default:
+        return;
+    }
+  }
+
+  #sendAttempt(
+    host: Host,
+    { request, attempt, server }: Extract<
+      core.DispatchEffect,
+      { kind: "start" }
+    >,
+  ): void {
+    const sent: Attempt = {
+      host,
+      request,
+      attempt,
+      sentAt: this.#now,
+      ended: false,
+    };
+    this.#schedule(LINK_MS, () => {
+      const reached = this.#servers.find(({ name }) => name === server.name);
+      const isUp = reached !== undefined && this.#now >= reached.upFrom;
+      this.#tryConnection(host, { server: server.name, reachable: isUp });
+      if (isUp) this.#arriveAt(reached, sent);
+      else this.#failAttempt(sent, "not_sent");
+    });
+  }
+
+  #tryConnection(
+    host: Host,
+    outcome: { readonly server: string; readonly reachable: boolean },
+  ): void {
+    this.#send(host, { kind: "connection_tried", ...outcome });
+  }
+
+  #arriveAt(server: Server, attempt: Attempt): void {
+    const { slots } = this.#fleet;
+    if (!attempt.host.alive) return;
+    if (server.running.length < slots) return this.#runAt(server, attempt);
+    if (server.waiting.length < this.#getRoom()) {
+      server.waiting.push(attempt);
+      return;
+    }
+    this.#refuseAt(server, attempt);
+  }
+
+  #getRoom(): number {
+    return this.#now < WARNING_MS ? USUAL_ROOM : this.#fleet.room;
+  }
+
+  #runAt(server: Server, attempt: Attempt): void {
+    server.running.push(attempt);
+    const { serviceMs } = this.#fleet;
+    const ms = serviceMs * (0.5 + this.#random.next());
+    this.#schedule(ms, () => {
+      if (attempt.ended) return;
+      this.#leaveServer(server, attempt);
+      this.#schedule(LINK_MS, () => {
+        this.#sendSignals(server, { attempt, succeeded: true });
+        this.#send(attempt.host, {
+          kind: "finished",
+          requestId: attempt.request.id,
+          attempt: attempt.attempt,
+          tokens: 1,
+        });
+        this.#endCall(attempt.host, attempt.request.id, { served: true });
+      });
+    });
+  }
+
+  #leaveServer(server: Server, attempt: Attempt): void {
+    attempt.ended = true;
+    server.running = server.running.filter((one) => one !== attempt);
+    server.waiting = server.waiting.filter((one) => one !== attempt);
+    const next = server.running.length < this.#fleet.slots
+      ? server.waiting.shift()
+      : undefined;
+    if (next !== undefined) this.#runAt(server, next);
+  }
+
+  #refuseAt(server: Server, attempt: Attempt): void {
+    if (this.#isCounted(this.#now)) this.#counts.refusals += 1;
+    server.refusedAt = [...server.refusedAt, this.#now]
+      .filter((at) => at > this.#now - 1_000);
+    this.#schedule(LINK_MS, () => {
+      this.#sendSignals(server, { attempt, succeeded: false });
+      this.#failAttempt(attempt, "refused");
+    });
+    if (server.refusedAt.length > this.#fleet.perSecond) this.#crash(server);
+  }
+
+  #sendSignals(
+    { name }: Server,
+    { attempt: { host, sentAt }, succeeded }: {
+      readonly attempt: Attempt;
+      readonly succeeded: boolean;
+    },
+  ): void {
+    const signals = {
+      ...core.NO_SIGNALS,
+      brittlePerSecond: [this.#fleet.perSecond],
+    };
+    this.#send(host, {
+      kind: "responded",
+      server: name,
+      signals,
+      sentAt,
+      succeeded,
+    });
+  }
+
+  #failAttempt(
+    { host, request, attempt }: Attempt,
+    failure: core.AttemptFailure,
+  ): void {
+    this.#send(host, {
+      kind: "failed",
+      requestId: request.id,
+      attempt,
+      failure,
+      answerStarted: false,
+      resumable: false,
+    });
+  }
+
+  #crash(server: Server): void {
+    this.#crashedAt.push(this.#now);
+    const lost = server.running.concat(server.waiting);
+    Object.assign(server, {
+      running: [],
+      waiting: [],
+      refusedAt: [],
+      upFrom: this.#now + DOWN_MS,
+    });
+    lost.forEach((attempt) => {
+      attempt.ended = true;
+      this.#schedule(
+        LINK_MS,
+        () => this.#failAttempt(attempt, "connection_lost"),
+      );
+    });
+    if (this.#fleet.keepsName) return;
+    this.#schedule(DOWN_MS, () => {
+      server.name = `s${server.index}@${Math.round(this.#now)}`;
+      this.#schedule(
+        LIST_MS,
+        () => this.#hosts.forEach((host) => this.#sendServers(host)),
+      );
+    });
+  }
+
+  #sendServers(host: Host): void {
+    const servers = this.#servers.map(({ name, domain }): core.ServerInfo => ({
+      name,
+      pool: SERVICE,
+      url: "",
+      state: "live",
+      slots: this.#fleet.slots,
+      failureDomain: domain,
+    }));
+    this.#send(host, { kind: "servers_changed", servers });
+  }
+
+  #scheduleCall(): void {
+    const { servers, slots, serviceMs, load } = this.#fleet;
+    const gapMs = serviceMs / (servers * slots * load);
+    this.#schedule(utils.drawExponential(this.#random, gapMs), () => {
+      this.#ids += 1;
+      if (this.#isCounted(this.#now)) this.#counts.requests += 1;
+      this.#openCall(this.#drawHost(), {
+        id: `r${this.#ids}`,
+        sentAt: this.#now,
+        triesLeft: 1,
+        done: false,
+      });
+      this.#scheduleCall();
+    });
+  }
+
+  /** Draws a host for a new connection; more loaded ones more often. */
+  #drawHost(): Host {
+    const alive = this.#hosts.filter((host) => host.alive);
+    const sum = alive.reduce((total, { weight }) => total + weight, 0);
+    let left = this.#random.next() * sum;
+    return alive.find(({ weight }) => (left -= weight) < 0) ?? alive[0];
+  }
+
+  #openCall(
+    host: Host,
+    call: Call,
+    changes: Partial<core.Request> = {},
+  ): void {
+    this.#ids += 1;
+    const id = `${call.id}/${this.#ids}`;
+    host.calls.set(id, call);
+    const isEngine = this.#fleet.serves === "engine";
+    const request: core.Request = {
+      ...testing.buildRequest(id, { tier: 1 }),
+      kind: isEngine ? "generate" : "call",
+      promptTokens: isEngine ? 100 : 0,
+      maxTokens: isEngine ? 10 : 0,
+      fingerprint: call.id,
+      arrivedAt: call.sentAt,
+      startBy: this.#now + TARGET_MS,
+      queueMs: TARGET_MS,
+      targetMs: TARGET_MS,
+      maxAttempts: 2,
+      ...changes,
+    };
+    this.#send(host, { kind: "arrived", request });
+  }
+
+  #endCall(
+    host: Host,
+    id: string,
+    result: { readonly served?: boolean; readonly waitMs?: number },
+  ): void {
+    const call = host.calls.get(id);
+    host.calls.delete(id);
+    if (call === undefined || call.done) return;
+    if (result.served) {
+      call.done = true;
+      const isInTime = this.#now - call.sentAt <= DEADLINE_MS;
+      if (isInTime && this.#isCounted(call.sentAt)) this.#counts.served += 1;
+      return;
+    }
+    if (call.onRefused !== undefined) return call.onRefused(result.waitMs);
+    const leftMs = DEADLINE_MS - (this.#now - call.sentAt);
+    if (call.triesLeft === 0 || leftMs <= 0) return;
+    call.triesLeft -= 1;
+    this.#schedule(
+      Math.min(result.waitMs ?? 0, leftMs / 3),
+      () => this.#openCall(this.#drawHost(), call),
+    );
+  }
+
+  /** Sends a request to other hosts, one after another; if none takes it, its own host does what it can. */
+  #forwardToPeers(
+    host: Host,
+    { request, peers, sent }: Extract<
+      core.DispatchEffect,
+      { kind: "hand_over" }
+    >,
+    fullMs?: number,
+  ): void {
+    const call = host.calls.get(request.id);
+    if (call === undefined) return;
+    if (fullMs === undefined) this.#counts.handedOver += 1;
+    const [name, ...others] = peers;
+    const changes = {
+      handedOver: true,
+      maxAttempts: Math.max(1, (request.maxAttempts ?? 2) - sent),
+    };
+    if (name === undefined) {
+      host.calls.delete(request.id);
+      if (fullMs === undefined) return this.#openCall(host, call, changes);
+      host.calls.set(request.id, call);
+      return this.#endCall(host, request.id, { waitMs: fullMs });
+    }
+    const peer = this.#hosts.find((one) => one.name === name);
+    const tryNext = (waitMs: number | undefined) =>
+      this.#forwardToPeers(
+        host,
+        {
+          kind: "hand_over",
+          request,
+          peers: others,
+          sent,
+        },
+        waitMs ?? fullMs,
+      );
+    this.#schedule(LINK_MS, () => {
+      if (
+        peer === undefined || !peer.alive || this.#isCutOff(peer) ||
+        this.#isCutOff(host)
+      ) return tryNext(undefined);
+      this.#openCall(peer, {
+        id: call.id,
+        sentAt: call.sentAt,
+        triesLeft: 0,
+        get done() {
+          return call.done;
+        },
+        set done(done: boolean) {
+          call.done = done;
+        },
+        onRefused: tryNext,
+      }, changes);
+    });
+  }
+
+  /** Finds the relay of a failure domain; undefined while a new one is elected. */
+  #findRelay(domain: string): Host | undefined {
+    const known = this.#relays.get(domain);
+    if (
+      known !== undefined && known.host.alive && !this.#isCutOff(known.host)
+    ) {
+      known.until = this.#now + ELECTION_MS;
+      return known.host;
+    }
+    if (known !== undefined && this.#now < known.until) return undefined;
+    const host = this.#hosts.find((one) =>
+      one.alive && one.domain === domain && !this.#isCutOff(one) &&
+      !this.#isOld(one)
+    );
+    if (host !== undefined) {
+      host.statuses = new core.HostStatuses();
+      this.#relays.set(domain, { host, until: this.#now + ELECTION_MS });
+    }
+    return host;
+  }
+
+  #runRound(host: Host): void {
+    if (!host.alive) return;
+    this.#schedule(ROUND_MS, () => this.#runRound(host));
+    const relay = this.#findRelay(host.domain);
+    if (!this.#fleet.relayed || relay === undefined || this.#isCutOff(host)) {
+      if (!this.#fleet.relayed) this.#sendLoad(host, core.EMPTY_SUMMARY);
+      return;
+    }
+    relay.statuses.record(this.#describe(host), {
+      now: this.#now,
+      direct: true,
+    });
+    const others = [...this.#relays.keys()].filter((domain) =>
+      domain !== host.domain
+    ).flatMap((domain) => this.#findRelay(domain) ?? []);
+    const summary = core.mergeSummaries([
+      relay.statuses.sum(this.#now, { without: host.name }),
+      ...others.map(({ statuses }) =>
+        core.dropStaleLoad(statuses.sum(this.#now), ROUND_MS)
+      ),
+    ]);
+    this.#sendLoad(host, summary);
+  }
+
+  #describe(host: Host): core.HostStatus {
+    return {
+      host: host.name,
+      incarnation: "1",
+      at: this.#now,
+      demand: {},
+      running: host.dispatcher.countByEngine(),
+      prompting: {},
+      usage: {},
+      suspects: [],
+    };
+  }
+
+  #sendLoad(host: Host, summary: core.HostsSummary): void {
+    const hosts = this.#fleet.relayed
+      ? summary.hosts + 1
+      : this.#hosts.filter(({ alive }) => alive).length;
+    this.#send(host, {
+      kind: "load_shared",
+      running: summary.running,
+      prompting: summary.prompting,
+      hosts,
+      asOf: this.#now,
+    });
+  }
+}
