Log and count what brittle servers refuse and lose

Failed attempts say whether their server is brittle, a counter sums them by kind, a gauge counts the brittle servers.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -203,6 +203,16 @@
     );
   }
 
+  /** Whether a server crashes if it must refuse too many requests. */
+  isBrittle(server: string): boolean {
+    return this.#options.dispatcher.isBrittle(server);
+  }
+
+  /** Counts the brittle servers. */
+  countBrittleServers(): core.BrittleCounts {
+    return this.#options.dispatcher.countBrittleServers();
+  }
+
   /** Whether this host has lost its links to the servers of a service. */
   hasLostLinks(target: string): boolean {
     return this.#options.dispatcher.hasLostLinks(target);
--- a/packages/banyangrade/engine_speed_telemetry_test.ts
+++ b/packages/banyangrade/engine_speed_telemetry_test.ts
@@ -34,7 +34,7 @@
     metrics,
     open: () =>
       new exchangeTelemetry.ExchangeTelemetry(
-        { clock, log, metrics },
+        { clock, log, metrics, dispatch: { isBrittle: () => false } },
         exchange,
       ),
     setNow: (to: number) => void (now = to),
--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -1,6 +1,7 @@
 /** Logs and metrics of one request, from its first attempt to its end. */
 import type * as core from "@banyangrade/core";
 import type * as utils from "@banyangrade/utils";
+import type * as dispatchTask from "../dispatch_task.ts";
 import type * as metrics from "../metrics.ts";
 import type * as requestExchange from "./request_exchange.ts";
 
@@ -9,6 +10,7 @@
   readonly clock: utils.Clock;
   readonly log: utils.Logger;
   readonly metrics: metrics.Metrics;
+  readonly dispatch: Pick<dispatchTask.DispatchTask, "isBrittle">;
 }
 
 /** How far a request had come when its caller disconnected. */
@@ -159,13 +161,17 @@
     },
   ): void {
     this.#attemptSentAt = undefined;
-    this.#options.metrics.recordAttemptFailure(failure);
-    this.#options.log.warn({
+    const { metrics, log, dispatch } = this.#options;
+    const brittle = dispatch.isBrittle(server.name);
+    metrics.recordAttemptFailure(failure);
+    if (brittle) metrics.recordBrittleFailure(failure);
+    log.warn({
       requestId: this.#exchange.head.requestId,
       attempt,
       server: server.name,
       failure,
       reason,
+      brittle: brittle || undefined,
       events: this.#events,
       // A part that several lost requests share may have crashed their servers.
       parts: failure === "connection_lost" && this.#events === 0
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -131,6 +131,12 @@
     help: "Parts of prompts that are refused because they crash servers.",
     read: () => dispatch.countBlamedParts(),
   });
+  metrics.addLabelledGauge("banyangrade_brittle_servers", {
+    help:
+      "Backend servers that crash if they must refuse too much, by whether they refused this host's last request.",
+    label: "state",
+    read: () => ({ ...dispatch.countBrittleServers() }),
+  });
   metrics.addGauge("banyangrade_links_lost", {
     help: "Services to whose backend servers this host has lost its links.",
     read: () => dispatch.listLostLinks().length,
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -114,6 +114,11 @@
     "Attempts that brought no whole answer, by kind.",
     ["failure"],
   );
+  readonly #brittleFailures = this.#createCounter(
+    "banyangrade_brittle_failures_total",
+    "Attempts at brittle servers that brought no whole answer, by kind; connection_lost is a crash or a cut.",
+    ["failure"],
+  );
   readonly #callersLeft = this.#createCounter(
     "banyangrade_callers_left_total",
     "Callers that left before their answer was whole, by what their request did.",
@@ -216,6 +221,10 @@
     this.#attemptFailures.inc({ failure });
   }
 
+  recordBrittleFailure(failure: string): void {
+    this.#brittleFailures.inc({ failure });
+  }
+
   recordCallerLeft(stage: string): void {
     this.#callersLeft.inc({ stage });
   }
--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -51,6 +51,12 @@
   readonly now: number;
 }
 
+/** Numbers of brittle servers, by whether they refused the last request of this host. */
+export interface BrittleCounts {
+  readonly open: number;
+  readonly refusing: number;
+}
+
 /** The brittle servers that a host knows. */
 export class BrittleServers {
   /** Kept also for servers that are not listed: an entry that expired during a store outage comes back. */
@@ -108,6 +114,18 @@
     this.#permits.use(server);
   }
 
+  /** Whether a server is brittle. */
+  isBrittle(server: string): boolean {
+    return this.#known.has(server);
+  }
+
+  /** Counts the servers that are brittle, by whether the last request of this host there was refused. */
+  countByState(): BrittleCounts {
+    const refusing = [...this.#known.values()]
+      .filter(({ refusedAt }) => refusedAt !== undefined).length;
+    return { open: this.#known.size - refusing, refusing };
+  }
+
   /** Whether any server is brittle. */
   hasAny(): boolean {
     return this.#known.size > 0;
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -5,6 +5,7 @@
  * the benchmark run the same code.
  */
 import * as attemptEnd from "./attempt_end.ts";
+import type * as brittleServers from "./brittle_servers.ts";
 import * as crashingParts from "./crashing_parts.ts";
 import type * as engineDivision from "./engine_division.ts";
 import type * as events from "./events.ts";
@@ -148,6 +149,16 @@
       .filter((server) => serverState.isOverdue(server, now)).length;
   }
 
+  /** Whether a server is brittle; see `brittle_servers.ts`. */
+  isBrittle(server: string): boolean {
+    return this.#state.brittle.isBrittle(server);
+  }
+
+  /** Counts the brittle servers. */
+  countBrittleServers(): brittleServers.BrittleCounts {
+    return this.#state.brittle.countByState();
+  }
+
   /** Whether this host has lost its links to the servers of a target. */
   hasLostLinks(target: string): boolean {
     return linkChecks.hasLostLinks(this.#state, target);
