--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -60,9 +60,7 @@
     readonly host: number;
     readonly at: number;
     readonly forMs: number;
-  }
-  /** It runs the build before, which shares nothing of brittle servers. */
-  | { readonly kind: "old_build"; readonly host: number };
+  };
 
 /** What happened from the time at which the servers had little room. */
 export interface Outcome {
@@ -176,8 +174,10 @@
     this.#timers.push({ at: this.#now + ms, run });
   }
 
-  #isCounted(at: number): boolean {
-    return at >= WARNING_MS;
+  /** Whether a request sent at this time counts: the servers have little room, and its deadline is before the end. */
+  #isCounted(sentAt: number): boolean {
+    return sentAt >= WARNING_MS &&
+      sentAt <= this.#fleet.totalMs - DEADLINE_MS;
   }
 
   #startHost(): Host {
@@ -225,7 +225,6 @@
       case "joined":
         return this.#schedule(fault.at, () => void this.#startHost());
       case "cut_off":
-      case "old_build":
         return;
     }
   }
@@ -249,13 +248,6 @@
     );
   }
 
-  #isOld(host: Host): boolean {
-    const index = this.#hosts.indexOf(host);
-    return this.#fleet.faults.some((fault) =>
-      fault.kind === "old_build" && fault.host % this.#fleet.hosts === index
-    );
-  }
-
   #tick(host: Host): void {
     if (!host.alive) return;
     this.#send(host, { kind: "ticked" });
@@ -369,7 +361,7 @@
   }
 
   #refuseAt(server: Server, attempt: Attempt): void {
-    if (this.#isCounted(this.#now)) this.#counts.refusals += 1;
+    if (this.#now >= WARNING_MS) this.#counts.refusals += 1;
     server.refusedAt = [...server.refusedAt, this.#now]
       .filter((at) => at > this.#now - 1_000);
     this.#schedule(LINK_MS, () => {
@@ -590,8 +582,7 @@
     }
     if (known !== undefined && this.#now < known.until) return undefined;
     const host = this.#hosts.find((one) =>
-      one.alive && one.domain === domain && !this.#isCutOff(one) &&
-      !this.#isOld(one)
+      one.alive && one.domain === domain && !this.#isCutOff(one)
     );
     if (host !== undefined) {
       host.statuses = new core.HostStatuses();
