Give each brittle server one sender

Cause: each host took its share of the slots, at least one, so with more hosts than slots nothing bounded the sum; a crash taught only the few hosts that were refused, and a server that was back counted as sound.

Change: the relay of a failure domain names one host as the sender of each brittle server of its domain. Only the sender starts requests there, up to the slots; the others hand theirs to senders (core/brittle_senders, core/sender_handover). Hosts share what servers say of their brittleness and its end; a server that is back and silent counts as brittle while its service is. A sender pauses after each refusal, for half of what the server bears. A host that knows no sender uses permits as soon as hosts are more than slots.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -205,7 +205,32 @@
 
   /** Whether a server crashes if it must refuse too many requests. */
   isBrittle(server: string): boolean {
-    return this.#options.dispatcher.isBrittle(server);
+    return this.#options.dispatcher.isBrittle(
+      server,
+      this.#options.clock.now(),
+    );
+  }
+
+  /** Lists what this host has learned of brittle servers, with monotonic times. */
+  listBrittleRecords(): core.BrittleRecord[] {
+    return this.#options.dispatcher.listBrittleRecords(
+      this.#options.clock.now(),
+    );
+  }
+
+  /** Lists the brittle servers, each of which needs a sender. */
+  listBrittle(): core.BrittleServerInfo[] {
+    return this.#options.dispatcher.listBrittle(this.#options.clock.now());
+  }
+
+  /** Lists the brittle servers whose sender this host is. */
+  listSentTo(): string[] {
+    return this.#options.dispatcher.listSentTo(this.#options.clock.now());
+  }
+
+  /** Counts the requests that this host can start at once as a sender, by service. */
+  countSenderRoom(): Record<string, number> {
+    return this.#options.dispatcher.countSenderRoom(this.#options.clock.now());
   }
 
   /** Counts the brittle servers. */
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -133,7 +133,7 @@
   });
   metrics.addLabelledGauge("banyangrade_brittle_servers", {
     help:
-      "Backend servers that crash if they must refuse too much, by whether they refused this host's last request.",
+      "Backend servers that crash if they must refuse too much: those that this host sends to for all hosts, and others by whether they refused its last request.",
     label: "state",
     read: () => ({ ...dispatch.countBrittleServers() }),
   });
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -336,6 +336,8 @@
     incarnation,
     relay: draft.relay,
     describe: () => hostUpdates.describeHost(draft),
+    failureDomain: settings.failureDomain,
+    listBrittle: () => draft.dispatch.listBrittle(),
     hasRole: () => draft.roles.hasRole(),
     getDivisions: () => draft.roles.getDivisions(),
     describeVersions: () => draft.streamOrigins.describeVersions(),
--- a/packages/banyangrade/gateway/handover_task.ts
+++ b/packages/banyangrade/gateway/handover_task.ts
@@ -107,6 +107,7 @@
   /** Hands nothing more to a host until it says again that it takes requests. */
   recordFailed(host: string): void {
     this.#setPeers(this.#peers.filter((peer) => peer.host !== host));
+    this.#options.dispatch.send({ kind: "peer_failed", host });
   }
 
   /** Counts a request that another host runs for this one; returns a function that ends it. */
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -58,6 +58,9 @@
   readonly hasRole: () => boolean;
   /** Returns how engines are divided between short and long prompts; undefined if another host decides it. */
   readonly getDivisions: () => core.EngineDivisionDecision | undefined;
+  readonly failureDomain: string;
+  /** Lists the brittle servers, each of which needs a sender. */
+  readonly listBrittle: () => readonly core.BrittleServerInfo[];
   /** Describes the software versions of the services. */
   readonly describeVersions: () => core.PublishedViews;
   /** Called with the versions that the other processes published, in the first read that succeeds. */
@@ -94,8 +97,12 @@
   #publishFrom = Number.NEGATIVE_INFINITY;
   #publishFailures = 0;
 
+  /** Chooses the senders of brittle servers while this host is the relay. */
+  readonly #chooser: core.SenderChooser;
+
   constructor(options: HostStatusOptions) {
     this.#options = options;
+    this.#chooser = new core.SenderChooser(options);
   }
 
   start(): void {
@@ -166,7 +173,23 @@
   /** Summarises this host and its followers for other relays. */
   getSummary(): core.HostsSummary {
     const sum = this.#statuses.sum(this.#options.clock.now());
-    return { ...sum, ...this.#describeDivisions() };
+    const senders = this.#chooseSenders();
+    return {
+      ...sum,
+      ...this.#describeDivisions(),
+      ...(senders.length > 0 && { senders }),
+      relayDomains: [this.#options.failureDomain],
+    };
+  }
+
+  /** Chooses the senders of brittle servers among this host and its followers; none if it has no followers. */
+  #chooseSenders(): core.SenderAssignment[] {
+    const { clock, listBrittle, relay } = this.#options;
+    const now = clock.now();
+    const candidates = this.#statuses.listCandidates(now);
+    const holdsLease = relay.getContact() !== undefined;
+    if (!holdsLease && candidates.length < 2) return [];
+    return this.#chooser.choose(listBrittle(), { candidates, holdsLease, now });
   }
 
   #describeDivisions(): Pick<core.HostsSummary, "divisions"> {
@@ -273,6 +296,7 @@
       });
       if (summary === undefined) return;
       this.#received.set(contact.address, { summary, at: clock.now() });
+      this.#chooser.recordRelays(summary.relayDomains ?? [], clock.now());
     }));
   }
 
@@ -289,6 +313,7 @@
       .forEach(([address]) => this.#received.delete(address));
     const sum = core.mergeSummaries([
       this.#statuses.sum(now, options),
+      { ...core.EMPTY_SUMMARY, senders: this.#chooseSenders() },
       ...[...this.#received.values()].map(({ summary, at }) =>
         core.dropStaleLoad(summary, now - at)
       ),
@@ -296,6 +321,9 @@
     return {
       ...sum,
       ...this.#describeDivisions(),
+      ...(sum.senders && {
+        senders: core.chooseSendersFor(options.without, sum.senders),
+      }),
       contacts: core.chooseContacts(sum, now),
       hosts: Math.max(sum.hosts, this.#countPublished() - 1),
     };
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -38,10 +38,25 @@
       answeredParts: applyOffsetToParts(answered, offsetMs),
     }),
     paces: dispatch.listPaces(),
+    ...describeBrittle(parts, offsetMs),
     ...(contact && { contact }),
   };
 }
 
+/** Describes what this host knows of brittle servers, and whether it may be the sender of some. */
+function describeBrittle(
+  { dispatch, handover }: Parts,
+  offsetMs: number,
+): Pick<core.HostStatus, "brittle" | "senderRoom"> {
+  const brittle = applyOffset(dispatch.listBrittleRecords(), offsetMs);
+  const mayBeSender = handover.mayTakeRequests() &&
+    dispatch.listLostLinks().length === 0;
+  return {
+    ...(brittle.length > 0 && { brittle }),
+    ...(mayBeSender && { senderRoom: dispatch.countSenderRoom() }),
+  };
+}
+
 /** Converts the times of records between the monotonic clock and the time of day; some have none. */
 function applyOffset<Record extends { readonly at?: number }>(
   records: readonly Record[],
@@ -132,6 +147,8 @@
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
   handover.recordContacts(others.contacts ?? []);
+  handover.recordContacts((others.senders ?? []).map(({ sender }) => sender));
+  const sentToBefore = dispatch.listSentTo().toSorted().join();
   Object.entries(others.divisions?.byService ?? {}).forEach(
     ([service, division]) => dispatch.setDivision(service, division),
   );
@@ -143,9 +160,18 @@
     asOf: clock.now(),
     ...(others.outcomes && { outcomes: others.outcomes }),
     limits: applyOffset(others.limits ?? [], offsetMs),
+    brittle: applyOffset(others.brittle ?? [], offsetMs),
+    senders: others.senders ?? [],
     paces: others.paces ?? {},
     answeredParts: applyOffsetToParts(others.answeredParts ?? {}, offsetMs),
   });
+  const sentTo = dispatch.listSentTo();
+  if (sentTo.toSorted().join() !== sentToBefore) {
+    log.info(
+      { servers: sentTo },
+      "server: Sender of other brittle servers than before.",
+    );
+  }
   if (others.suspects.length > 0) {
     dispatch.send({
       kind: "suspected",
--- a/packages/banyangrade/host_status_test.ts
+++ b/packages/banyangrade/host_status_test.ts
@@ -34,6 +34,8 @@
     log: utils.createLogger({ level: "silent" }),
     random: utils.createRandom(1),
     failureDomains: 1,
+    failureDomain: "a",
+    listBrittle: () => [],
     host: STATUS.host,
     incarnation: STATUS.incarnation,
     relay: {
@@ -86,6 +88,8 @@
     log: utils.createLogger({ level: "silent" }),
     random: utils.createRandom(1),
     failureDomains: 1,
+    failureDomain: "a",
+    listBrittle: () => [],
     host: STATUS.host,
     incarnation: STATUS.incarnation,
     relay: {
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -146,7 +146,7 @@
   );
   readonly #handovers = this.#createCounter(
     "banyangrade_handovers_total",
-    "Requests that this host sent to other hosts because its links were lost, that these declined or lost, and that it took from other hosts.",
+    "Requests that this host sent to other hosts because its links were lost or they send to brittle servers, that these declined or lost, and that it took from other hosts.",
     ["outcome"],
   );
   readonly #streamsResumed = this.#createCounter(
--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -7,6 +7,7 @@
 import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
 import * as serverAvailability from "./server_availability.ts";
+import * as senderHandover from "./sender_handover.ts";
 import type * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
 import * as strandedRequests from "./stranded_requests.ts";
@@ -87,7 +88,9 @@
     state.table.listEligible(request),
     state.now,
   );
-  const isTooLate = (!isPanicking && slotMs > request.startBy - state.now) ||
+  const isSlow = !isPanicking && slotMs > request.startBy - state.now &&
+    !senderHandover.isTakenBySender(state, request);
+  const isTooLate = isSlow ||
     !serverWaits.mayStartInTime(state, request);
   const isFull = state.queue.size >= constants.MAX_QUEUED;
   if (!isTooLate && !isFull) return false;
@@ -151,11 +154,13 @@
   state: hostState.HostState,
   { request, pools }: RequestPools,
 ): number {
-  return admissionEstimates.estimateWait(
-    admissionEstimates.measureBacklog(request, {
-      lanes: state.queue.listNonEmptyLanesFor([request.target]),
-      pools,
-      serviceMs: state.lengths.get(hostState.getEstimateKey(request)).serviceMs,
-    }),
-  );
+  const backlog = admissionEstimates.measureBacklog(request, {
+    lanes: state.queue.listNonEmptyLanesFor([request.target]),
+    pools,
+    serviceMs: state.lengths.get(hostState.getEstimateKey(request)).serviceMs,
+  });
+  // At brittle servers a host has the slots only whose sender it is.
+  const slots = senderHandover.measureOwnRoom(state, request.target)?.slots ??
+    backlog.slots;
+  return admissionEstimates.estimateWait({ ...backlog, slots });
 }
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -125,13 +125,19 @@
   if (isCounted) {
     state.table.recordFailure(server, { failure, now });
   }
+  if (failure === "connection_lost" || failure === "not_sent") {
+    state.brittle.recordLoss(serverState.toBrittleTarget(server), now);
+  }
   switch (failure) {
     case "not_sent":
     case "timeout":
       serverAvailability.recordNoResponse(server, now);
       return recordUnresponsive(state, server);
     case "refused":
-      state.brittle.recordRefusal(server.info.name, now);
+      state.brittle.recordRefusal(serverState.toBrittleTarget(server), {
+        running: server.running,
+        now,
+      });
       recordFull(state, { server, request });
       return progress.recordResponse(state, server);
     case "server_error":
--- a/packages/core/brittle_servers_test.ts
+++ b/packages/core/brittle_servers_test.ts
@@ -9,18 +9,27 @@
 const SLOTS = 6;
 
 function startServers(hosts = 3): core.BrittleServers {
-  const servers = new core.BrittleServers({ random: utils.createRandom(1) });
+  const servers = new core.BrittleServers({
+    random: utils.createRandom(1),
+    host: "h0",
+  });
   servers.setHosts(hosts);
   return servers;
 }
 
-const NAMED = { perSecond: 10, sentAt: 0, succeeded: true };
+const TARGET = { server: "s", service: "rooms" };
+const NAMED = {
+  service: "rooms",
+  perSecond: 10,
+  sentAt: 0,
+  succeeded: true,
+};
 
 // Guards against hosts that each use all slots of a brittle server.
 tap.test("a host keeps to its share of the slots of a brittle server", (t) => {
   const servers = startServers(3);
   const mayUse = (running: number) =>
-    servers.mayUse("s", { running, slots: SLOTS, now: 100 });
+    servers.mayUse(TARGET, { running, slots: SLOTS, now: 100 });
   t.equal(mayUse(5), true, "not brittle");
   servers.recordResponse("s", NAMED, 10);
   t.same([mayUse(1), mayUse(2)], [true, false]);
@@ -28,7 +37,7 @@
   t.same([mayUse(0), mayUse(1)], [true, false]);
   servers.recordResponse("s", { ...NAMED, perSecond: undefined }, 20);
   t.equal(mayUse(5), false, "sent before it was named");
-  const ended = { perSecond: undefined, sentAt: 30, succeeded: true };
+  const ended = { ...NAMED, perSecond: undefined, sentAt: 30 };
   servers.recordResponse("s", ended, 40);
   t.equal(mayUse(5), true);
   t.end();
@@ -38,31 +47,34 @@
 tap.test("after a refusal a host waits for its permit", (t) => {
   const servers = startServers(3);
   servers.recordResponse("s", NAMED, 0);
-  servers.recordRefusal("s", 100);
+  servers.recordRefusal(TARGET, { running: 0, now: 100 });
   const listOpen = (from: number, to: number) =>
     Array.from({ length: (to - from) / 10 }, (_, n) => from + n * 10)
       .filter((now) =>
-        servers.mayUse("s", { running: 0, slots: SLOTS, now }) &&
-        (servers.use("s"), true)
+        servers.mayUse(TARGET, { running: 0, slots: SLOTS, now }) &&
+        (servers.use(TARGET, now), true)
       );
   const used = listOpen(100, 20_100);
   // The share of this host in 20 s of 10 bearable refusals a second.
   const share = 20 * NAMED.perSecond / 3;
   t.ok(used.length > 0 && used.length <= share, `${used.length} in 20 s`);
-  t.ok(servers.getWaitMs("s", 20_100) > 0);
+  t.ok(servers.getWaitMs(TARGET, { slots: SLOTS, now: 20_100 }) > 0);
   servers.recordResponse("s", { ...NAMED, sentAt: 20_100 }, 20_150);
-  t.equal(servers.getWaitMs("s", 20_150), 0);
+  t.equal(servers.getWaitMs(TARGET, { slots: SLOTS, now: 20_150 }), 0);
   t.end();
 });
 
 // Guards against a host that has just joined and takes the whole room.
 tap.test("a host that does not know the number of hosts runs one request there", (t) => {
-  const servers = new core.BrittleServers({ random: utils.createRandom(1) });
+  const servers = new core.BrittleServers({
+    random: utils.createRandom(1),
+    host: "h0",
+  });
   servers.recordResponse("s", NAMED, 0);
   const mayUse = (running: number) =>
-    servers.mayUse("s", { running, slots: SLOTS, now: 10 });
+    servers.mayUse(TARGET, { running, slots: SLOTS, now: 10 });
   t.same([mayUse(0), mayUse(1)], [true, false]);
-  servers.recordRefusal("s", 20);
+  servers.recordRefusal(TARGET, { running: 0, now: 20 });
   t.equal(mayUse(0), false);
   t.end();
 });
@@ -92,6 +104,7 @@
   const hosts = Array.from({ length: fleet.hosts }, () => {
     const servers = new core.BrittleServers({
       random: utils.createRandom(random.below(2 ** 31)),
+      host: "h0",
     });
     servers.setHosts(Math.ceil(fleet.hosts * fleet.knownShare));
     servers.recordResponse("s", { ...NAMED, perSecond: fleet.perSecond }, 0);
@@ -104,16 +117,17 @@
     running = running.filter(({ endsAt }) => endsAt > now);
     ended.forEach(({ host, sentAt }) => {
       hosts[host].running -= 1;
-      const report = { perSecond: fleet.perSecond, sentAt, succeeded: true };
+      const report = { ...NAMED, perSecond: fleet.perSecond, sentAt };
       hosts[host].servers.recordResponse("s", report, now);
     });
     hosts.forEach((host, index) => {
       const load = { running: host.running, slots: SLOTS, now };
-      if (!host.servers.mayUse("s", load)) return;
-      host.servers.use("s");
+      if (!host.servers.mayUse(TARGET, load)) return;
+      host.servers.use(TARGET, now);
       if (running.length >= SLOTS + fleet.room) {
         refusals.push(now);
-        return host.servers.recordRefusal("s", now);
+        const { running } = host;
+        return host.servers.recordRefusal(TARGET, { running, now });
       }
       host.running += 1;
       const queued = Math.max(0, running.length + 1 - SLOTS);
--- a/packages/core/brittle_service_fuzz_test.ts
+++ b/packages/core/brittle_service_fuzz_test.ts
@@ -23,8 +23,7 @@
   serviceMs: 68,
   uneven: 3,
   keepsName: false,
-  relayed: true,
-  totalMs: 13_000,
+  totalMs: 15_000,
   faults: [],
   seed: 59,
 };
@@ -53,7 +52,7 @@
     slots: 16,
     load: 0.95,
     serviceMs: 800,
-    totalMs: 9_000,
+    totalMs: 11_000,
     serves: "engine",
   };
   const { crashes, served, requests } = testing.replayFleet(fleet);
@@ -74,23 +73,22 @@
   serviceMs: fc.integer({ min: 60, max: 600 }),
   uneven: fc.double({ min: 1, max: 5, noNaN: true }),
   keepsName: fc.boolean(),
-  relayed: fc.constantFrom(true, true, true, false),
-  totalMs: fc.constant(13_000),
+  totalMs: fc.constant(15_000),
   faults: fc.array(
     fc.oneof(
       fc.record({
         kind: fc.constant("killed" as const),
         host: fc.nat(194),
-        at: fc.integer({ min: 500, max: 12_000 }),
+        at: fc.integer({ min: 500, max: 14_000 }),
       }),
       fc.record({
         kind: fc.constant("joined" as const),
-        at: fc.integer({ min: 500, max: 12_000 }),
+        at: fc.integer({ min: 500, max: 14_000 }),
       }),
       fc.record({
         kind: fc.constant("cut_off" as const),
         host: fc.nat(194),
-        at: fc.integer({ min: 500, max: 12_000 }),
+        at: fc.integer({ min: 500, max: 14_000 }),
         forMs: fc.integer({ min: 500, max: 8_000 }),
       }),
     ),
--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -8,8 +8,10 @@
 import * as core from "./mod.ts";
 import * as testing from "./testing.ts";
 
-/** Time between the first answer that names a server brittle and the loss of its room, in ms. */
-const WARNING_MS = 3_000;
+/** Time from which the servers say that they are brittle, in ms. */
+const BRITTLE_MS = 2_000;
+/** Time from which they have little room and crash, in ms. */
+const SHORT_MS = BRITTLE_MS + 3_000;
 /** Time for which a server is down after a crash, in ms. */
 const DOWN_MS = 3_000;
 /** Time until hosts learn of a change of the servers, in ms. */
@@ -43,8 +45,6 @@
   readonly uneven: number;
   /** Whether a server that crashed is back under its name. */
   readonly keepsName: boolean;
-  /** Whether the hosts share what they know through relays. */
-  readonly relayed: boolean;
   readonly totalMs: number;
   readonly faults: readonly HostFault[];
   readonly seed: number;
@@ -62,11 +62,12 @@
     readonly forMs: number;
   };
 
-/** What happened from the time at which the servers had little room. */
+/** What happened. */
 export interface Outcome {
   readonly crashes: number;
+  /** Refusals since the servers have had little room. */
   readonly refusals: number;
-  /** Requests of callers, and those that were served before their deadline. */
+  /** Requests of callers since then, and those that were served before their deadline. */
   readonly requests: number;
   readonly served: number;
   readonly handedOver: number;
@@ -82,6 +83,9 @@
   readonly calls: Map<string, Call>;
   readonly startedAt: number;
   statuses: core.HostStatuses;
+  chooser: core.SenderChooser;
+  /** What the other relays know of this one and its followers. */
+  published?: core.HostsSummary;
   alive: boolean;
 }
 
@@ -166,8 +170,11 @@
       this.#now = next.at;
       next.run();
     }
-    const crashes = this.#crashedAt.filter((at) => at >= WARNING_MS).length;
-    return { crashes, ...this.#counts, crashedAt: this.#crashedAt };
+    return {
+      crashes: this.#crashedAt.length,
+      ...this.#counts,
+      crashedAt: this.#crashedAt,
+    };
   }
 
   #schedule(ms: number, run: () => void): void {
@@ -176,7 +183,7 @@
 
   /** Whether a request sent at this time counts: the servers have little room, and its deadline is before the end. */
   #isCounted(sentAt: number): boolean {
-    return sentAt >= WARNING_MS &&
+    return sentAt >= SHORT_MS &&
       sentAt <= this.#fleet.totalMs - DEADLINE_MS;
   }
 
@@ -199,6 +206,7 @@
       calls: new Map(),
       startedAt: this.#now,
       statuses: new core.HostStatuses(),
+      chooser: new core.SenderChooser({ failureDomain: `d${index % domains}` }),
       alive: true,
     };
     this.#hosts.push(host);
@@ -327,7 +335,7 @@
   }
 
   #getRoom(): number {
-    return this.#now < WARNING_MS ? USUAL_ROOM : this.#fleet.room;
+    return this.#now < SHORT_MS ? USUAL_ROOM : this.#fleet.room;
   }
 
   #runAt(server: Server, attempt: Attempt): void {
@@ -361,14 +369,15 @@
   }
 
   #refuseAt(server: Server, attempt: Attempt): void {
-    if (this.#now >= WARNING_MS) this.#counts.refusals += 1;
+    if (this.#now >= SHORT_MS) this.#counts.refusals += 1;
     server.refusedAt = [...server.refusedAt, this.#now]
       .filter((at) => at > this.#now - 1_000);
     this.#schedule(LINK_MS, () => {
       this.#sendSignals(server, { attempt, succeeded: false });
       this.#failAttempt(attempt, "refused");
     });
-    if (server.refusedAt.length > this.#fleet.perSecond) this.#crash(server);
+    const isOver = server.refusedAt.length > this.#fleet.perSecond;
+    if (isOver && this.#now >= SHORT_MS) this.#crash(server);
   }
 
   #sendSignals(
@@ -380,7 +389,7 @@
   ): void {
     const signals = {
       ...core.NO_SIGNALS,
-      brittlePerSecond: [this.#fleet.perSecond],
+      brittlePerSecond: this.#now < BRITTLE_MS ? [] : [this.#fleet.perSecond],
     };
     this.#send(host, {
       kind: "responded",
@@ -552,10 +561,12 @@
         waitMs ?? fullMs,
       );
     this.#schedule(LINK_MS, () => {
-      if (
-        peer === undefined || !peer.alive || this.#isCutOff(peer) ||
-        this.#isCutOff(host)
-      ) return tryNext(undefined);
+      const isReached = peer?.alive && !this.#isCutOff(peer) &&
+        !this.#isCutOff(host);
+      if (!isReached) {
+        this.#send(host, { kind: "peer_failed", host: name });
+        return tryNext(undefined);
+      }
       this.#openCall(peer, {
         id: call.id,
         sentAt: call.sentAt,
@@ -586,6 +597,7 @@
     );
     if (host !== undefined) {
       host.statuses = new core.HostStatuses();
+      host.chooser = new core.SenderChooser({ failureDomain: domain });
       this.#relays.set(domain, { host, until: this.#now + ELECTION_MS });
     }
     return host;
@@ -595,10 +607,7 @@
     if (!host.alive) return;
     this.#schedule(ROUND_MS, () => this.#runRound(host));
     const relay = this.#findRelay(host.domain);
-    if (!this.#fleet.relayed || relay === undefined || this.#isCutOff(host)) {
-      if (!this.#fleet.relayed) this.#sendLoad(host, core.EMPTY_SUMMARY);
-      return;
-    }
+    if (relay === undefined || this.#isCutOff(host)) return;
     relay.statuses.record(this.#describe(host), {
       now: this.#now,
       direct: true,
@@ -606,13 +615,31 @@
     const others = [...this.#relays.keys()].filter((domain) =>
       domain !== host.domain
     ).flatMap((domain) => this.#findRelay(domain) ?? []);
+    relay.chooser.recordRelays(others.map(({ domain }) => domain), this.#now);
     const summary = core.mergeSummaries([
       relay.statuses.sum(this.#now, { without: host.name }),
-      ...others.map(({ statuses }) =>
-        core.dropStaleLoad(statuses.sum(this.#now), ROUND_MS)
-      ),
+      { ...core.EMPTY_SUMMARY, senders: this.#chooseSenders(relay) },
+      ...others.map((one) => one.published ?? core.EMPTY_SUMMARY),
     ]);
-    this.#sendLoad(host, summary);
+    // Other relays fetch what this one knows once a second.
+    if (host === relay) {
+      relay.published = {
+        ...relay.statuses.sum(this.#now),
+        senders: this.#chooseSenders(relay),
+      };
+    }
+    this.#sendLoad(host, {
+      ...summary,
+      senders: core.chooseSendersFor(host.name, summary.senders ?? []),
+    });
+  }
+
+  #chooseSenders(relay: Host): core.SenderAssignment[] {
+    return relay.chooser.choose(relay.dispatcher.listBrittle(this.#now), {
+      candidates: relay.statuses.listCandidates(this.#now),
+      holdsLease: true,
+      now: this.#now,
+    });
   }
 
   #describe(host: Host): core.HostStatus {
@@ -625,19 +652,26 @@
       prompting: {},
       usage: {},
       suspects: [],
+      contact: {
+        host: host.name,
+        failureDomain: host.domain,
+        address: host.name,
+        secret: "",
+      },
+      brittle: host.dispatcher.listBrittleRecords(this.#now),
+      senderRoom: host.dispatcher.countSenderRoom(this.#now),
     };
   }
 
   #sendLoad(host: Host, summary: core.HostsSummary): void {
-    const hosts = this.#fleet.relayed
-      ? summary.hosts + 1
-      : this.#hosts.filter(({ alive }) => alive).length;
     this.#send(host, {
       kind: "load_shared",
       running: summary.running,
       prompting: summary.prompting,
-      hosts,
+      hosts: summary.hosts + 1,
       asOf: this.#now,
+      brittle: summary.brittle ?? [],
+      senders: summary.senders ?? [],
     });
   }
 }
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -5,6 +5,7 @@
  * the benchmark run the same code.
  */
 import * as attemptEnd from "./attempt_end.ts";
+import type * as brittleSenders from "./brittle_senders.ts";
 import type * as brittleServers from "./brittle_servers.ts";
 import * as crashingParts from "./crashing_parts.ts";
 import type * as engineDivision from "./engine_division.ts";
@@ -19,6 +20,7 @@
 import * as progress from "./progress.ts";
 import type * as queue from "./queue.ts";
 import type * as serverLimits from "./server_limits.ts";
+import * as senderRooms from "./sender_rooms.ts";
 import * as serverSignals from "./server_signals.ts";
 import * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
@@ -150,8 +152,39 @@
   }
 
   /** Whether a server is brittle; see `brittle_servers.ts`. */
-  isBrittle(server: string): boolean {
-    return this.#state.brittle.isBrittle(server);
+  isBrittle(server: string, now: number): boolean {
+    const { brittle, table } = this.#state;
+    const service = table.get(server)?.info.pool ?? "";
+    return brittle.isBrittle({ server, service }, now);
+  }
+
+  /** Lists what this host has learned of brittle servers, to share with other hosts. */
+  listBrittleRecords(now: number): brittleServers.BrittleRecord[] {
+    return this.#state.brittle.listOwn(now);
+  }
+
+  /** Lists the live servers that count as brittle and need a sender. */
+  listBrittle(now: number): brittleSenders.BrittleServerInfo[] {
+    const { brittle, table } = this.#state;
+    if (!brittle.hasAny()) return [];
+    return table.listServers()
+      .filter(({ info }) => info.state === "live")
+      .map(({ info: { name, pool, failureDomain } }) => ({
+        server: name,
+        service: pool,
+        ...(failureDomain !== undefined && { failureDomain }),
+      }))
+      .filter((target) => brittle.isBrittle(target, now));
+  }
+
+  /** Lists the servers whose sender this host is. */
+  listSentTo(now: number): string[] {
+    return this.#state.brittle.listSentTo(now);
+  }
+
+  /** Counts the requests that this host can start at once at the servers whose sender it is, less those that wait here, by service. */
+  countSenderRoom(now: number): Record<string, number> {
+    return senderRooms.countRooms(this.#state, now);
   }
 
   /** Counts the brittle servers. */
@@ -246,6 +279,8 @@
       state.table.recordAllElsewhere(event, event.asOf);
       setHosts(state, event.hosts);
       state.limits.merge(event.limits ?? []);
+      state.brittle.merge(event.brittle ?? [], state.now);
+      state.brittle.setSenders(event.senders ?? [], state.now);
       state.paces.merge(event.paces ?? {});
       crashingParts.mergeAnswers(state, event.answeredParts ?? {});
       updateFailureShares(state, event);
@@ -257,11 +292,17 @@
     case "peers_changed":
       state.peers = event.peers;
       return dispatching.dispatchQueue(state);
+    case "peer_failed":
+      return state.brittle.recordFailedPeer(event.host, state.now);
     case "links_questioned":
       linkChecks.scheduleTrials(state);
       return linkChecks.tryLinks(state);
     case "servers_changed":
       state.table.setServers(event.servers, state.now);
+      state.brittle.setServers(
+        event.servers.filter((server) => server.state === "live")
+          .map(({ name, pool }) => ({ server: name, service: pool })),
+      );
       state.paces.keep(
         new Set(state.table.listServers().map(({ info }) => info.name)),
       );
@@ -348,6 +389,7 @@
   if (responding) progress.recordResponse(state, responding);
   state.brittle.recordResponse(server, {
     ...response,
+    service: state.table.get(server)?.info.pool ?? "",
     perSecond: serverSignals.findBrittleness(signals),
   }, state.now);
   const restMs = serverSignals.findRest(signals);
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -1,4 +1,6 @@
 /** Events that a host passes to its dispatcher, and effects that the dispatcher returns. */
+import type * as brittleSenders from "./brittle_senders.ts";
+import type * as brittleServers from "./brittle_servers.ts";
 import type * as config from "./config.ts";
 import type * as enginePaces from "./engine_paces.ts";
 import type * as failureShares from "./failure_shares.ts";
@@ -174,6 +176,10 @@
     readonly asOf: number;
     /** Limits of servers that other hosts have learned, with monotonic times. @default none */
     readonly limits?: readonly serverLimits.LimitRecord[];
+    /** What other hosts have learned of brittle servers, with monotonic times. @default none */
+    readonly brittle?: readonly brittleServers.BrittleRecord[];
+    /** Senders of brittle servers: those that this host is, and some others. @default none are known */
+    readonly senders?: readonly brittleSenders.SenderAssignment[];
     /** Paces of engines that other hosts observed. @default none */
     readonly paces?: enginePaces.SharedPaces;
     /** Outcomes of the recent attempts of other hosts. @default none */
@@ -202,6 +208,8 @@
     readonly kind: "peers_changed";
     readonly peers: readonly handover.PeerHost[];
   }
+  /** A request could not be handed to a host. */
+  | { readonly kind: "peer_failed"; readonly host: string }
   /** Another host asks whether this host reaches the servers, and the last sign of it is old. */
   | { readonly kind: "links_questioned" }
   | {
--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -8,6 +8,7 @@
 import * as linkChecks from "./link_checks.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
+import * as senderHandover from "./sender_handover.ts";
 
 /** A host with working links that takes requests of other hosts. */
 export interface PeerHost {
@@ -32,6 +33,7 @@
  * forwardQueued(state);
  */
 export function forwardQueued(state: hostState.HostState): void {
+  senderHandover.forwardToSenders(state);
   if (state.peers.length === 0) return;
   const shares = new Map(
     state.queue.listNonEmptyLanes().map(({ target }) => [
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -5,6 +5,8 @@
  * seconds; the usage counts are kept longer, because they must be reported even
  * after the host has crashed.
  */
+import * as brittleSenders from "./brittle_senders.ts";
+import type * as brittleServers from "./brittle_servers.ts";
 import type * as engineDivision from "./engine_division.ts";
 import * as enginePaces from "./engine_paces.ts";
 import type * as events from "./events.ts";
@@ -55,6 +57,10 @@
   readonly answeredParts?: partBlames.PartAnswers;
   /** Absent from hosts that take no requests of others, and from hosts of earlier versions. */
   readonly contact?: HostContact;
+  /** What the host learned of brittle servers, in Unix ms; absent from hosts of earlier versions. */
+  readonly brittle?: readonly brittleServers.BrittleRecord[];
+  /** Requests that the host can start at once as a sender, less those that wait, by service; absent if it must not be a sender. */
+  readonly senderRoom?: ServerCounts;
 }
 
 /** Decision of one host on how engines are divided between short and long prompts. */
@@ -84,6 +90,12 @@
   readonly answeredParts?: partBlames.PartAnswers;
   /** Some hosts of the group in turn; absent from hosts of earlier versions. */
   readonly contacts?: readonly HostContact[];
+  /** Newest record of each brittle server, in Unix ms; absent from hosts of earlier versions. */
+  readonly brittle?: readonly brittleServers.BrittleRecord[];
+  /** Senders of brittle servers; absent if there are none, and from hosts of earlier versions. */
+  readonly senders?: readonly brittleSenders.SenderAssignment[];
+  /** Failure domains whose relays choose senders. */
+  readonly relayDomains?: readonly string[];
   /** Newest decision; absent until one has been received. */
   readonly divisions?: EngineDivisionDecision;
 }
@@ -162,6 +174,16 @@
     return [...this.#received.values()].map(({ status }) => status);
   }
 
+  /** Lists the hosts that may be senders of brittle servers, by their current statuses. */
+  listCandidates(now: number): brittleSenders.SenderCandidate[] {
+    const current = [...this.#received.values()]
+      .filter(({ at, direct }) => direct && now - at <= LOAD_VALID_MS);
+    return keepLatestIncarnations(current).flatMap(
+      ({ status: { contact, senderRoom: room } }) =>
+        contact === undefined || room === undefined ? [] : [{ contact, room }],
+    );
+  }
+
   /** Summarises the statuses, optionally without those of one host. */
   sum(now: number, options: { readonly without?: string } = {}): HostsSummary {
     const others = [...this.#received.values()]
@@ -181,6 +203,7 @@
         running: status.running,
         prompting: status.prompting,
         limits: status.limits ?? [],
+        ...(status.brittle?.length && { brittle: status.brittle }),
         ...(status.answeredParts && { answeredParts: status.answeredParts }),
         ...shared,
         ...(status.contact && { contacts: [status.contact] }),
@@ -238,7 +261,8 @@
     outcomes: failureShares.mergeOutcomes(
       summaries.flatMap(({ outcomes }) => outcomes ?? []),
     ),
-    limits: keepNewestLimits(summaries.flatMap(({ limits }) => limits ?? [])),
+    limits: keepNewest(summaries.flatMap(({ limits }) => limits ?? [])),
+    ...mergeBrittle(summaries),
     paces: enginePaces.sumPaces(summaries.map(({ paces }) => paces ?? {})),
   };
 }
@@ -261,11 +285,25 @@
   );
 }
 
+/** Merges what is known of brittle servers; empty while there are none. */
+function mergeBrittle(
+  summaries: readonly HostsSummary[],
+): Pick<HostsSummary, "brittle" | "senders"> {
+  const brittle = keepNewest(summaries.flatMap((one) => one.brittle ?? []));
+  const senders = brittleSenders.mergeSenders(
+    summaries.flatMap((one) => one.senders ? [one.senders] : []),
+  );
+  return {
+    ...(brittle.length > 0 && { brittle }),
+    ...(senders.length > 0 && { senders }),
+  };
+}
+
 /** Keeps the newest record of each server. */
-function keepNewestLimits(
-  records: readonly serverLimits.LimitRecord[],
-): serverLimits.LimitRecord[] {
-  const newest = new Map<string, serverLimits.LimitRecord>();
+function keepNewest<
+  Record extends { readonly server: string; readonly at: number },
+>(records: readonly Record[]): Record[] {
+  const newest = new Map<string, Record>();
   records.forEach((record) => {
     const known = newest.get(record.server);
     if (known === undefined || known.at < record.at) {
--- a/packages/core/router.ts
+++ b/packages/core/router.ts
@@ -319,11 +319,12 @@
       (!serverState.isCold(server, now) ||
         poolsWithColdTurn.has(server.info.pool)) &&
       this.#limits.mayUse(server.info.name, now) &&
-      (!hasBrittle || this.#brittle.mayUse(server.info.name, {
-        running: server.running,
-        slots: serverState.getSlots(server),
-        now,
-      }));
+      (!hasBrittle ||
+        this.#brittle.mayUse(serverState.toBrittleTarget(server), {
+          running: server.running,
+          slots: serverState.getSlots(server),
+          now,
+        }));
   }
 
   #chooseUsable(
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -1,4 +1,5 @@
 /** State of backend servers and pools as a host sees them, and the conditions for sending requests to them. */
+import type * as brittleServers from "./brittle_servers.ts";
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
@@ -162,6 +163,18 @@
   return server.info.slots ?? server.pool.slots;
 }
 
+/**
+ * Returns the names by which a server and its service are known as brittle.
+ *
+ * @example
+ * brittle.isBrittle(toBrittleTarget(server), now);
+ */
+export function toBrittleTarget(
+  { info: { name, pool } }: Pick<ServerState, "info">,
+): brittleServers.BrittleTarget {
+  return { server: name, service: pool };
+}
+
 /**
  * Returns how many requests a server may run now: its slots, or fewer during its
  * slow start.
--- a/packages/core/server_waits.ts
+++ b/packages/core/server_waits.ts
@@ -9,6 +9,7 @@
 import * as hostState from "./host_state.ts";
 import type * as queue from "./queue.ts";
 import type * as request from "./request.ts";
+import * as senderHandover from "./sender_handover.ts";
 import * as serverState from "./server_state.ts";
 
 /** Selects the servers that may run a request. */
@@ -51,8 +52,14 @@
   const { limits, brittle, now } = state;
   return findShortest(state, {
     selector,
-    measure: (name) =>
-      Math.max(limits.getWaitMs(name, now), brittle.getWaitMs(name, now)),
+    measure: (server) =>
+      Math.max(
+        limits.getWaitMs(server.info.name, now),
+        brittle.getWaitMs(serverState.toBrittleTarget(server), {
+          slots: serverState.getSlots(server),
+          now,
+        }),
+      ),
   });
 }
 
@@ -70,7 +77,7 @@
   const { limits, now } = state;
   return findShortest(state, {
     selector,
-    measure: (name) =>
+    measure: ({ info: { name } }) =>
       Math.min(limits.getWaitMs(name, now), limits.getIntervalMs(name)),
   });
 }
@@ -81,15 +88,15 @@
   { selector, measure }: {
     readonly selector: ServerSelector;
     /** Measures the time until the limit of a server allows a request, in ms. */
-    readonly measure: (server: string) => number;
+    readonly measure: (server: serverState.ServerState) => number;
   },
 ): number {
   const waits = state.table.listFor(selector.target)
     .filter((server) =>
       server.info.state === "live" && serverState.mayRunAt(server, selector)
     )
-    .map(({ info, restUntil }) =>
-      Math.max(0, restUntil - state.now, measure(info.name))
+    .map((server) =>
+      Math.max(0, server.restUntil - state.now, measure(server))
     );
   return waits.length === 0 ? 0 : Math.min(...waits);
 }
@@ -106,7 +113,8 @@
   request: request.Request,
 ): boolean {
   const waitMs = estimateStart(state, request);
-  return waitMs === 0 || state.now + waitMs <= request.startBy;
+  return waitMs === 0 || senderHandover.isTakenBySender(state, request) ||
+    state.now + waitMs <= request.startBy;
 }
 
 /**
