--- a/packages/core/brittle_service_fuzz_test.ts
+++ b/packages/core/brittle_service_fuzz_test.ts
@@ -91,8 +91,18 @@
         at: fc.integer({ min: 500, max: 14_000 }),
         forMs: fc.integer({ min: 500, max: 8_000 }),
       }),
+      fc.record({
+        kind: fc.constant("relay_killed" as const),
+        domain: fc.nat(2),
+        at: fc.integer({ min: 500, max: 14_000 }),
+      }),
+      fc.record({
+        kind: fc.constant("server_lost" as const),
+        server: fc.nat(7),
+        at: fc.integer({ min: 500, max: 14_000 }),
+      }),
     ),
-    { maxLength: 5 },
+    { maxLength: 6 },
   ),
   seed: fc.integer(),
 });
--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -46,12 +46,12 @@
   /** Whether a server that crashed is back under its name. */
   readonly keepsName: boolean;
   readonly totalMs: number;
-  readonly faults: readonly HostFault[];
+  readonly faults: readonly Fault[];
   readonly seed: number;
 }
 
-/** A fault of a host, at a time in ms. */
-export type HostFault =
+/** A fault of a host or server, at a time in ms. */
+export type Fault =
   | { readonly kind: "killed"; readonly host: number; readonly at: number }
   | { readonly kind: "joined"; readonly at: number }
   /** Its relay, and the other hosts, do not reach it. */
@@ -60,6 +60,18 @@
     readonly host: number;
     readonly at: number;
     readonly forMs: number;
+  }
+  /** The relay of a failure domain is killed. */
+  | {
+    readonly kind: "relay_killed";
+    readonly domain: number;
+    readonly at: number;
+  }
+  /** A server is lost for another reason than its refusals, and comes back. */
+  | {
+    readonly kind: "server_lost";
+    readonly server: number;
+    readonly at: number;
   };
 
 /** What happened. */
@@ -226,10 +238,23 @@
     return host;
   }
 
-  #scheduleFault(fault: HostFault): void {
+  #scheduleFault(fault: Fault): void {
     switch (fault.kind) {
       case "killed":
-        return this.#schedule(fault.at, () => this.#stopHost(fault.host));
+        return this.#schedule(
+          fault.at,
+          () => this.#stopHost(this.#hosts[fault.host % this.#fleet.hosts]),
+        );
+      case "relay_killed":
+        return this.#schedule(fault.at, () => {
+          const relay = this.#findRelay(`d${fault.domain}`);
+          if (relay !== undefined) this.#stopHost(relay);
+        });
+      case "server_lost":
+        return this.#schedule(fault.at, () =>
+          this.#dropServer(
+            this.#servers[fault.server % this.#servers.length],
+          ));
       case "joined":
         return this.#schedule(fault.at, () => void this.#startHost());
       case "cut_off":
@@ -237,8 +262,7 @@
     }
   }
 
-  #stopHost(index: number): void {
-    const host = this.#hosts[index % this.#fleet.hosts];
+  #stopHost(host: Host): void {
     host.alive = false;
     this.#servers.forEach((server) => {
       server.running.concat(server.waiting)
@@ -416,6 +440,10 @@
 
   #crash(server: Server): void {
     this.#crashedAt.push(this.#now);
+    this.#dropServer(server);
+  }
+
+  #dropServer(server: Server): void {
     const lost = server.running.concat(server.waiting);
     Object.assign(server, {
       running: [],
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -38,6 +38,7 @@
 const LOST_LINKS = "packages/core/lost_links_test.ts";
 const HANDOVER = "platform/handover_test.ts";
 const BRITTLE = "packages/core/brittle_servers_test.ts";
+const BRITTLE_SENDERS = "packages/core/brittle_senders_test.ts";
 const VERSIONS = "packages/core/software_versions_test.ts";
 const VERSIONS_FUZZ = "packages/core/software_versions_fuzz_test.ts";
 const STREAM_ORIGINS = "platform/stream_origins_test.ts";
@@ -788,8 +789,8 @@
   {
     name: "brittle: a refusal changes nothing",
     file: "packages/core/brittle_servers.ts",
-    find: "{ ...known, refusedAt: now, window: 1 }",
-    replace: "{ ...known, window: 1 }",
+    find: "      refusedAt: now,\n",
+    replace: "",
     test: BRITTLE,
   },
   {
@@ -799,6 +800,151 @@
     replace: "const MARGIN = 0;",
     test: BRITTLE,
   },
+  {
+    name: "brittle: other hosts send to a server that has a sender",
+    file: "packages/core/brittle_servers.ts",
+    find: 'case "other":\n        return false;',
+    replace: 'case "other":\n        return true;',
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: a sender exceeds the slots",
+    file: "packages/core/brittle_servers.ts",
+    find: "running < Math.min(window, slots) &&",
+    replace: "running < 2 * slots &&",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: a sender goes on after a refusal",
+    file: "packages/core/brittle_servers.ts",
+    find: "return now >= pausedUntil && running",
+    replace: "return running",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: a sender starts more than may be refused at once",
+    file: "packages/core/brittle_servers.ts",
+    find: "unanswered < Math.max(1, Math.floor(perSecond))",
+    replace: "unanswered < slots",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: a crash leaves the sender its window",
+    file: "packages/core/brittle_servers.ts",
+    find: "this.#uses.set(target.server, UNUSED);",
+    replace: "",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: a silent server counts as sound",
+    file: "packages/core/brittle_servers.ts",
+    find: "return this.#findServiceRate(service, now);",
+    replace: "return undefined;",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: one brittle server makes its whole service brittle",
+    file: "packages/core/brittle_servers.ts",
+    find: "siblings.length >= SERVICE_SHARE * listed",
+    replace: "siblings.length >= 1",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: the end is not shared",
+    file: "packages/core/brittle_servers.ts",
+    find: "if (hasEnded) return this.#end({ ...record, own: false });",
+    replace: "if (hasEnded) return;",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle: an end counts at once although clocks may differ",
+    file: "packages/core/brittle_servers.ts",
+    find: "const END_MARGIN_MS = 2_000;",
+    replace: "const END_MARGIN_MS = 0;",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: one host sends to all servers",
+    file: "packages/core/brittle_senders.ts",
+    find: "      free.delete(host);\n",
+    replace: "",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: two relays choose for each other's servers",
+    file: "packages/core/brittle_senders.ts",
+    find: '!live.includes(failureDomain ?? "") &&',
+    replace: "",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: a relay that has just started replaces others",
+    file: "packages/core/brittle_senders.ts",
+    find: " && now - since > RELAY_VALID_MS",
+    replace: "",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: each relay's word counts at its own hosts",
+    file: "packages/core/brittle_senders.ts",
+    find: "const isFirst = known === undefined ||",
+    replace: "const isFirst = true ||",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: each host is told all",
+    file: "packages/core/brittle_senders.ts",
+    find: "return count < MAX_OTHER_SENDERS;",
+    replace: "return count >= 0;",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: a host keeps what it cannot start",
+    file: "packages/core/handover.ts",
+    find: "  senderHandover.forwardToSenders(state);\n",
+    replace: "",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: a request is handed on again and again",
+    file: "packages/core/sender_handover.ts",
+    find: "return !request.handedOver && state.brittle.hasAny() &&",
+    replace: "return state.brittle.hasAny() &&",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: requests go to senders that are full",
+    file: "packages/core/sender_handover.ts",
+    find: "Number(b.room > 0) - Number(a.room > 0) ||",
+    replace: "Number(a.room > 0) - Number(b.room > 0) ||",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: a host that failed is tried again",
+    file: "packages/core/brittle_servers.ts",
+    find: "(this.#failedPeers.get(one.sender.host) ?? 0) <= now",
+    replace: "true",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: a sender hands over what it can start",
+    file: "packages/core/sender_handover.ts",
+    find: ".filter((target) => measureOwnRoom(state, target)?.free === 0),",
+    replace:
+      ".filter((target) => measureOwnRoom(state, target) !== undefined),",
+    test: BRITTLE_SENDERS,
+  },
+  {
+    name: "brittle senders: relays name none",
+    file: "packages/banyangrade/gateway/host_status_task.ts",
+    find: "{ ...core.EMPTY_SUMMARY, senders: this.#chooseSenders() },",
+    replace: "",
+    also: {
+      find: "...(senders.length > 0 && { senders }),",
+      replace: "",
+    },
+    test: "platform/brittle_service_test.ts",
+  },
   {
     name: "brittle: the router ignores it",
     file: "packages/core/router.ts",
