Keep the senders of brittle servers when hosts join or relays change

A new relay named itself for all servers before its followers had reported, each change of the hosts moved servers, a new sender started beside the one before, and a host that has just joined took silent servers for sound ones.

A relay keeps the senders that its followers report and names none in its first 1.5 s; a new sender waits a status interval; a sender that hears of no relay stops before another one starts; a host that nobody has told anything yet runs one request at a server.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -228,9 +228,9 @@
     return this.#options.dispatcher.listSentTo(this.#options.clock.now());
   }
 
-  /** Counts the requests that this host can start at once as a sender, by service. */
-  countSenderRoom(): Record<string, number> {
-    return this.#options.dispatcher.countSenderRoom(this.#options.clock.now());
+  /** Describes what this host does as a sender of brittle servers. */
+  describeSender(): Pick<core.SenderCandidate, "room" | "servers"> {
+    return this.#options.dispatcher.describeSender(this.#options.clock.now());
   }
 
   /** Counts the brittle servers. */
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -47,13 +47,13 @@
 function describeBrittle(
   { dispatch, handover }: Parts,
   offsetMs: number,
-): Pick<core.HostStatus, "brittle" | "senderRoom"> {
+): Pick<core.HostStatus, "brittle" | "sender"> {
   const brittle = applyOffset(dispatch.listBrittleRecords(), offsetMs);
   const mayBeSender = handover.mayTakeRequests() &&
     dispatch.listLostLinks().length === 0;
   return {
     ...(brittle.length > 0 && { brittle }),
-    ...(mayBeSender && { senderRoom: dispatch.countSenderRoom() }),
+    ...(mayBeSender && { sender: dispatch.describeSender() }),
   };
 }
 
--- a/packages/core/brittle_senders.ts
+++ b/packages/core/brittle_senders.ts
@@ -12,6 +12,8 @@
 
 /** Time for which a relay that was not heard of still chooses the senders of its domain, in ms: an election and two status intervals. */
 const RELAY_VALID_MS = 5_000;
+/** Time after which a new relay has heard of its followers, in ms: a status interval. */
+const TOLD_MS = 1_500;
 /** Maximum number of senders of a service that a host is told of, apart from its own servers. */
 const MAX_OTHER_SENDERS = 8;
 
@@ -28,6 +30,8 @@
   readonly contact: hostStatuses.HostContact;
   /** Requests that it can start at once at the servers whose sender it is, less those that wait there, by service. */
   readonly room: Readonly<Record<string, number>>;
+  /** Servers whose sender it is. */
+  readonly servers: readonly string[];
 }
 
 /** The sender of a brittle server. */
@@ -75,7 +79,9 @@
     },
   ): SenderAssignment[] {
     this.#since = holdsLease ? this.#since ?? now : undefined;
-    if (servers.length === 0) return [];
+    // A relay that has just started does not know of its followers' servers yet.
+    const isTold = this.#since === undefined || now - this.#since >= TOLD_MS;
+    if (servers.length === 0 || !isTold) return [];
     const own = listOwnServers(servers, {
       own: this.#own,
       heardAt: this.#heardAt,
@@ -110,7 +116,8 @@
 }
 
 /**
- * Chooses a sender for each server, among those that have the fewest so far.
+ * Chooses a sender for each server: the one that it has, unless that one has more
+ * servers than needed, or else one of those with the fewest.
  *
  * @example
  * const senders = chooseSenders(listOwnServers(servers, domains), candidates);
@@ -120,17 +127,38 @@
   candidates: readonly SenderCandidate[],
 ): SenderAssignment[] {
   if (candidates.length === 0) return [];
-  let free = new Map(candidates.map((one) => [one.contact.host, one]));
-  return servers.toSorted((a, b) => a.server < b.server ? -1 : 1)
-    .map(({ server, service }) => {
-      if (free.size === 0) {
-        free = new Map(candidates.map((one) => [one.contact.host, one]));
-      }
-      const host = rankFirst([...free.keys()], server);
-      const { contact: sender, room } = free.get(host) ?? candidates[0];
-      free.delete(host);
-      return { server, service, sender, room: room[service] ?? 0 };
-    });
+  const most = Math.ceil(servers.length / candidates.length);
+  const counts = new Map(candidates.map((one) => [one, 0]));
+  const chosen = new Map<string, SenderCandidate>();
+  const choose = (server: string, among: readonly SenderCandidate[]) => {
+    if (among.length === 0) return;
+    const first = rankFirst(among.map(({ contact }) => contact.host), server);
+    const one = among.find(({ contact }) => contact.host === first) ?? among[0];
+    counts.set(one, (counts.get(one) ?? 0) + 1);
+    chosen.set(server, one);
+  };
+  const sorted = servers.toSorted((a, b) => a.server < b.server ? -1 : 1);
+  sorted.forEach(({ server }) =>
+    choose(
+      server,
+      candidates.filter((one) =>
+        one.servers.includes(server) && (counts.get(one) ?? 0) < most
+      ),
+    )
+  );
+  sorted.filter(({ server }) => !chosen.has(server)).forEach(({ server }) => {
+    const fewest = Math.min(...counts.values());
+    choose(
+      server,
+      candidates.filter((one) => counts.get(one) === fewest),
+    );
+  });
+  return sorted.flatMap(({ server, service }) => {
+    const one = chosen.get(server);
+    if (one === undefined) return [];
+    const { contact: sender, room } = one;
+    return [{ server, service, sender, room: room[service] ?? 0 }];
+  });
 }
 
 /**
--- a/packages/core/brittle_senders_test.ts
+++ b/packages/core/brittle_senders_test.ts
@@ -18,6 +18,7 @@
   return Array.from({ length: count }, (_, index) => ({
     contact: buildContact(`h${index}`),
     room: {},
+    servers: [],
   }));
 }
 
@@ -113,6 +114,50 @@
   t.end();
 });
 
+// Guards against two hosts that send to a server for a moment, each time a host joins or
+// is lost, or a relay is replaced.
+tap.test("a server keeps its sender unless that one has too many servers", (t) => {
+  const before = core.chooseSenders(listServers(6), buildCandidates(3));
+  const listOf = (host: string) =>
+    before.filter(({ sender }) => sender.host === host)
+      .map(({ server }) => server);
+  const candidates = buildCandidates(4).map((one) => ({
+    ...one,
+    servers: listOf(one.contact.host),
+  }));
+  const after = core.chooseSenders(listServers(6), candidates);
+  t.same(
+    after.map(({ sender }) => sender.host),
+    before.map(({ sender }) => sender.host),
+    "a host joins",
+  );
+  const left = core.chooseSenders(listServers(6), candidates.slice(1));
+  const moved = left.filter(({ server, sender }) =>
+    !listOf(sender.host).includes(server)
+  );
+  t.same(
+    moved.map(({ server }) => server).toSorted(),
+    listOf("h0").toSorted(),
+    "a host is lost",
+  );
+  t.end();
+});
+
+// Guards against a new relay that names itself for all servers, because its followers
+// have not reported yet.
+tap.test("a new relay names no senders before its followers have reported", (t) => {
+  const chooser = new core.SenderChooser({ failureDomain: "a" });
+  const count = (now: number, holdsLease = true) =>
+    chooser.choose(listServers(2), {
+      candidates: buildCandidates(1),
+      holdsLease,
+      now,
+    }).length;
+  t.same([count(0), count(1_400), count(1_600)], [0, 0, 2]);
+  t.equal(count(1_700, false), 2, "its lease ended, as the store is down");
+  t.end();
+});
+
 // Guards against servers that nobody sends to because their domain has no host, and
 // against two relays that choose for the same server.
 tap.test("a relay chooses for its own domain, and for domains without a relay", (t) => {
@@ -180,10 +225,21 @@
   );
   t.same(servers.listSentTo(100), ["s0"]);
   t.equal(servers.countByState().sender, 1);
+  t.equal(countStarts(servers, { server: "s0", now: 5_100 }), 0, "cut off");
   t.equal(countStarts(servers, { server: "s1", now: 7_000 }), 0, "permits");
   t.end();
 });
 
+// Guards against a new sender that starts requests while the one before still does.
+tap.test("a new sender of a server with little room waits until the one before is told", (t) => {
+  const servers = startServers([buildAssignment("s0", "h1")]);
+  servers.setSenders([buildAssignment("s0", "h0")], 4_000);
+  t.equal(countStarts(servers, { server: "s0", now: 5_100 }), 0);
+  servers.setSenders([buildAssignment("s0", "h0")], 5_000);
+  t.equal(countStarts(servers, { server: "s0", now: 5_250 }), 1);
+  t.end();
+});
+
 // Guards against a sender that goes on at a server that is full, or that has crashed.
 tap.test("a sender pauses after a refusal, and begins again with one request", (t) => {
   const servers = startServers([buildAssignment("s0", "h0")]);
@@ -250,6 +306,26 @@
   t.end();
 });
 
+// Guards against a host that has just joined and fills servers that are brittle.
+tap.test("a host that has been told nothing yet runs one request at each server", (t) => {
+  const servers = new core.BrittleServers({
+    random: utils.createRandom(1),
+    host: "h0",
+    asksOthers: true,
+  });
+  t.equal(servers.hasAny(), true);
+  const mayUse = (running: number) =>
+    servers.mayUse({ server: "s0", service: SERVICE }, {
+      running,
+      slots: SLOTS,
+      now: 10,
+    });
+  t.same([mayUse(0), mayUse(1)], [true, false]);
+  servers.setHosts(60);
+  t.same([servers.hasAny(), mayUse(1)], [false, true]);
+  t.end();
+});
+
 /** Starts host h0, which knows that both servers of the service are brittle and who sends to them. */
 function startTold(
   senders: readonly core.SenderAssignment[],
@@ -314,7 +390,7 @@
     { kind: "start", server: { name: "r1" } },
     { kind: "hand_over", peers: ["h2"] },
   ]);
-  t.same(dispatcher.countSenderRoom(0), { rooms: 0 });
+  t.same(dispatcher.describeSender(0), { room: { rooms: 0 }, servers: ["r1"] });
   t.end();
 });
 
--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -30,6 +30,10 @@
 const REFUSAL_MS = 15;
 /** Time for which the senders that a host was told of stay valid, in ms: several status intervals. */
 const SENDERS_VALID_MS = 6_000;
+/** Time for which a sender that hears of no relay goes on, in ms; shorter than its relay waits before another one starts. */
+const OWN_VALID_MS = 5_000;
+/** Time that a new sender waits, in ms: a status interval, in which the one before is told. */
+const CHANGE_MS = 1_200;
 /** Time for which a host is not handed requests after one failed, in ms; its status is out of date for as long. */
 const FAILED_PEER_MS = 3_000;
 /** Time after its first word in which a brittle server still has its usual room, in ms; shorter than all stability windows. */
@@ -108,6 +112,15 @@
   readonly refusing: number;
 }
 
+/** Options of {@link BrittleServers}. */
+export interface BrittleServersOptions {
+  readonly random: utils.Random;
+  /** Name of this host. */
+  readonly host: string;
+  /** Whether other hosts soon tell this one which servers are brittle; until then any may be. @default false */
+  readonly asksOthers?: boolean;
+}
+
 /** The senders that a host was told of. */
 interface KnownSenders {
   readonly at: number;
@@ -137,6 +150,7 @@
 /** The brittle servers that a host knows. */
 export class BrittleServers {
   readonly #host: string;
+  readonly #asksOthers: boolean;
   /** Kept also for servers that are not listed: an entry that expired during a store outage comes back. */
   readonly #known = new lru.LRUCache<string, KnownServer>({
     ...constants.SERVER_CACHE,
@@ -160,10 +174,9 @@
   /** Time of the last refusal or loss of a brittle server, by service; none of them has its usual room any more. */
   readonly #shortSince = new Map<string, number>();
 
-  constructor(
-    options: { readonly random: utils.Random; readonly host: string },
-  ) {
+  constructor(options: BrittleServersOptions) {
     this.#host = options.host;
+    this.#asksOthers = options.asksOthers ?? false;
     this.#permits = new ratePermits.RatePermits(options);
   }
 
@@ -262,7 +275,8 @@
   /** Records that a connection to a server was lost, as by a crash. */
   recordLoss(target: BrittleTarget, now: number): void {
     if (this.#findRate(target, now) === undefined) return;
-    this.#uses.set(target.server, UNUSED);
+    const { pausedUntil } = this.#getUse(target.server);
+    this.#uses.set(target.server, { ...UNUSED, pausedUntil });
     this.#shortSince.set(target.service, now);
   }
 
@@ -333,14 +347,19 @@
     };
   }
 
-  /** Whether any server is brittle. */
+  /** Whether any server is brittle, or may be as far as this host knows. */
   hasAny(): boolean {
-    return this.#known.size > 0;
+    return this.#known.size > 0 || this.#isUninformed();
+  }
+
+  /** Whether no other host has told this one yet which servers are brittle. */
+  #isUninformed(): boolean {
+    return this.#asksOthers && this.#hosts === undefined;
   }
 
   /** Lists the servers whose sender this host is. */
   listSentTo(now: number): string[] {
-    return this.#hasValidSenders(now) ? [...this.#senders.own] : [];
+    return this.#isOwnValid(now) ? [...this.#senders.own] : [];
   }
 
   /** Whether each brittle server of a service has a sender, as far as this host knows. */
@@ -372,7 +391,9 @@
   /** Whether this host may send a server one more request. */
   mayUse(target: BrittleTarget, load: OwnLoad): boolean {
     const perSecond = this.#findRate(target, load.now);
-    if (perSecond === undefined) return true;
+    if (perSecond === undefined) {
+      return !this.#isUninformed() || load.running === 0;
+    }
     switch (this.#findRole(target, load.now)) {
       case "sender":
         return this.#maySend(target, { ...load, perSecond });
@@ -464,13 +485,19 @@
 
   #findRole({ server, service }: BrittleTarget, now: number): Role {
     if (!this.hasSenders(service, now)) return "unassigned";
-    return this.#senders.own.has(server) ? "sender" : "other";
+    return this.#isOwnValid(now) && this.#senders.own.has(server)
+      ? "sender"
+      : "other";
   }
 
   #hasValidSenders(now: number): boolean {
     return now - this.#senders.at <= SENDERS_VALID_MS;
   }
 
+  #isOwnValid(now: number): boolean {
+    return now - this.#senders.at <= OWN_VALID_MS;
+  }
+
   /** Returns the refusals per second that a server bears; undefined if it is not brittle. */
   #findRate(
     { server, service }: BrittleTarget,
@@ -511,7 +538,9 @@
   #createUse(server: string, now: number): OwnUse {
     const known = this.#known.get(server);
     const isUsual = known !== undefined && this.#hasUsualRoom(known, now);
-    return isUsual ? { ...UNUSED, window: Number.POSITIVE_INFINITY } : UNUSED;
+    return isUsual
+      ? { ...UNUSED, window: Number.POSITIVE_INFINITY }
+      : { ...UNUSED, pausedUntil: now + CHANGE_MS };
   }
 
   #end(known: KnownServer): void {
--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -214,6 +214,7 @@
         minRetryAfterMs: 50,
         comparesPrompts: true,
         tracksLinks: true,
+        asksOthers: true,
       }),
       calls: new Map(),
       startedAt: this.#now,
@@ -687,7 +688,7 @@
         secret: "",
       },
       brittle: host.dispatcher.listBrittleRecords(this.#now),
-      senderRoom: host.dispatcher.countSenderRoom(this.#now),
+      sender: host.dispatcher.describeSender(this.#now),
     };
   }
 
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -182,9 +182,12 @@
     return this.#state.brittle.listSentTo(now);
   }
 
-  /** Counts the requests that this host can start at once at the servers whose sender it is, less those that wait here, by service. */
-  countSenderRoom(now: number): Record<string, number> {
-    return senderRooms.countRooms(this.#state, now);
+  /** Describes what this host does as a sender of brittle servers, to share with its relay. */
+  describeSender(
+    now: number,
+  ): Pick<brittleSenders.SenderCandidate, "room" | "servers"> {
+    const room = senderRooms.countRooms(this.#state, now);
+    return { room, servers: this.listSentTo(now) };
   }
 
   /** Counts the brittle servers. */
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -59,8 +59,8 @@
   readonly contact?: HostContact;
   /** What the host learned of brittle servers, in Unix ms; absent from hosts of earlier versions. */
   readonly brittle?: readonly brittleServers.BrittleRecord[];
-  /** Requests that the host can start at once as a sender, less those that wait, by service; absent if it must not be a sender. */
-  readonly senderRoom?: ServerCounts;
+  /** What the host does as a sender of brittle servers; absent if it must not be one. */
+  readonly sender?: Pick<brittleSenders.SenderCandidate, "room" | "servers">;
 }
 
 /** Decision of one host on how engines are divided between short and long prompts. */
@@ -104,6 +104,8 @@
 export const STATUS_RETENTION_MS = 15_000;
 /** Age in ms up to which the load of a status is valid: three status intervals. */
 const LOAD_VALID_MS = 3_000;
+/** Age in ms up to which a host may be a sender of brittle servers. Later another one starts, when this one has stopped if it was only cut off from its relay. */
+const CANDIDATE_MS = 4_000;
 /** Maximum number of contacts in a summary; others each time, so that all are known after some time. */
 const MAX_CONTACTS = 3;
 /** Time for which the same contacts are in a summary, in ms: one status interval. */
@@ -177,10 +179,12 @@
   /** Lists the hosts that may be senders of brittle servers, by their current statuses. */
   listCandidates(now: number): brittleSenders.SenderCandidate[] {
     const current = [...this.#received.values()]
-      .filter(({ at, direct }) => direct && now - at <= LOAD_VALID_MS);
+      .filter(({ at, direct }) => direct && now - at <= CANDIDATE_MS);
     return keepLatestIncarnations(current).flatMap(
-      ({ status: { contact, senderRoom: room } }) =>
-        contact === undefined || room === undefined ? [] : [{ contact, room }],
+      ({ status: { contact, sender } }) =>
+        contact === undefined || sender === undefined
+          ? []
+          : [{ contact, ...sender }],
     );
   }
 
