Let senders find the room of brittle servers sooner

A request that is not refused within 100 ms counts as accepted now, and a sender tries for more room with half of what the server bears at a time, but not for 3 s after a refusal. Only a sender that follows another one waits.

The soak makes whole services brittle whose servers crash and come back.

--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -28,6 +28,12 @@
 const SENDER_SHARE = 0.5;
 /** Time in which a refusal arrives, in ms; a sender starts no more requests in it than the server may refuse. */
 const REFUSAL_MS = 15;
+/** Time after which a request counts as accepted, in ms; a sender that tries for more room waits as long. */
+const ACCEPTED_MS = 100;
+/** Time after a refusal in which a sender does not try for more room, in ms. */
+const HOLD_MS = 3_000;
+/** Time after its first word from which a server that gets a new sender had another one before, in ms. */
+const FIRST_SENDER_MS = 5_000;
 /** Time for which the senders that a host was told of stay valid, in ms: several status intervals. */
 const SENDERS_VALID_MS = 6_000;
 /** Time for which a sender that hears of no relay goes on, in ms; shorter than its relay waits before another one starts. */
@@ -78,8 +84,10 @@
 interface OwnUse {
   /** When the server last refused a request; undefined if it has served one sent since. */
   readonly refusedAt?: number;
-  /** Requests that this host may run there at a time, apart from its share. */
+  /** Requests that the server is known to have room for, apart from this host's share. */
   readonly window: number;
+  /** Time from which this host may try for more room, monotonic ms. */
+  readonly growsFrom: number;
   /** Time until which a sender starts nothing there, after a refusal; monotonic ms. */
   readonly pausedUntil: number;
   /** When the last requests were started, monotonic ms. */
@@ -136,7 +144,12 @@
   own: new Set(),
   others: [],
 };
-const UNUSED: OwnUse = { window: 1, pausedUntil: 0, startedAt: [] };
+const UNUSED: OwnUse = {
+  window: 1,
+  growsFrom: 0,
+  pausedUntil: 0,
+  startedAt: [],
+};
 
 /** What a host may do at a brittle server. */
 type Role =
@@ -244,14 +257,18 @@
       forMs,
       own: true,
     });
-    if (succeeded) this.#recordServed(server, sentAt);
+    if (succeeded) this.#recordServed(server, { sentAt, now });
   }
 
-  #recordServed(server: string, sentAt: number): void {
+  #recordServed(
+    server: string,
+    { sentAt, now }: { readonly sentAt: number; readonly now: number },
+  ): void {
     const { refusedAt, ...use } = this.#getUse(server);
     // A request that was sent before the refusal says nothing about the time since.
     if (refusedAt !== undefined && sentAt <= refusedAt) return;
-    this.#uses.set(server, { ...use, window: use.window + 1 });
+    const window = use.window + (now >= use.growsFrom ? 1 : 0);
+    this.#uses.set(server, { ...use, window });
   }
 
   /** Records that a server refused a request for want of room while it ran `running` others of this host. */
@@ -262,10 +279,12 @@
     const perSecond = this.#findRate({ server, service }, now);
     if (perSecond === undefined) return;
     const pauseMs = 1_000 / (SENDER_SHARE * computeBearable(perSecond));
+    const isSender = this.#findRole({ server, service }, now) === "sender";
     this.#uses.set(server, {
       ...this.#getUse(server),
       refusedAt: now,
       window: Math.max(1, running),
+      growsFrom: isSender ? now + HOLD_MS : now,
       pausedUntil: now + pauseMs,
     });
     this.#shortSince.set(service, now);
@@ -382,10 +401,12 @@
   /** Counts the requests that this host may start at a server whose sender it is; 0 at others. */
   countFree(target: BrittleTarget, load: OwnLoad): number {
     if (this.#findRole(target, load.now) !== "sender") return 0;
-    const { window, pausedUntil } = this.#getUse(target.server);
-    return load.now < pausedUntil
-      ? 0
-      : Math.max(0, Math.min(window, load.slots) - load.running);
+    const { window, pausedUntil, growsFrom } = this.#getUse(target.server);
+    if (load.now < pausedUntil) return 0;
+    const most = load.now < growsFrom
+      ? Math.min(window, load.slots)
+      : load.slots;
+    return Math.max(0, most - load.running);
   }
 
   /** Whether this host may send a server one more request. */
@@ -423,12 +444,20 @@
     }
   }
 
-  /** Records that a request starts at a server; uses up the permit for it. */
-  use(target: BrittleTarget, now: number): void {
+  /** Records that a request starts at a server that ran `running` others of this host; uses up the permit for it. */
+  use(
+    target: BrittleTarget,
+    { running, now }: Pick<OwnLoad, "running" | "now">,
+  ): void {
     if (this.#findRate(target, now) === undefined) return;
     const use = this.#getUse(target.server);
-    const startedAt = use.startedAt.filter((at) => now - at < REFUSAL_MS);
-    this.#uses.set(target.server, { ...use, startedAt: [...startedAt, now] });
+    const startedAt = use.startedAt.filter((at) => now - at < ACCEPTED_MS);
+    const accepted = running - startedAt.length;
+    this.#uses.set(target.server, {
+      ...use,
+      window: Math.max(use.window, accepted),
+      startedAt: [...startedAt, now],
+    });
     if (this.#findRole(target, now) === "unassigned") {
       this.#permits.use(target.server);
     }
@@ -440,10 +469,14 @@
       readonly perSecond: number;
     },
   ): boolean {
-    const { window, pausedUntil, startedAt } = this.#getUse(server);
-    const unanswered = startedAt.filter((at) => now - at < REFUSAL_MS).length;
-    return now >= pausedUntil && running < Math.min(window, slots) &&
-      unanswered < Math.max(1, Math.floor(perSecond));
+    const { window, pausedUntil, growsFrom, startedAt } = this.#getUse(server);
+    if (now < pausedUntil || running >= slots) return false;
+    const countSince = (ms: number) =>
+      startedAt.filter((at) => now - at < ms).length;
+    const most = Math.max(1, Math.floor(perSecond));
+    if (running < window) return countSince(REFUSAL_MS) < most;
+    return now >= growsFrom &&
+      countSince(ACCEPTED_MS) < Math.max(1, Math.floor(SENDER_SHARE * most));
   }
 
   #mayUseShare(
@@ -537,10 +570,12 @@
   /** Creates the state of a server whose sender this host has just become. */
   #createUse(server: string, now: number): OwnUse {
     const known = this.#known.get(server);
-    const isUsual = known !== undefined && this.#hasUsualRoom(known, now);
-    return isUsual
-      ? { ...UNUSED, window: Number.POSITIVE_INFINITY }
-      : { ...UNUSED, pausedUntil: now + CHANGE_MS };
+    if (known !== undefined && this.#hasUsualRoom(known, now)) {
+      return { ...UNUSED, window: Number.POSITIVE_INFINITY };
+    }
+    const hadSender = known !== undefined &&
+      now - (known.at - known.forMs) > FIRST_SENDER_MS;
+    return { ...UNUSED, pausedUntil: hadSender ? now + CHANGE_MS : 0 };
   }
 
   #end(known: KnownServer): void {
--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -83,6 +83,8 @@
   readonly requests: number;
   readonly served: number;
   readonly handedOver: number;
+  /** Share of the time since then in which a slot of a server was in use. */
+  readonly slotUse: number;
   /** Times of the crashes since the first request, in ms. */
   readonly crashedAt: readonly number[];
 }
@@ -116,6 +118,8 @@
   readonly request: core.Request;
   readonly attempt: number;
   readonly sentAt: number;
+  /** When it took a slot, in ms. */
+  runsFrom?: number;
   ended: boolean;
 }
 
@@ -152,6 +156,7 @@
   readonly #relays = new Map<string, { host: Host; until: number }>();
   #now = 0;
   #ids = 0;
+  #slotUseMs = 0;
   readonly #crashedAt: number[] = [];
   readonly #counts = { refusals: 0, requests: 0, served: 0, handedOver: 0 };
 
@@ -182,8 +187,14 @@
       this.#now = next.at;
       next.run();
     }
+    const { servers, slots } = this.#fleet;
+    const slotMs = (totalMs - SHORT_MS) * servers * slots;
+    this.#servers.flatMap(({ running }) => running)
+      .forEach((attempt) => this.#addSlotUse(attempt, totalMs));
+    const slotUse = this.#slotUseMs / slotMs;
     return {
       crashes: this.#crashedAt.length,
+      slotUse,
       ...this.#counts,
       crashedAt: this.#crashedAt,
     };
@@ -359,12 +370,19 @@
     this.#refuseAt(server, attempt);
   }
 
+  /** Adds the time for which an attempt held its slot since the servers have had little room. */
+  #addSlotUse({ runsFrom }: Attempt, until: number): void {
+    if (runsFrom === undefined) return;
+    this.#slotUseMs += Math.max(0, until - Math.max(runsFrom, SHORT_MS));
+  }
+
   #getRoom(): number {
     return this.#now < SHORT_MS ? USUAL_ROOM : this.#fleet.room;
   }
 
   #runAt(server: Server, attempt: Attempt): void {
     server.running.push(attempt);
+    attempt.runsFrom = this.#now;
     const { serviceMs } = this.#fleet;
     const ms = serviceMs * (0.5 + this.#random.next());
     this.#schedule(ms, () => {
@@ -384,6 +402,7 @@
   }
 
   #leaveServer(server: Server, attempt: Attempt): void {
+    this.#addSlotUse(attempt, this.#now);
     attempt.ended = true;
     server.running = server.running.filter((one) => one !== attempt);
     server.waiting = server.waiting.filter((one) => one !== attempt);
@@ -453,6 +472,7 @@
       upFrom: this.#now + DOWN_MS,
     });
     lost.forEach((attempt) => {
+      this.#addSlotUse(attempt, this.#now);
       attempt.ended = true;
       this.#schedule(
         LINK_MS,
--- a/packages/core/dispatching.ts
+++ b/packages/core/dispatching.ts
@@ -216,7 +216,10 @@
   recordColdStart(state, server);
   recordTrial(state, server);
   state.limits.use(server.info.name);
-  state.brittle.use(serverState.toBrittleTarget(server), state.now);
+  state.brittle.use(serverState.toBrittleTarget(server), {
+    running: server.running - 1,
+    now: state.now,
+  });
   if (queued.suspect) server.suspects += 1;
   server.prompting += queued.request.promptTokens;
   state.running.add({
--- a/packages/core/sender_handover.ts
+++ b/packages/core/sender_handover.ts
@@ -2,6 +2,7 @@
  * Decides which requests this host hands to the senders of brittle servers, because
  * it may not send them there itself or has no room as a sender.
  */
+import * as utils from "@banyangrade/utils";
 import type * as brittleSenders from "./brittle_senders.ts";
 import * as constants from "./constants.ts";
 import type * as hostState from "./host_state.ts";
@@ -133,13 +134,16 @@
   return [...new Map(senders).values()];
 }
 
-/** Chooses the senders to which a request is handed: random ones, of this failure domain and with room if there are such. */
+/** Chooses the senders to which a request is handed: with room if there are such, first of this failure domain, more often those with more room. */
 function chooseSenders(
   state: hostState.HostState,
   request: request.Request,
 ): string[] {
   return listSenders(state, request)
-    .map((sender) => ({ ...sender, drawn: state.random.next() }))
+    .map((sender) => ({
+      ...sender,
+      drawn: utils.drawExponential(state.random, 1 / Math.max(1, sender.room)),
+    }))
     .toSorted((a, b) =>
       Number(b.room > 0) - Number(a.room > 0) ||
       Number(b.isNear) - Number(a.isNear) || a.drawn - b.drawn
