Tell other hosts of the end of brittleness until they believe it

A host that saw the first answer without the header told the others once, with the time of that request. Each success repeats the end for 4 s now; a unit test failed before.

--- a/packages/core/brittle_senders_test.ts
+++ b/packages/core/brittle_senders_test.ts
@@ -298,14 +298,20 @@
   t.equal(isBrittle(100), true);
   t.same(servers.listOwn(100), [], "what others told is not told on");
   const ended = { service: SERVICE, perSecond: undefined, succeeded: true };
-  told.recordResponse("s0", { ...ended, sentAt: 1_500 }, 1_600);
-  servers.merge(told.listOwn(1_700), 1_700);
-  t.equal(isBrittle(1_700), true, "the clocks may differ");
-  told.recordResponse("s0", { ...ended, sentAt: 2_500 }, 2_600);
-  recordAnswer(told, "s0", 2_700);
-  told.recordResponse("s0", { ...ended, sentAt: 4_800 }, 4_900);
-  servers.merge(told.listOwn(5_000), 5_000);
-  t.equal(isBrittle(5_000), false);
+  recordAnswer(told, "s0", 1_000);
+  servers.merge(told.listOwn(1_000), 1_000);
+  const answerSound = (at: number) => {
+    told.recordResponse("s0", { ...ended, sentAt: at }, at + 50);
+    servers.merge(told.listOwn(at + 100), at + 100);
+  };
+  answerSound(1_010);
+  t.equal(isBrittle(1_200), true, "the clocks may differ");
+  answerSound(2_900);
+  t.equal(isBrittle(3_000), true);
+  answerSound(3_100);
+  t.equal(isBrittle(3_300), false, "told anew with each success");
+  answerSound(9_000);
+  t.same(told.listOwn(9_100)[0].at, 3_100, "but not for long");
   t.end();
 });
 
--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -52,6 +52,8 @@
 const SERVICE_SHARE = 0.5;
 /** Age up to which the end of brittleness is reported to other hosts, in ms: several status intervals, so that each host receives it. */
 const END_REPORT_MS = 15_000;
+/** Time for which the end is told anew with each success, in ms; longer than {@link END_MARGIN_MS}. */
+const END_REPEAT_MS = 4_000;
 /** Time without a word of a server after which it is forgotten, in ms. */
 const FORGET_MS = 60_000;
 /** Time by which the end that another host saw must be newer than the last word of the server, in ms; the clocks of hosts may differ. */
@@ -98,6 +100,8 @@
 interface KnownServer extends BrittleRecord {
   /** Whether this host learned it from a response. */
   readonly own: boolean;
+  /** When this host first saw that the server is no longer brittle, monotonic ms. */
+  readonly endedAt?: number;
 }
 
 /** A server at which a request may start. */
@@ -239,9 +243,9 @@
     const known = this.#known.get(server);
     if (perSecond === undefined) {
       if (succeeded && this.hasAny()) this.#sound.set(server, true);
-      const hasEnded = succeeded && known?.perSecond !== undefined &&
-        sentAt > known.at;
-      if (hasEnded) this.#end({ ...known, at: sentAt, own: true });
+      if (succeeded && known !== undefined && sentAt > known.at) {
+        this.#recordSound(known, sentAt);
+      }
       return;
     }
     const startedAt = known?.perSecond === undefined
@@ -260,6 +264,14 @@
     if (succeeded) this.#recordServed(server, { sentAt, now });
   }
 
+  /** Records that a server no longer names itself, and repeats it until the clocks of other hosts cannot hide it. */
+  #recordSound(known: KnownServer, at: number): void {
+    const { endedAt = at } = known;
+    const isOld = at - endedAt > END_REPEAT_MS;
+    if (known.perSecond === undefined && isOld) return;
+    this.#end({ ...known, at, endedAt, own: true });
+  }
+
   #recordServed(
     server: string,
     { sentAt, now }: { readonly sentAt: number; readonly now: number },
@@ -342,7 +354,7 @@
   listOwn(now: number): BrittleRecord[] {
     return [...this.#known.values()]
       .filter(({ own, at }) => own && now - at <= END_REPORT_MS)
-      .map(({ own: _own, ...record }) => record);
+      .map(({ own: _own, endedAt: _endedAt, ...record }) => record);
   }
 
   /** Whether a server counts as brittle: it says so, or it is silent so far and its service does. */
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -898,6 +898,13 @@
     replace: "const OWN_VALID_MS = 60_000;",
     test: BRITTLE_SENDERS,
   },
+  {
+    name: "brittle: the end is told only once",
+    file: "packages/core/brittle_servers.ts",
+    find: "const END_REPEAT_MS = 4_000;",
+    replace: "const END_REPEAT_MS = -1;",
+    test: BRITTLE_SENDERS,
+  },
   {
     name: "brittle: a sender tries for more room right after a refusal",
     file: "packages/core/brittle_servers.ts",
