Say in logs and traces why a request was handed over, and describe senders

The trace of a request said that its host had no links to the servers where another host sends to the brittle ones.

--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -120,7 +120,7 @@
   }
 
   /** Records that the request is sent to another host. */
-  recordHandover(peer: string): void {
+  recordHandover(peer: string, cause: core.HandoverCause): void {
     const { clock, log, metrics } = this.#options;
     const { head, route, request } = this.#exchange;
     this.#lastServer = peer;
@@ -130,6 +130,7 @@
     log.info({
       requestId: head.requestId,
       peer,
+      cause,
       route: route.name,
       waitedMs: Math.round(clock.now() - request.arrivedAt),
     }, "Request handed over.");
--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -133,7 +133,7 @@
   const { peer, telemetry, exchange } = request;
   const reached = handover.find(peer);
   if (reached === undefined) return { kind: "declined", waitMs: undefined };
-  telemetry.recordHandover(peer);
+  telemetry.recordHandover(peer, request.effect.cause);
   const account = heldBytes.openAccount(exchange.incoming.holder, {
     kind: "response",
   });
--- a/packages/banyangrade/request_trace.ts
+++ b/packages/banyangrade/request_trace.ts
@@ -27,6 +27,8 @@
   readonly ran?: string;
   readonly step?: string;
   readonly peer?: string;
+  readonly cause?: string;
+  readonly brittle?: boolean;
   readonly status?: number;
   readonly outcome?: string;
   readonly proofAgeMs?: number;
@@ -40,7 +42,8 @@
 /** Time before a request's end in which its host's state changes are shown, in ms. */
 const BACKGROUND_MS = 10_000;
 /** Prefixes of the log lines that record changes of a host's state. */
-const BACKGROUND_PREFIX = /^(belief|roles|handover): |^server: (Links|Parts) /;
+const BACKGROUND_PREFIX =
+  /^(belief|roles|handover): |^server: (Links|Parts|Sender|Brittleness) /;
 /** Largest number of these lines that are shown. */
 const MAX_BACKGROUND = 12;
 
@@ -100,10 +103,11 @@
         `after ${line.waitedMs} ms${resumed}${describeTakenUp(line)}.`;
     }
     case "Attempt failed.":
-      return `${line.server} failed it (${line.failure}): ${line.reason} ` +
+      return `${line.server}${line.brittle ? ", which is brittle," : ""} ` +
+        `failed it (${line.failure}): ${line.reason} ` +
         `The caller had received ${line.events} events.${describeParts(line)}`;
     case "Request handed over.":
-      return `${line.host} has no links to the servers and handed it to ` +
+      return `${line.host} ${describeCause(line)} and handed it to ` +
         `${line.peer} (route ${line.route}) after ${line.waitedMs} ms.`;
     case "Handover failed.":
       return `${line.peer} ${
@@ -130,6 +134,13 @@
   }
 }
 
+/** Describes why a request was handed over; lines of earlier versions name no cause. */
+function describeCause({ cause }: LogLine): string {
+  return cause === "brittle"
+    ? "does not send to the brittle servers"
+    : "has no links to the servers";
+}
+
 function describeParts({ parts = "" }: LogLine): string {
   return parts === "" ? "" : ` Its prompt has the parts ${parts}.`;
 }
--- a/packages/banyangrade/request_trace_test.ts
+++ b/packages/banyangrade/request_trace_test.ts
@@ -70,6 +70,19 @@
   t.end();
 });
 
+tap.test("the trace of a request for brittle servers names their sender", (t) => {
+  const lines = [
+    `{"time":900,"host":"h1","servers":[],"msg":"server: Sender of other brittle servers than before."}`,
+    `{"time":1000,"host":"h1","requestId":"r1","peer":"h2","cause":"brittle","route":"lookup","waitedMs":2,"msg":"request: Request handed over."}`,
+    `{"time":1006,"host":"h2","requestId":"r1","attempt":1,"server":"s1@7","failure":"refused","reason":"full","brittle":true,"events":0,"msg":"request: Attempt failed."}`,
+  ];
+  t.same(requestTrace.formatRequestTrace(lines.join("\n"), "r1").slice(0, 2), [
+    "+0 ms h1 does not send to the brittle servers and handed it to h2 (route lookup) after 2 ms.",
+    "+6 ms s1@7, which is brittle, failed it (refused): full The caller had received 0 events.",
+  ]);
+  t.end();
+});
+
 tap.test("the trace of a handed request names the hosts and the loss of links", (t) => {
   const lines = [
     `{"time":900,"host":"h1","service":"planner","msg":"server: Links to the servers lost."}`,
--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -606,6 +606,7 @@
           request,
           peers: others,
           sent,
+          cause: "brittle",
         },
         waitMs ?? fullMs,
       );
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -252,6 +252,9 @@
   | { readonly kind: "draining" }
   | { readonly kind: "ticked" };
 
+/** Why a request is handed to other hosts: this host has lost its links to the servers, or others send to the brittle ones. */
+export type HandoverCause = "links_lost" | "brittle";
+
 /** An effect that the host must carry out. */
 export type DispatchEffect =
   | {
@@ -310,6 +313,7 @@
     readonly peers: readonly string[];
     /** Number of attempts that were sent to servers. */
     readonly sent: number;
+    readonly cause: HandoverCause;
   }
   /** Connections to these servers must be tried, to find out whether this host has lost its links. */
   | { readonly kind: "try_links"; readonly servers: readonly ServerInfo[] }
--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -115,6 +115,7 @@
     request: entry.request,
     peers: choosePeers(state, entry.request),
     sent: countSent(entry),
+    cause: "links_lost",
   });
 }
 
--- a/packages/core/sender_handover.ts
+++ b/packages/core/sender_handover.ts
@@ -46,6 +46,7 @@
         request: entry.request,
         peers: chooseSenders(state, entry.request),
         sent: countSent(entry),
+        cause: "brittle",
       })
     );
 }
