--- a/packages/core/brittle_senders.ts
+++ b/packages/core/brittle_senders.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses one sender for each brittle server: the host that runs the requests of
  * all hosts there. The relay of a failure domain chooses among its followers for
- * the servers of its domain, and for those of domains without a relay. The choice
- * depends only on the names, so a new relay makes the same one.
+ * the servers of its domain, and for those of domains without a relay. It keeps the
+ * senders that its followers report, so that a new relay changes none.
  *
  * Guards against hosts that together run more requests at a brittle server than it
  * has slots, because there are more hosts than slots.
--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -11,6 +11,7 @@
  */
 import * as lru from "lru-cache";
 import type * as utils from "@banyangrade/utils";
+import * as brittleRecords from "./brittle_records.ts";
 import type * as brittleSenders from "./brittle_senders.ts";
 import * as constants from "./constants.ts";
 import * as ratePermits from "./rate_permits.ts";
@@ -44,43 +45,6 @@
 const FAILED_PEER_MS = 3_000;
 /** Time after its first word in which a brittle server still has its usual room, in ms; shorter than all stability windows. */
 const USUAL_ROOM_MS = 2_800;
-/** Time for which the word of some servers counts for silent ones of their service, in ms; longer than a restart. */
-const SERVICE_MS = 10_000;
-/** Time for which the rate of a service's silent servers is not computed again, in ms. */
-const SERVICE_RATE_MS = 50;
-/** Share of a service's servers that must be brittle for its silent ones to count as brittle. */
-const SERVICE_SHARE = 0.5;
-/** Age up to which the end of brittleness is reported to other hosts, in ms: several status intervals, so that each host receives it. */
-const END_REPORT_MS = 15_000;
-/** Time for which the end is told anew with each success, in ms; longer than {@link END_MARGIN_MS}. */
-const END_REPEAT_MS = 4_000;
-/** Time without a word of a server after which it is forgotten, in ms. */
-const FORGET_MS = 60_000;
-/** Time by which the end that another host saw must be newer than the last word of the server, in ms; the clocks of hosts may differ. */
-const END_MARGIN_MS = 2_000;
-
-/** What hosts tell each other of a brittle server. */
-export interface BrittleRecord {
-  readonly server: string;
-  readonly service: string;
-  /** Refusals per second that the server bears; absent if it is no longer brittle. */
-  readonly perSecond?: number;
-  /** Time of the last response that named it, or at which a request was sent whose response named none, in ms. */
-  readonly at: number;
-  /** Time before `at` for which it has been brittle, in ms. */
-  readonly forMs: number;
-}
-
-/** What a response says about the brittleness of its server. */
-export interface BrittlenessReport {
-  readonly service: string;
-  /** Refusals per second that the server bears; undefined if it is not brittle. */
-  readonly perSecond: number | undefined;
-  /** Time at which the request was sent, monotonic ms. */
-  readonly sentAt: number;
-  /** Whether the server answered the request with success. */
-  readonly succeeded: boolean;
-}
 
 /** What this host has seen of its own requests at a brittle server. */
 interface OwnUse {
@@ -96,20 +60,6 @@
   readonly startedAt: readonly number[];
 }
 
-/** What a host knows of a brittle server. */
-interface KnownServer extends BrittleRecord {
-  /** Whether this host learned it from a response. */
-  readonly own: boolean;
-  /** When this host first saw that the server is no longer brittle, monotonic ms. */
-  readonly endedAt?: number;
-}
-
-/** A server at which a request may start. */
-export interface BrittleTarget {
-  readonly server: string;
-  readonly service: string;
-}
-
 /** Load of this host at a server. */
 export interface OwnLoad {
   readonly running: number;
@@ -168,25 +118,16 @@
 export class BrittleServers {
   readonly #host: string;
   readonly #asksOthers: boolean;
-  /** Kept also for servers that are not listed: an entry that expired during a store outage comes back. */
-  readonly #known = new lru.LRUCache<string, KnownServer>({
-    ...constants.SERVER_CACHE,
-    dispose: (_, server, reason) => {
-      if (reason === "evict") this.#permits.forget(server);
+  readonly #records = new brittleRecords.BrittleRecords({
+    onForgotten: (server) => {
+      this.#uses.delete(server);
+      this.#permits.forget(server);
     },
   });
   readonly #uses = new lru.LRUCache<string, OwnUse>(constants.SERVER_CACHE);
-  /** Servers that answered without naming themselves brittle. */
-  readonly #sound = new lru.LRUCache<string, true>(constants.SERVER_CACHE);
   readonly #permits: ratePermits.RatePermits;
   readonly #failedPeers = new Map<string, number>();
-  #listed: ReadonlyMap<string, number> = new Map();
   #senders = NO_SENDERS;
-  /** What silent servers of a service bear, and when it was found. */
-  readonly #serviceRates = new Map<
-    string,
-    { readonly at: number; readonly perSecond: number | undefined }
-  >();
   #hosts: number | undefined;
   /** Time of the last refusal or loss of a brittle server, by service; none of them has its usual room any more. */
   readonly #shortSince = new Map<string, number>();
@@ -204,12 +145,8 @@
   }
 
   /** Sets the listed servers. */
-  setServers(servers: readonly BrittleTarget[]): void {
-    const counts = new Map<string, number>();
-    servers.forEach(({ service }) =>
-      counts.set(service, (counts.get(service) ?? 0) + 1)
-    );
-    this.#listed = counts;
+  setServers(servers: readonly brittleRecords.BrittleTarget[]): void {
+    this.#records.setServers(servers);
   }
 
   /** Sets the senders that hosts agree on; those of services that have none any more stay valid for some time. */
@@ -218,58 +155,29 @@
     now: number,
   ): void {
     if (assignments.length === 0) return;
-    const own = new Set(
-      assignments.filter(({ sender }) => sender.host === this.#host)
-        .map(({ server }) => server),
-    );
-    [...own].filter((server) => !this.#senders.own.has(server))
-      .forEach((server) =>
-        this.#uses.set(server, this.#createUse(server, now))
-      );
+    const isOwn = ({ sender }: brittleSenders.SenderAssignment) =>
+      sender.host === this.#host;
+    assignments.filter((one) =>
+      isOwn(one) && !this.#senders.own.has(one.server)
+    ).forEach((one) => this.#uses.set(one.server, this.#createUse(one, now)));
     this.#senders = {
       at: now,
       services: new Set(assignments.map(({ service }) => service)),
-      own,
-      others: assignments.filter(({ sender }) => sender.host !== this.#host),
+      own: new Set(assignments.filter(isOwn).map(({ server }) => server)),
+      others: assignments.filter((one) => !isOwn(one)),
     };
   }
 
   /** Records what a response says; `now` is the time of the response. */
   recordResponse(
     server: string,
-    { service, perSecond, sentAt, succeeded }: BrittlenessReport,
+    report: brittleRecords.BrittlenessReport,
     now: number,
   ): void {
-    const known = this.#known.get(server);
-    if (perSecond === undefined) {
-      if (succeeded && this.hasAny()) this.#sound.set(server, true);
-      if (succeeded && known !== undefined && sentAt > known.at) {
-        this.#recordSound(known, sentAt);
-      }
-      return;
-    }
-    const startedAt = known?.perSecond === undefined
-      ? now
-      : known.at - known.forMs;
-    const forMs = now - startedAt;
-    this.#sound.delete(server);
-    this.#known.set(server, {
-      server,
-      service,
-      perSecond,
-      at: now,
-      forMs,
-      own: true,
-    });
-    if (succeeded) this.#recordServed(server, { sentAt, now });
-  }
-
-  /** Records that a server no longer names itself, and repeats it until the clocks of other hosts cannot hide it. */
-  #recordSound(known: KnownServer, at: number): void {
-    const { endedAt = at } = known;
-    const isOld = at - endedAt > END_REPEAT_MS;
-    if (known.perSecond === undefined && isOld) return;
-    this.#end({ ...known, at, endedAt, own: true });
+    this.#records.record(server, report, now);
+    const { perSecond, succeeded, sentAt } = report;
+    if (perSecond === undefined || !succeeded) return;
+    this.#recordServed(server, { sentAt, now });
   }
 
   #recordServed(
@@ -285,10 +193,10 @@
 
   /** Records that a server refused a request for want of room while it ran `running` others of this host. */
   recordRefusal(
-    { server, service }: BrittleTarget,
+    { server, service }: brittleRecords.BrittleTarget,
     { running, now }: Pick<OwnLoad, "running" | "now">,
   ): void {
-    const perSecond = this.#findRate({ server, service }, now);
+    const perSecond = this.#records.findRate({ server, service }, now);
     if (perSecond === undefined) return;
     const pauseMs = 1_000 / (SENDER_SHARE * computeBearable(perSecond));
     const isSender = this.#findRole({ server, service }, now) === "sender";
@@ -304,8 +212,8 @@
   }
 
   /** Records that a connection to a server was lost, as by a crash. */
-  recordLoss(target: BrittleTarget, now: number): void {
-    if (this.#findRate(target, now) === undefined) return;
+  recordLoss(target: brittleRecords.BrittleTarget, now: number): void {
+    if (this.#records.findRate(target, now) === undefined) return;
     const { pausedUntil } = this.#getUse(target.server);
     this.#uses.set(target.server, { ...UNUSED, pausedUntil });
     this.#shortSince.set(target.service, now);
@@ -319,54 +227,23 @@
   }
 
   /** Merges what other hosts know; the newest record of a server applies. */
-  merge(records: readonly BrittleRecord[], now: number): void {
-    this.#forgetOld(now);
-    records.forEach((record) => {
-      const known = this.#known.get(record.server);
-      const hasEnded = record.perSecond === undefined;
-      if (hasEnded && known?.perSecond === undefined) return;
-      const marginMs = hasEnded ? END_MARGIN_MS : 0;
-      if (record.at <= (known?.at ?? -Infinity) + marginMs) return;
-      if (hasEnded) return this.#end({ ...record, own: false });
-      const isSame = known?.perSecond !== undefined;
-      const forMs = isSame
-        ? Math.max(record.forMs, record.at - (known.at - known.forMs))
-        : record.forMs;
-      this.#known.set(record.server, { ...record, forMs, own: false });
-    });
-  }
-
-  /** Forgets servers that no host has sent anything for long, and such as are gone. */
-  #forgetOld(now: number): void {
-    [...this.#known.values()]
-      .filter(({ at, perSecond }) =>
-        now - at > (perSecond === undefined ? END_REPORT_MS : FORGET_MS)
-      )
-      .forEach(({ server }) => {
-        this.#known.delete(server);
-        this.#uses.delete(server);
-        this.#permits.forget(server);
-      });
-    if (this.#known.size === 0) this.#sound.clear();
+  merge(records: readonly brittleRecords.BrittleRecord[], now: number): void {
+    this.#records.merge(records, now);
   }
 
   /** Lists what this host learned from responses lately, to share with other hosts. */
-  listOwn(now: number): BrittleRecord[] {
-    return [...this.#known.values()]
-      .filter(({ own, at }) => own && now - at <= END_REPORT_MS)
-      .map(({ own: _own, endedAt: _endedAt, ...record }) => record);
+  listOwn(now: number): brittleRecords.BrittleRecord[] {
+    return this.#records.listOwn(now);
   }
 
   /** Whether a server counts as brittle: it says so, or it is silent so far and its service does. */
-  isBrittle(target: BrittleTarget, now: number): boolean {
-    return this.#findRate(target, now) !== undefined;
+  isBrittle(target: brittleRecords.BrittleTarget, now: number): boolean {
+    return this.#records.findRate(target, now) !== undefined;
   }
 
   /** Counts the servers that say that they are brittle. */
   countByState(): BrittleCounts {
-    const brittle = [...this.#known.values()]
-      .filter(({ perSecond }) => perSecond !== undefined)
-      .map(({ server }) => server);
+    const brittle = this.#records.listBrittle();
     const others = brittle.filter((server) => !this.#senders.own.has(server));
     const refusing =
       others.filter((server) => this.#uses.get(server)?.refusedAt !== undefined)
@@ -380,7 +257,7 @@
 
   /** Whether any server is brittle, or may be as far as this host knows. */
   hasAny(): boolean {
-    return this.#known.size > 0 || this.#isUninformed();
+    return this.#records.size > 0 || this.#isUninformed();
   }
 
   /** Whether no other host has told this one yet which servers are brittle. */
@@ -411,7 +288,7 @@
   }
 
   /** Counts the requests that this host may start at a server whose sender it is; 0 at others. */
-  countFree(target: BrittleTarget, load: OwnLoad): number {
+  countFree(target: brittleRecords.BrittleTarget, load: OwnLoad): number {
     if (this.#findRole(target, load.now) !== "sender") return 0;
     const { window, pausedUntil, growsFrom } = this.#getUse(target.server);
     if (load.now < pausedUntil) return 0;
@@ -422,8 +299,8 @@
   }
 
   /** Whether this host may send a server one more request. */
-  mayUse(target: BrittleTarget, load: OwnLoad): boolean {
-    const perSecond = this.#findRate(target, load.now);
+  mayUse(target: brittleRecords.BrittleTarget, load: OwnLoad): boolean {
+    const perSecond = this.#records.findRate(target, load.now);
     if (perSecond === undefined) {
       return !this.#isUninformed() || load.running === 0;
     }
@@ -439,10 +316,10 @@
 
   /** Returns the time until this host may try a server, in ms; 0 if it may now, or waits for one of its own requests there. */
   getWaitMs(
-    target: BrittleTarget,
+    target: brittleRecords.BrittleTarget,
     { slots, now }: Pick<OwnLoad, "slots" | "now">,
   ): number {
-    const perSecond = this.#findRate(target, now);
+    const perSecond = this.#records.findRate(target, now);
     if (perSecond === undefined) return 0;
     switch (this.#findRole(target, now)) {
       case "sender":
@@ -458,10 +335,10 @@
 
   /** Records that a request starts at a server that ran `running` others of this host; uses up the permit for it. */
   use(
-    target: BrittleTarget,
+    target: brittleRecords.BrittleTarget,
     { running, now }: Pick<OwnLoad, "running" | "now">,
   ): void {
-    if (this.#findRate(target, now) === undefined) return;
+    if (this.#records.findRate(target, now) === undefined) return;
     const use = this.#getUse(target.server);
     const startedAt = use.startedAt.filter((at) => now - at < ACCEPTED_MS);
     const accepted = running - startedAt.length;
@@ -476,7 +353,7 @@
   }
 
   #maySend(
-    { server }: BrittleTarget,
+    { server }: brittleRecords.BrittleTarget,
     { running, slots, perSecond, now }: OwnLoad & {
       readonly perSecond: number;
     },
@@ -492,7 +369,7 @@
   }
 
   #mayUseShare(
-    target: BrittleTarget,
+    target: brittleRecords.BrittleTarget,
     { running, slots, perSecond, now }: OwnLoad & {
       readonly perSecond: number;
     },
@@ -508,7 +385,7 @@
 
   /** Whether this host may only use permits at a server without a sender: it was refused there, or there are more hosts than slots. */
   #mayOnlyUsePermits(
-    target: BrittleTarget,
+    target: brittleRecords.BrittleTarget,
     { slots, now }: Pick<OwnLoad, "slots" | "now">,
   ): boolean {
     return this.#getUse(target.server).refusedAt !== undefined ||
@@ -520,15 +397,19 @@
   }
 
   /** Whether a server has only just said that it is brittle, and still lets as many requests wait as before. */
-  #hasUsualRoom({ server, service }: BrittleTarget, now: number): boolean {
-    const known = this.#known.get(server);
-    if (known?.perSecond === undefined) return false;
-    const startedAt = known.at - known.forMs;
-    return now - startedAt < USUAL_ROOM_MS &&
+  #hasUsualRoom(
+    { server, service }: brittleRecords.BrittleTarget,
+    now: number,
+  ): boolean {
+    const startedAt = this.#records.findStart(server);
+    return startedAt !== undefined && now - startedAt < USUAL_ROOM_MS &&
       (this.#shortSince.get(service) ?? -Infinity) < startedAt;
   }
 
-  #findRole({ server, service }: BrittleTarget, now: number): Role {
+  #findRole(
+    { server, service }: brittleRecords.BrittleTarget,
+    now: number,
+  ): Role {
     if (!this.hasSenders(service, now)) return "unassigned";
     return this.#isOwnValid(now) && this.#senders.own.has(server)
       ? "sender"
@@ -543,59 +424,19 @@
     return now - this.#senders.at <= OWN_VALID_MS;
   }
 
-  /** Returns the refusals per second that a server bears; undefined if it is not brittle. */
-  #findRate(
-    { server, service }: BrittleTarget,
-    now: number,
-  ): number | undefined {
-    if (this.#known.size === 0) return undefined;
-    const known = this.#known.get(server);
-    if (known !== undefined) return known.perSecond;
-    if (this.#sound.has(server)) return undefined;
-    return this.#findServiceRate(service, now);
-  }
-
-  /** Returns the refusals per second that a silent server of a service bears; undefined if the service is not brittle. */
-  #findServiceRate(service: string, now: number): number | undefined {
-    const cached = this.#serviceRates.get(service);
-    if (cached !== undefined && now - cached.at < SERVICE_RATE_MS) {
-      return cached.perSecond;
-    }
-    const siblings = [...this.#known.values()].filter((one) =>
-      one.service === service && one.perSecond !== undefined &&
-      now - one.at <= SERVICE_MS
-    );
-    const listed = this.#listed.get(service) ?? 0;
-    const isBrittle = siblings.length > 0 &&
-      siblings.length >= SERVICE_SHARE * listed;
-    const perSecond = isBrittle
-      ? Math.min(...siblings.map((one) => one.perSecond ?? 0))
-      : undefined;
-    this.#serviceRates.set(service, { at: now, perSecond });
-    return perSecond;
-  }
-
   #getUse(server: string): OwnUse {
     return this.#uses.get(server) ?? UNUSED;
   }
 
   /** Creates the state of a server whose sender this host has just become. */
-  #createUse(server: string, now: number): OwnUse {
-    const known = this.#known.get(server);
-    if (known !== undefined && this.#hasUsualRoom(known, now)) {
+  #createUse(target: brittleRecords.BrittleTarget, now: number): OwnUse {
+    if (this.#hasUsualRoom(target, now)) {
       return { ...UNUSED, window: Number.POSITIVE_INFINITY };
     }
-    const hadSender = known !== undefined &&
-      now - (known.at - known.forMs) > FIRST_SENDER_MS;
+    const startedAt = this.#records.findStart(target.server) ?? now;
+    const hadSender = now - startedAt > FIRST_SENDER_MS;
     return { ...UNUSED, pausedUntil: hadSender ? now + CHANGE_MS : 0 };
   }
-
-  #end(known: KnownServer): void {
-    const { perSecond: _perSecond, ...ended } = known;
-    this.#known.set(known.server, ended);
-    this.#uses.delete(known.server);
-    this.#permits.forget(known.server);
-  }
 }
 
 function computeBearable(perSecond: number): number {
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -6,6 +6,7 @@
  */
 import * as attemptEnd from "./attempt_end.ts";
 import type * as brittleSenders from "./brittle_senders.ts";
+import type * as brittleRecords from "./brittle_records.ts";
 import type * as brittleServers from "./brittle_servers.ts";
 import * as crashingParts from "./crashing_parts.ts";
 import type * as engineDivision from "./engine_division.ts";
@@ -159,7 +160,7 @@
   }
 
   /** Lists what this host has learned of brittle servers, to share with other hosts. */
-  listBrittleRecords(now: number): brittleServers.BrittleRecord[] {
+  listBrittleRecords(now: number): brittleRecords.BrittleRecord[] {
     return this.#state.brittle.listOwn(now);
   }
 
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -1,6 +1,6 @@
 /** Events that a host passes to its dispatcher, and effects that the dispatcher returns. */
 import type * as brittleSenders from "./brittle_senders.ts";
-import type * as brittleServers from "./brittle_servers.ts";
+import type * as brittleRecords from "./brittle_records.ts";
 import type * as config from "./config.ts";
 import type * as enginePaces from "./engine_paces.ts";
 import type * as failureShares from "./failure_shares.ts";
@@ -177,7 +177,7 @@
     /** Limits of servers that other hosts have learned, with monotonic times. @default none */
     readonly limits?: readonly serverLimits.LimitRecord[];
     /** What other hosts have learned of brittle servers, with monotonic times. @default none */
-    readonly brittle?: readonly brittleServers.BrittleRecord[];
+    readonly brittle?: readonly brittleRecords.BrittleRecord[];
     /** Senders of brittle servers: those that this host is, and some others. @default none are known */
     readonly senders?: readonly brittleSenders.SenderAssignment[];
     /** Paces of engines that other hosts observed. @default none */
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -6,7 +6,7 @@
  * after the host has crashed.
  */
 import * as brittleSenders from "./brittle_senders.ts";
-import type * as brittleServers from "./brittle_servers.ts";
+import type * as brittleRecords from "./brittle_records.ts";
 import type * as engineDivision from "./engine_division.ts";
 import * as enginePaces from "./engine_paces.ts";
 import type * as events from "./events.ts";
@@ -58,7 +58,7 @@
   /** Absent from hosts that take no requests of others, and from hosts of earlier versions. */
   readonly contact?: HostContact;
   /** What the host learned of brittle servers, in Unix ms; absent from hosts of earlier versions. */
-  readonly brittle?: readonly brittleServers.BrittleRecord[];
+  readonly brittle?: readonly brittleRecords.BrittleRecord[];
   /** What the host does as a sender of brittle servers; absent if it must not be one. */
   readonly sender?: Pick<brittleSenders.SenderCandidate, "room" | "servers">;
 }
@@ -91,7 +91,7 @@
   /** Some hosts of the group in turn; absent from hosts of earlier versions. */
   readonly contacts?: readonly HostContact[];
   /** Newest record of each brittle server, in Unix ms; absent from hosts of earlier versions. */
-  readonly brittle?: readonly brittleServers.BrittleRecord[];
+  readonly brittle?: readonly brittleRecords.BrittleRecord[];
   /** Senders of brittle servers; absent if there are none, and from hosts of earlier versions. */
   readonly senders?: readonly brittleSenders.SenderAssignment[];
   /** Failure domains whose relays choose senders. */
--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -3,6 +3,7 @@
 export * from "./allocation.ts";
 export * from "./billing.ts";
 export * from "./body_wait.ts";
+export * from "./brittle_records.ts";
 export * from "./brittle_senders.ts";
 export * from "./brittle_servers.ts";
 export * from "./byte_budget.ts";
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -1,5 +1,5 @@
 /** State of backend servers and pools as a host sees them, and the conditions for sending requests to them. */
-import type * as brittleServers from "./brittle_servers.ts";
+import type * as brittleRecords from "./brittle_records.ts";
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
@@ -171,7 +171,7 @@
  */
 export function toBrittleTarget(
   { info: { name, pool } }: Pick<ServerState, "info">,
-): brittleServers.BrittleTarget {
+): brittleRecords.BrittleTarget {
   return { server: name, service: pool };
 }
 
