Notice resets that arrive together with data

Node.js reports a reset that arrives together with data as the end of the connection: of 40 answers that were reset right after their data 40 counted as whole, of 20 that were reset 1 ms later 1 or 2. A write of no bytes to such a connection fails at once, and it does not where the server closed it. Each connection that ends is tested so, and resets are counted from before the request is sent, as one may come with the head. The test failed before.

--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -1,4 +1,5 @@
 /** HTTP connection pool of one backend server. */
+import type * as net from "node:net";
 import * as undici from "undici";
 import * as utils from "@banyangrade/utils";
 import * as sendGate from "./send_gate.ts";
@@ -62,10 +63,13 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     connect: (connectOptions, callback) =>
       connector(connectOptions, (...outcome) => {
+        const [, socket] = outcome;
         // Counted before the client ends the response whose connection it was.
-        outcome[1]?.on("error", (error) => {
+        socket?.on("error", (error) => {
           // The client ends a connection that the server closed with its own error.
           if ("syscall" in error) resets += 1;
+        }).on("end", () => {
+          if (isReset(socket)) resets += 1;
         });
         callback(...outcome);
       }),
@@ -87,3 +91,13 @@
     destroy: () => pool.destroy(),
   };
 }
+
+/**
+ * Whether a connection that seems to have been closed was reset. Node.js reports a
+ * reset that arrives together with data as a close; a write of no bytes fails then.
+ */
+function isReset(socket: net.Socket): boolean {
+  if (socket.destroyed || socket.writableEnded) return false;
+  socket.write(Buffer.alloc(0));
+  return socket.errored !== null;
+}
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -128,6 +128,8 @@
 ): Promise<ForwardOutcome> {
   const watch = inactivityWatch.watchInactivity(call);
   const reading = { unreadMs: 0, readAt: 0 };
+  // A reset that arrives together with the head is counted before the head is passed on.
+  const resetsBefore = call.connections.countResets();
   try {
     const response = await call.connections.dispatcher.request({
       method: call.method as undici.Dispatcher.HttpMethod,
@@ -141,7 +143,6 @@
       signal: watch.signal,
     });
     watch.recordReceived();
-    const resetsBefore = call.connections.countResets();
     const outcome = await readResponse(response, {
       call,
       sink,
--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -85,6 +85,17 @@
   t.match(outcome, { kind: "failed", failure: "connection_lost" });
 });
 
+// Guards against the same where the reset arrives together with the head.
+tap.test("a response without a content length fails if it is reset at once", async (t) => {
+  for (const stream of [false, true]) {
+    const { outcome } = await runAgainst((socket) => {
+      socket.write(`${HEAD}connection: close\r\n\r\nid: 1\ndata: a\n\n`);
+      socket.resetAndDestroy();
+    }, { stream });
+    t.match(outcome, { kind: "failed", failure: "connection_lost" });
+  }
+});
+
 // Guards against refusing the responses of servers that frame them by the end of
 // the connection.
 tap.test("a response without a content length is complete when the connection is closed", async (t) => {
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -779,6 +779,13 @@
     replace: "return;",
     test: LOST_LINKS,
   },
+  {
+    name: "framing: a reset that arrives with data counts as a close",
+    file: "packages/service/connections.ts",
+    find: "return socket.errored !== null;",
+    replace: "return false;",
+    test: FORWARD,
+  },
   {
     name: "brittle: each host takes all slots",
     file: "packages/core/brittle_servers.ts",
