--- a/packages/core/brittle_records.ts
+++ b/packages/core/brittle_records.ts
@@ -1,7 +1,7 @@
 /**
  * What a host knows of brittle servers, from their responses and from other hosts:
- * which ones are brittle, since when, and when that ended. A server that nobody has
- * heard of, as one that is back after a crash, counts as brittle while most of its
+ * which ones are brittle, since when, and when that ended. A server that no host has
+ * received a response from, as one that is back after a crash, counts as brittle while most of its
  * service does.
  */
 import * as lru from "lru-cache";
@@ -15,14 +15,14 @@
 const SERVICE_SHARE = 0.5;
 /** Age up to which the end of brittleness is reported to other hosts, in ms: several status intervals, so that each host receives it. */
 const END_REPORT_MS = 15_000;
-/** Time for which the end is told anew with each success, in ms; longer than {@link END_MARGIN_MS}. */
+/** Time for which the end is reported anew with each success, in ms; longer than {@link END_MARGIN_MS}. */
 const END_REPEAT_MS = 4_000;
 /** Time without a word of a server after which it is forgotten, in ms. */
 const FORGET_MS = 60_000;
 /** Time by which the end that another host saw must be newer than the last word of the server, in ms; the clocks of hosts may differ. */
 const END_MARGIN_MS = 2_000;
 
-/** What hosts tell each other of a brittle server. */
+/** What hosts report to each other of a brittle server. */
 export interface BrittleRecord {
   readonly server: string;
   readonly service: string;
--- a/packages/core/brittle_senders.ts
+++ b/packages/core/brittle_senders.ts
@@ -14,7 +14,7 @@
 const RELAY_VALID_MS = 5_000;
 /** Time after which a new relay has heard of its followers, in ms: a status interval. */
 const TOLD_MS = 1_500;
-/** Maximum number of senders of a service that a host is told of, apart from its own servers. */
+/** Maximum number of senders of a service that a host receives, apart from its own servers. */
 const MAX_OTHER_SENDERS = 8;
 
 /** A brittle server that needs a sender. */
@@ -183,7 +183,7 @@
 }
 
 /**
- * Chooses what a host is told: the servers whose sender it is, and some senders to
+ * Chooses what a host receives: the servers whose sender it is, and some senders to
  * which it may hand requests, the same ones each time. At least one of each service
  * is named, so that the host knows that the service has senders.
  *
--- a/packages/core/brittle_senders_test.ts
+++ b/packages/core/brittle_senders_test.ts
@@ -158,7 +158,7 @@
   t.end();
 });
 
-// Guards against servers that nobody sends to because their domain has no host, and
+// Guards against servers that no host sends to because their domain has no host, and
 // against two relays that choose for the same server.
 tap.test("a relay chooses for its own domain, and for domains without a relay", (t) => {
   const servers = [
--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -37,9 +37,9 @@
 const FIRST_SENDER_MS = 5_000;
 /** Time for which the senders that a host was told of stay valid, in ms: several status intervals. */
 const SENDERS_VALID_MS = 6_000;
-/** Time for which a sender that hears of no relay goes on, in ms; shorter than its relay waits before another one starts. */
+/** Time for which a sender without a relay goes on, in ms; shorter than its relay waits before another one starts. */
 const OWN_VALID_MS = 5_000;
-/** Time that a new sender waits, in ms: a status interval, in which the one before is told. */
+/** Time that a new sender waits, in ms: a status interval, in which the one before learns of it. */
 const CHANGE_MS = 1_200;
 /** Time for which a host is not handed requests after one failed, in ms; its status is out of date for as long. */
 const FAILED_PEER_MS = 3_000;
@@ -79,7 +79,7 @@
   readonly random: utils.Random;
   /** Name of this host. */
   readonly host: string;
-  /** Whether other hosts soon tell this one which servers are brittle; until then any may be. @default false */
+  /** Whether this host soon learns from others which servers are brittle; until then any may be. @default false */
   readonly asksOthers?: boolean;
 }
 
