--- a/packages/core/brittle_records.ts
+++ b/packages/core/brittle_records.ts
@@ -1,8 +1,8 @@
 /**
  * What a host knows of brittle servers, from their responses and from other hosts:
- * which ones are brittle, since when, and when that ended. A server that no host has
- * received a response from, as one that is back after a crash, counts as brittle while most of its
- * service does.
+ * which ones are brittle, since when, and when that ended. A server from which no
+ * host has received a response yet, such as one that is back after a crash, counts
+ * as brittle while most of its service does.
  */
 import * as lru from "lru-cache";
 import * as constants from "./constants.ts";
