Let hosts that have just started use all slots again

A host ran one request at each server until its first status was answered, so callers of a host that had just started were refused.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -186,7 +186,6 @@
       suspects: SUSPECT_OPTIONS,
       comparesPrompts: true,
       isConnected: (server) => draft.pools.hasIdleConnection(server),
-      asksOthers: settings.peerAddress !== undefined,
       tracksLinks: true,
       // One host at a time, so that all hosts together try a part no more often.
       mayTryParts: () => draft.roles.hasRole(),
--- a/packages/core/brittle_servers.ts
+++ b/packages/core/brittle_servers.ts
@@ -79,8 +79,6 @@
   readonly random: utils.Random;
   /** Name of this host. */
   readonly host: string;
-  /** Whether this host soon learns from others which servers are brittle; until then any may be. @default false */
-  readonly asksOthers?: boolean;
 }
 
 /** The senders that a host was told of. */
@@ -117,7 +115,6 @@
 /** The brittle servers that a host knows. */
 export class BrittleServers {
   readonly #host: string;
-  readonly #asksOthers: boolean;
   readonly #records = new brittleRecords.BrittleRecords({
     onForgotten: (server) => {
       this.#uses.delete(server);
@@ -134,7 +131,6 @@
 
   constructor(options: BrittleServersOptions) {
     this.#host = options.host;
-    this.#asksOthers = options.asksOthers ?? false;
     this.#permits = new ratePermits.RatePermits(options);
   }
 
@@ -255,14 +251,9 @@
     };
   }
 
-  /** Whether any server is brittle, or may be as far as this host knows. */
+  /** Whether any server is brittle. */
   hasAny(): boolean {
-    return this.#records.size > 0 || this.#isUninformed();
-  }
-
-  /** Whether no other host has told this one yet which servers are brittle. */
-  #isUninformed(): boolean {
-    return this.#asksOthers && this.#hosts === undefined;
+    return this.#records.size > 0;
   }
 
   /** Lists the servers whose sender this host is. */
@@ -301,9 +292,7 @@
   /** Whether this host may send a server one more request. */
   mayUse(target: brittleRecords.BrittleTarget, load: OwnLoad): boolean {
     const perSecond = this.#records.findRate(target, load.now);
-    if (perSecond === undefined) {
-      return !this.#isUninformed() || load.running === 0;
-    }
+    if (perSecond === undefined) return true;
     switch (this.#findRole(target, load.now)) {
       case "sender":
         return this.#maySend(target, { ...load, perSecond });
--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -225,7 +225,6 @@
         minRetryAfterMs: 50,
         comparesPrompts: true,
         tracksLinks: true,
-        asksOthers: true,
       }),
       calls: new Map(),
       startedAt: this.#now,
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -51,8 +51,6 @@
   readonly isConnected?: (server: string) => boolean;
   /** Whether this host may let a request try a part of prompts that is blamed. @default never */
   readonly mayTryParts?: () => boolean;
-  /** Whether this host learns from others of brittle servers when it starts. @default false */
-  readonly asksOthers?: boolean;
   /** Whether this host finds out if it has lost its links to the servers. @default false */
   readonly tracksLinks?: boolean;
 }
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -870,13 +870,6 @@
     replace: "const END_MARGIN_MS = 0;",
     test: BRITTLE_SENDERS,
   },
-  {
-    name: "brittle: a host that has just joined fills all servers",
-    file: "packages/core/brittle_servers.ts",
-    find: "return !this.#isUninformed() || load.running === 0;",
-    replace: "return true;",
-    test: BRITTLE_SENDERS,
-  },
   {
     name: "brittle senders: each change of the hosts moves servers",
     file: "packages/core/brittle_senders.ts",
