--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -454,8 +454,7 @@
   {
     name: "limits: requests wait for a permit that does not come in time",
     file: "packages/core/server_waits.ts",
-    find:
-      "Math.max(limits.getWaitMs(name, now), brittle.getWaitMs(name, now)),",
+    find: "limits.getWaitMs(server.info.name, now),",
     replace: "0,",
     test: LIMITS,
   },
@@ -604,8 +603,8 @@
   {
     name: "availability: admission refuses while ejected servers are tried",
     file: "packages/core/admission_control.ts",
-    find: "(!isPanicking && slotMs",
-    replace: "(slotMs",
+    find: "const isSlow = !isPanicking && slotMs",
+    replace: "const isSlow = slotMs",
     test: AVAILABILITY,
   },
   {
