Log and count what becomes of requests that were in flight at lost servers

`server: Suspects changed.`, `banyangrade_suspect_changes_total` and `banyangrade_poison_requests` do; lines of lost and refused requests name the fingerprint, also in `explain`.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -30,6 +30,10 @@
   readonly onSuspectsWithdrawn?: (
     effect: Extract<core.DispatchEffect, { kind: "suspects_withdrawn" }>,
   ) => void;
+  /** Called when marks of suspects were made, or more is known of them. @default ignored */
+  readonly onSuspectsChanged?: (
+    effect: Extract<core.DispatchEffect, { kind: "suspects_changed" }>,
+  ) => void;
   /** Called when the parts of prompts that crash servers change. @default ignored */
   readonly onPartsBlamed?: (
     effect: Extract<core.DispatchEffect, { kind: "parts_blamed" }>,
@@ -186,6 +190,11 @@
     );
   }
 
+  /** Counts the requests that are refused because servers were lost while they ran. */
+  countPoisonRequests(): number {
+    return this.#options.dispatcher.countPoisonRequests();
+  }
+
   /** Counts the parts of prompts that are refused because they crash servers. */
   countBlamedParts(): number {
     return this.#options.dispatcher.countBlamedParts();
@@ -300,6 +309,8 @@
         return this.#options.onPartsBlamed?.(effect);
       case "suspects_withdrawn":
         return this.#options.onSuspectsWithdrawn?.(effect);
+      case "suspects_changed":
+        return this.#options.onSuspectsChanged?.(effect);
       case "overdue_changed":
         return this.#options.onOverdueChanged?.(effect);
       case "ask_capacity":
--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -4,6 +4,7 @@
 import type * as dispatchTask from "../dispatch_task.ts";
 import type * as metrics from "../metrics.ts";
 import type * as requestExchange from "./request_exchange.ts";
+import * as suspectTelemetry from "./suspect_telemetry.ts";
 
 /** Options of {@link ExchangeTelemetry}. */
 export interface ExchangeTelemetryOptions {
@@ -174,6 +175,11 @@
       reason,
       brittle: brittle || undefined,
       events: this.#events,
+      fingerprint: failure === "connection_lost"
+        ? suspectTelemetry.shortenFingerprint(
+          this.#exchange.request.fingerprint,
+        )
+        : undefined,
       // A part that several lost requests share may have crashed their servers.
       parts: failure === "connection_lost" && this.#events === 0
         ? this.#exchange.head.parts.map(({ id }) => id).join(",")
@@ -243,7 +249,15 @@
     const message = forwardedStatus === undefined
       ? "Request refused."
       : "Failure passed on.";
-    this.recordEnd(message, { ...refusal, status: forwardedStatus });
+    this.recordEnd(message, {
+      ...refusal,
+      status: forwardedStatus,
+      fingerprint: refusal.code === "poison_request"
+        ? suspectTelemetry.shortenFingerprint(
+          this.#exchange.request.fingerprint,
+        )
+        : undefined,
+    });
   }
 
   /** Logs the end of the request. */
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -127,6 +127,10 @@
     help: "Backend servers that are avoided because they send nothing.",
     read: () => dispatch.countOverdueServers(),
   });
+  metrics.addGauge("banyangrade_poison_requests", {
+    help: "Requests that are refused because servers were lost while they ran.",
+    read: () => dispatch.countPoisonRequests(),
+  });
   metrics.addGauge("banyangrade_blamed_parts", {
     help: "Parts of prompts that are refused because they crash servers.",
     read: () => dispatch.countBlamedParts(),
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -24,6 +24,7 @@
 import * as connectionPools from "./connection_pools.ts";
 import * as handoverTask from "./handover_task.ts";
 import * as linkTelemetry from "./link_telemetry.ts";
+import * as suspectTelemetry from "./suspect_telemetry.ts";
 import * as startupWaits from "./startup_waits.ts";
 import * as streamOriginsTask from "./stream_origins_task.ts";
 import * as heldBytes from "./held_bytes.ts";
@@ -192,6 +193,8 @@
     }),
     onSuspect: ({ mark }) =>
       void draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS }),
+    onSuspectsChanged: (changed) =>
+      suspectTelemetry.recordSuspectsChanged(draft, changed),
     onPartsBlamed: ({ parts }) =>
       serverLog.warn({ parts }, "Parts that crash servers changed."),
     onSuspectsWithdrawn: ({ marks }) =>
--- /dev/null
+++ b/packages/banyangrade/gateway/suspect_telemetry.ts
@@ -0,0 +1,53 @@
+/** Logs and metrics of requests that may have crashed servers. */
+import type * as core from "@banyangrade/core";
+import * as utils from "@banyangrade/utils";
+import type * as metricsModule from "../metrics.ts";
+
+/** Number of characters of a fingerprint that log lines show. */
+const SHOWN_CHARACTERS = 12;
+/** Largest number of fingerprints, and of servers, in a log line. */
+const MAX_SHOWN = 12;
+
+/** Where changes of suspects are recorded. */
+export interface SuspectTelemetryContext {
+  readonly log: utils.Logger;
+  readonly metrics: metricsModule.Metrics;
+}
+
+/**
+ * Shortens the fingerprint of a request for log lines.
+ *
+ * @example
+ * shortenFingerprint(request.fingerprint); // "Zk3bT0c81xQa"
+ */
+export function shortenFingerprint(fingerprint: string): string {
+  return fingerprint.slice(0, SHOWN_CHARACTERS);
+}
+
+/**
+ * Logs and counts what became of the marks of requests and of parts of prompts.
+ *
+ * @example
+ * recordSuspectsChanged(parts, { change: "made", marks });
+ */
+export function recordSuspectsChanged(
+  { log, metrics }: SuspectTelemetryContext,
+  { change, marks }: {
+    readonly change: core.SuspectChange;
+    readonly marks: readonly core.SuspectMark[];
+  },
+): void {
+  metrics.recordSuspectChanges(change, marks.length);
+  const fingerprints = marks.map(({ fingerprint }) =>
+    shortenFingerprint(fingerprint)
+  );
+  utils.createPartLogger(log, "server").info({
+    change,
+    fingerprints: listSome(fingerprints),
+    servers: listSome(marks.map(({ server }) => server)),
+  }, "Suspects changed.");
+}
+
+function listSome(names: readonly string[]): string {
+  return [...new Set(names)].slice(0, MAX_SHOWN).join(",");
+}
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -164,6 +164,11 @@
     "Times at which this host lost its links to the backend servers or had them again.",
     ["change"],
   );
+  readonly #suspectChanges = this.#createCounter(
+    "banyangrade_suspect_changes_total",
+    "Requests and parts of prompts that were in flight at lost servers, by what became of the suspicion.",
+    ["change"],
+  );
   readonly #requestsToEjected = this.#createCounter(
     "banyangrade_requests_to_ejected_servers_total",
     "Attempts sent to ejected servers because no other server was in use.",
@@ -262,6 +267,10 @@
     this.#linkChanges.inc({ change });
   }
 
+  recordSuspectChanges(change: string, count: number): void {
+    this.#suspectChanges.inc({ change }, count);
+  }
+
   recordAttemptMoved(): void {
     this.#attemptsMoved.inc();
   }
--- a/packages/banyangrade/request_trace.ts
+++ b/packages/banyangrade/request_trace.ts
@@ -20,6 +20,10 @@
   readonly reason?: string;
   readonly events?: number;
   readonly parts?: string;
+  readonly fingerprint?: string;
+  readonly fingerprints?: string;
+  readonly servers?: string;
+  readonly change?: string;
   readonly attempts?: number;
   readonly totalMs?: number;
   readonly firstMs?: number;
@@ -43,7 +47,7 @@
 const BACKGROUND_MS = 10_000;
 /** Prefixes of the log lines that record changes of a host's state. */
 const BACKGROUND_PREFIX =
-  /^(belief|roles|handover): |^server: (Links|Parts|Sender|Brittleness) /;
+  /^(belief|roles|handover): |^server: (Links|Parts|Sender|Brittleness|Suspects) /;
 /** Largest number of these lines that are shown. */
 const MAX_BACKGROUND = 12;
 
@@ -70,7 +74,8 @@
       `State changes of ${end.host} in the ${BACKGROUND_MS / 1_000} s before:`,
     ]),
     ...background.map((line) =>
-      `${describeTime(line, own[0])} ${line.msg}${describeError(line)}`
+      `${describeTime(line, own[0])} ${line.msg}${describeSuspects(line)}` +
+      describeError(line)
     ),
   ];
 }
@@ -105,7 +110,8 @@
     case "Attempt failed.":
       return `${line.server}${line.brittle ? ", which is brittle," : ""} ` +
         `failed it (${line.failure}): ${line.reason} ` +
-        `The caller had received ${line.events} events.${describeParts(line)}`;
+        `The caller had received ${line.events} events.${describeParts(line)}` +
+        describeFingerprint(line);
     case "Request handed over.":
       return `${line.host} ${describeCause(line)} and handed it to ` +
         `${line.peer} (route ${line.route}) after ${line.waitedMs} ms.`;
@@ -121,7 +127,8 @@
         `${line.status}).`;
     case "Request refused.":
       return `${line.host} refused it at ${line.step} (${line.code}); ran: ` +
-        `${line.ran}; peer: ${line.peer}${describeProof(line)}.`;
+        `${line.ran}; peer: ${line.peer}${describeProof(line)}.` +
+        describeFingerprint(line);
     case "Caller left.":
       return `The caller disconnected after ${line.totalMs} ms${
         describeCallerLeft(line)
@@ -145,6 +152,18 @@
   return parts === "" ? "" : ` Its prompt has the parts ${parts}.`;
 }
 
+function describeFingerprint({ fingerprint }: LogLine): string {
+  return fingerprint === undefined ? "" : ` Fingerprint ${fingerprint}.`;
+}
+
+function describeSuspects(
+  { change, fingerprints, servers }: LogLine,
+): string {
+  return change === undefined || fingerprints === undefined
+    ? ""
+    : ` ${change}: ${fingerprints} at ${servers}.`;
+}
+
 /** Describes which stream the caller takes up. */
 function describeTakenUp({ callerHas, resumes }: LogLine): string {
   return callerHas === undefined
--- a/packages/banyangrade/request_trace_test.ts
+++ b/packages/banyangrade/request_trace_test.ts
@@ -51,6 +51,23 @@
   t.end();
 });
 
+tap.test("the trace of a request that lost its server names its fingerprint and suspects", (t) => {
+  const lines = [
+    `{"time":900,"host":"h1","change":"withheld","fingerprints":"Zk3b","servers":"s1@7","msg":"server: Suspects changed."}`,
+    `{"time":1000,"host":"h1","requestId":"r5","attempt":1,"server":"s1@7","failure":"connection_lost","reason":"read ECONNRESET","events":0,"fingerprint":"Zk3b","msg":"request: Attempt failed."}`,
+    `{"time":1001,"host":"h1","requestId":"r5","code":"poison_request","ran":"unknown","step":"dispatch","peer":"this host","fingerprint":"Zk3b","msg":"request: Request refused."}`,
+  ];
+  t.same(requestTrace.formatRequestTrace(lines.join("\n"), "r5"), [
+    "+0 ms s1@7 failed it (connection_lost): read ECONNRESET The caller had " +
+    "received 0 events. Fingerprint Zk3b.",
+    "+1 ms h1 refused it at dispatch (poison_request); ran: unknown; peer: this " +
+    "host. Fingerprint Zk3b.",
+    "State changes of h1 in the 10 s before:",
+    "-100 ms server: Suspects changed. withheld: Zk3b at s1@7.",
+  ]);
+  t.end();
+});
+
 tap.test("the trace of an unknown request is empty", (t) => {
   t.same(requestTrace.formatRequestTrace(LINES.join("\n"), "r9"), []);
   t.end();
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -131,6 +131,11 @@
     return this.#state.parts.listBlamed().length;
   }
 
+  /** Counts the requests that are refused because servers were lost while they ran. */
+  countPoisonRequests(): number {
+    return this.#state.suspects.countPoison();
+  }
+
   /** Lists the outcomes of this host's recent attempts, to share with other hosts. */
   listOutcomes(now: number): failureShares.HostOutcomes {
     return this.#state.failureShares.list(now);
@@ -347,7 +352,10 @@
   marks: readonly events.SuspectMark[],
 ): void {
   const requests = crashingParts.addMarks(state, marks);
-  requests.forEach((mark) => state.suspects.addRemote(mark, state.now));
+  const added = requests.filter((mark) =>
+    state.suspects.addRemote(mark, state.now)
+  );
+  linkChecks.recordChange(state, { change: "received", marks: added });
   attemptEnd.separateSuspects(state, requests);
 }
 
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -129,6 +129,16 @@
   readonly place?: number;
 }
 
+/** What became of marks: this host made them and tells others or does not for now, it told them too early, or it learned more. */
+export type SuspectChange =
+  | "made"
+  | "withheld"
+  | "withdrawn"
+  | "confirmed"
+  | "wrong"
+  /** Another host made them. */
+  | "received";
+
 /** An event that the dispatcher handles. */
 export type DispatchEvent =
   | { readonly kind: "arrived"; readonly request: request.Request }
@@ -297,6 +307,12 @@
     readonly kind: "suspects_withdrawn";
     readonly marks: readonly SuspectMark[];
   }
+  /** What this host knows of suspects has changed; for logs and metrics. */
+  | {
+    readonly kind: "suspects_changed";
+    readonly change: SuspectChange;
+    readonly marks: readonly SuspectMark[];
+  }
   /** The parts of prompts that crash servers have changed. */
   | { readonly kind: "parts_blamed"; readonly parts: readonly string[] }
   /** A server is overdue, or answers again. */
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -198,8 +198,10 @@
 ): void {
   const { doubtfulMarks, now } = state;
   if (isBehindLostLinks(state, mark.server)) {
+    recordChange(state, { change: "withheld", marks: [mark] });
     return doubtfulMarks.add(mark, now);
   }
+  recordChange(state, { change: "made", marks: [mark] });
   doubtfulMarks.recordReported(mark, now);
   state.effects.push({ kind: "suspect", mark });
 }
@@ -219,9 +221,28 @@
     suspects.remove(mark);
     state.parts.remove(mark);
   });
+  recordChange(state, { change: "wrong", marks: wrong });
+  recordChange(state, { change: "confirmed", marks: confirmed });
   confirmed.forEach((mark) => state.effects.push({ kind: "suspect", mark }));
 }
 
+/**
+ * Records for logs and metrics what became of marks.
+ *
+ * @example
+ * recordChange(state, { change: "received", marks });
+ */
+export function recordChange(
+  state: hostState.HostState,
+  changed: {
+    readonly change: events.SuspectChange;
+    readonly marks: readonly events.SuspectMark[];
+  },
+): void {
+  if (changed.marks.length === 0) return;
+  state.effects.push({ kind: "suspects_changed", ...changed });
+}
+
 /** Withdraws the suspects that were reported since this host began to lose its links to a pool. */
 function withdrawSuspects(state: hostState.HostState, pool: string): void {
   const links = getLinks(state, pool)?.getState();
@@ -229,6 +250,7 @@
   const servers = new Set(listLive(state, pool));
   const marks = state.doubtfulMarks.withdraw(servers, links.since);
   if (marks.length === 0) return;
+  recordChange(state, { change: "withdrawn", marks });
   state.effects.push({ kind: "suspects_withdrawn", marks });
 }
 
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -63,14 +63,22 @@
   /**
    * Adds a mark that another host made. That host may be retrying the request on
    * a second server now; a copy that ran here at the same time could crash a third.
+   * Returns whether it is new.
    */
-  addRemote(mark: events.SuspectMark, now: number): void {
+  addRemote(mark: events.SuspectMark, now: number): boolean {
     const suspect = this.#get(mark.fingerprint);
     const { servers, cleared } = suspect;
-    if (servers.has(mark.server) || cleared.has(mark.server)) return;
+    if (servers.has(mark.server) || cleared.has(mark.server)) return false;
     suspect.servers.add(mark.server);
-    if (!this.#holdsRemote) return;
+    if (!this.#holdsRemote) return true;
     suspect.heldUntil = now + constants.SUSPECT_HOLD_MS;
+    return true;
+  }
+
+  /** Counts the fingerprints that are refused. */
+  countPoison(): number {
+    return [...this.#suspects.values()]
+      .filter(({ servers }) => servers.size >= this.#poisonLimit).length;
   }
 
   #get(fingerprint: string): Suspect {
