--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -26,9 +26,9 @@
   readonly onSuspect: (
     effect: Extract<core.DispatchEffect, { kind: "suspect" }>,
   ) => void;
-  /** Called when other hosts must not be told of suspects any more. @default ignored */
-  readonly onSuspectsWithdrawn?: (
-    effect: Extract<core.DispatchEffect, { kind: "suspects_withdrawn" }>,
+  /** Called when other hosts must not be told of losses any more. @default ignored */
+  readonly onLossesWithdrawn?: (
+    effect: Extract<core.DispatchEffect, { kind: "losses_withdrawn" }>,
   ) => void;
   /** Called when marks of suspects were made, or more is known of them. @default ignored */
   readonly onSuspectsChanged?: (
@@ -190,6 +190,22 @@
     );
   }
 
+  /** Lists marks of requests that are refused, with monotonic times. */
+  listPoisonMarks(): core.SuspectMark[] {
+    return this.#options.dispatcher.listPoisonMarks();
+  }
+
+  /** Whether it is in doubt that a lost server has ended. */
+  isDoubted(server: string): boolean {
+    return this.#options.dispatcher.isDoubted(server);
+  }
+
+  /** Lists the losses that this host knows to be wrong, with monotonic times. */
+  listWrongLosses(): core.WrongLosses {
+    const { dispatcher, clock } = this.#options;
+    return dispatcher.listWrongLosses(clock.now());
+  }
+
   /** Counts the requests that are refused because servers were lost while they ran. */
   countPoisonRequests(): number {
     return this.#options.dispatcher.countPoisonRequests();
@@ -307,8 +323,8 @@
         return this.#options.onSuspect(effect);
       case "parts_blamed":
         return this.#options.onPartsBlamed?.(effect);
-      case "suspects_withdrawn":
-        return this.#options.onSuspectsWithdrawn?.(effect);
+      case "losses_withdrawn":
+        return this.#options.onLossesWithdrawn?.(effect);
       case "suspects_changed":
         return this.#options.onSuspectsChanged?.(effect);
       case "overdue_changed":
--- a/packages/banyangrade/gateway/exchange_telemetry.ts
+++ b/packages/banyangrade/gateway/exchange_telemetry.ts
@@ -252,7 +252,7 @@
     this.recordEnd(message, {
       ...refusal,
       status: forwardedStatus,
-      fingerprint: refusal.code === "poison_request"
+      fingerprint: suspectTelemetry.isSuspicion(refusal.code)
         ? suspectTelemetry.shortenFingerprint(
           this.#exchange.request.fingerprint,
         )
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -191,14 +191,17 @@
       // One host at a time, so that all hosts together try a part no more often.
       mayTryParts: () => draft.roles.hasRole(),
     }),
-    onSuspect: ({ mark }) =>
-      void draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS }),
-    onSuspectsChanged: (changed) =>
-      suspectTelemetry.recordSuspectsChanged(draft, changed),
+    onSuspect: ({ mark }) => {
+      draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS });
+    },
+    onSuspectsChanged: (changed) => {
+      suspectTelemetry.recordSuspectsChanged(draft, changed);
+    },
     onPartsBlamed: ({ parts }) =>
       serverLog.warn({ parts }, "Parts that crash servers changed."),
-    onSuspectsWithdrawn: ({ marks }) =>
-      marks.forEach((mark) => draft.marks.remove(mark)),
+    onLossesWithdrawn: ({ loss }) => {
+      draft.marks.withdraw(loss);
+    },
     onAskCapacity: () => undefined,
     onOverdueChanged: ({ server, overdue }) =>
       serverLog.info(
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -13,9 +13,7 @@
 export function describeHost(
   parts: Parts,
 ): core.HostStatus {
-  const { settings, incarnation, clock, clocks, counter, dispatch, marks } =
-    parts;
-  marks.removeExpired(clock.now());
+  const { settings, incarnation, clock, clocks, counter, dispatch } = parts;
   const contact = parts.handover.getContact();
   const offsetMs = clocks.getTrueTime() - clock.now();
   const answered = dispatch.listAnsweredParts();
@@ -28,14 +26,10 @@
     prompting: dispatch.countPendingPrefill(),
     outcomes: dispatch.listOutcomes(),
     usage: counter.list(),
-    suspects: applyOffset(
-      marks.list()
-        .map(({ until: _until, ...mark }) => mark),
-      offsetMs,
-    ),
+    ...describeSuspects(parts, offsetMs),
     limits: applyOffset(dispatch.listLimits(), offsetMs),
     ...(Object.keys(answered).length > 0 && {
-      answeredParts: applyOffsetToParts(answered, offsetMs),
+      answeredParts: applyOffsetToTimes(answered, offsetMs),
     }),
     paces: dispatch.listPaces(),
     ...describeBrittle(parts, offsetMs),
@@ -43,6 +37,25 @@
   };
 }
 
+/** Describes the requests that were in flight at lost servers. */
+function describeSuspects(
+  { clock, dispatch, marks }: Parts,
+  offsetMs: number,
+): Pick<core.HostStatus, "suspects" | "wrongLosses"> {
+  marks.removeExpired(clock.now());
+  const recent = marks.list().map(({ until: _until, ...mark }) => mark);
+  const suspects = recent.map((mark) =>
+    dispatch.isDoubted(mark.server) ? { ...mark, doubtful: true } : mark
+  );
+  const wrongLosses = dispatch.listWrongLosses();
+  return {
+    suspects: applyOffset(suspects, offsetMs),
+    ...(Object.keys(wrongLosses).length > 0 && {
+      wrongLosses: applyOffsetToTimes(wrongLosses, offsetMs),
+    }),
+  };
+}
+
 /** Describes what this host knows of brittle servers, and whether it may be the sender of some. */
 function describeBrittle(
   { dispatch, handover }: Parts,
@@ -67,12 +80,12 @@
   );
 }
 
-function applyOffsetToParts(
-  parts: core.PartAnswers,
+function applyOffsetToTimes(
+  times: Readonly<Record<string, number>>,
   offsetMs: number,
-): core.PartAnswers {
+): Readonly<Record<string, number>> {
   return Object.fromEntries(
-    Object.entries(parts).map(([part, at]) => [part, at + offsetMs]),
+    Object.entries(times).map(([name, at]) => [name, at + offsetMs]),
   );
 }
 
@@ -163,7 +176,7 @@
     brittle: applyOffset(others.brittle ?? [], offsetMs),
     senders: others.senders ?? [],
     paces: others.paces ?? {},
-    answeredParts: applyOffsetToParts(others.answeredParts ?? {}, offsetMs),
+    answeredParts: applyOffsetToTimes(others.answeredParts ?? {}, offsetMs),
   });
   const sentTo = dispatch.listSentTo();
   if (sentTo.toSorted().join() !== sentToBefore) {
@@ -172,10 +185,12 @@
       "server: Sender of other brittle servers than before.",
     );
   }
-  if (others.suspects.length > 0) {
+  const { suspects, wrongLosses = {} } = others;
+  if (suspects.length > 0 || Object.keys(wrongLosses).length > 0) {
     dispatch.send({
       kind: "suspected",
-      marks: applyOffset(others.suspects, offsetMs),
+      marks: applyOffset(suspects, offsetMs),
+      wrongLosses: applyOffsetToTimes(wrongLosses, offsetMs),
     });
   }
   const movedMs = clocks.updateTrueTime({ others: others.times });
--- a/packages/banyangrade/gateway/suspect_telemetry.ts
+++ b/packages/banyangrade/gateway/suspect_telemetry.ts
@@ -24,6 +24,16 @@
   return fingerprint.slice(0, SHOWN_CHARACTERS);
 }
 
+/**
+ * Whether a request is refused because servers were lost while it ran.
+ *
+ * @example
+ * isSuspicion("poison_request"); // true
+ */
+export function isSuspicion(code: core.RefusalCode): boolean {
+  return code === "poison_request" || code === "suspect_request";
+}
+
 /**
  * Logs and counts what became of the marks of requests and of parts of prompts.
  *
--- a/packages/banyangrade/host_parts.ts
+++ b/packages/banyangrade/host_parts.ts
@@ -130,9 +130,11 @@
   draft.dispatch = new dispatchTask.DispatchTask({
     clock: draft.clock,
     dispatcher: draft.dispatcher,
-    onSuspect: (effect) =>
+    // The time of a mark is known to this host's clock only.
+    onSuspect: ({ mark: { fingerprint, server } }) =>
       draft.overlay.addMark({
-        ...effect.mark,
+        fingerprint,
+        server,
         until: draft.clock.wall() + core.constants.QUARANTINE_MS,
       }),
     onAskCapacity: () => draft.capacity.askLeaderNow(),
--- a/packages/caller/caller_response.ts
+++ b/packages/caller/caller_response.ts
@@ -16,6 +16,7 @@
   conflict: 409,
   origin_unknown: 503,
   poison_request: 422,
+  suspect_request: 503,
   store_unavailable: 503,
   backend_failed: 502,
   cancelled: 499,
--- a/packages/core/admission_control.ts
+++ b/packages/core/admission_control.ts
@@ -11,6 +11,7 @@
 import type * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
 import * as strandedRequests from "./stranded_requests.ts";
+import * as suspectChecks from "./suspect_checks.ts";
 import * as dispatching from "./dispatching.ts";
 
 /**
@@ -54,12 +55,9 @@
   request: request.Request,
 ): Pick<refusals.RefusalReason, "code" | "waitMs"> | undefined {
   if (state.draining) return { code: "draining", waitMs: 0 };
-  if (state.suspects.isPoison(request.fingerprint)) {
-    return { code: "poison_request" };
-  }
-  if (crashingParts.isRefused(state, request)) {
-    return { code: "poison_request" };
-  }
+  const suspicion = suspectChecks.findRefusal(state, request) ??
+    crashingParts.findArrivalRefusal(state, request);
+  if (suspicion !== undefined) return suspicion;
   const holdMs = state.suspects.getHoldMs(request.fingerprint, state.now);
   if (holdMs > 0) return { code: "poison_request", waitMs: holdMs };
   const isServed = overflow.hasLocalServer(state, request) ||
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -14,6 +14,8 @@
 import * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
 import * as strandedRequests from "./stranded_requests.ts";
+import * as suspectChecks from "./suspect_checks.ts";
+import * as suspectMarks from "./suspect_marks.ts";
 import * as dispatching from "./dispatching.ts";
 
 type EventOf<Kind extends events.DispatchEvent["kind"]> = Extract<
@@ -221,11 +223,13 @@
   state: hostState.HostState,
   ended: attempts.Attempt,
 ): void {
-  const mark = {
-    fingerprint: ended.request.fingerprint,
-    server: ended.server,
-  };
-  linkChecks.reportSuspect(state, mark);
+  const { server, request: { fingerprint } } = ended;
+  const doubtful = linkChecks.isBehindLostLinks(state, server);
+  const mark = suspectMarks.reportSuspect(state, {
+    fingerprint,
+    server,
+    doubtful,
+  });
   state.suspects.add(mark);
   separateSuspects(state, [mark]);
   crashingParts.markParts(state, ended);
@@ -264,13 +268,13 @@
         : undefined,
     });
   }
-  if (state.suspects.isPoison(request.fingerprint)) {
-    const poison = { refused: request, code: "poison_request" } as const;
-    return hostState.refuse(state, { ...poison, ran: "unknown" });
+  const suspicion = suspectChecks.findRefusal(state, request);
+  if (suspicion !== undefined) {
+    return hostState.refuse(state, { refused: request, ran, ...suspicion });
   }
-  if (state.parts.find(request.parts) !== undefined) {
-    const refused = { refused: request, ran } as const;
-    return hostState.refuse(state, { ...refused, code: "poison_request" });
+  const blame = crashingParts.findRefusal(state, request);
+  if (blame !== undefined) {
+    return hostState.refuse(state, { refused: request, ran, ...blame });
   }
   // A request whose answer has begun gets a new start deadline instead.
   const hasBegun = ended.offset + ended.tokens > 0;
@@ -351,13 +355,16 @@
     .forEach((entry) => {
       const { fingerprint } = entry.request;
       const isHeld = state.suspects.getHoldMs(fingerprint, state.now) > 0;
-      if (!isHeld && !state.suspects.isPoison(fingerprint)) {
+      const refusal = isHeld
+        ? { code: "poison_request" } as const
+        : suspectChecks.findRefusal(state, entry.request);
+      if (refusal === undefined) {
         return state.queue.add({ ...entry, suspect: true });
       }
       hostState.refuse(state, {
         refused: entry.request,
-        code: "poison_request",
         ran: entry.ran,
+        ...refusal,
       });
     });
   dispatching.dispatchQueue(state);
--- a/packages/core/constants.ts
+++ b/packages/core/constants.ts
@@ -24,6 +24,10 @@
 export const POISON_LIMIT = 2;
 /** Time for which a suspect request is refused because another host may be retrying it, in ms. */
 export const SUSPECT_HOLD_MS = 10_000;
+/** Time within which two losses of one incarnation of a server are the same one, in ms; one that ended may be back before its entry changes. */
+export const SAME_LOSS_MS = 2_000;
+/** Time after which it is mostly known whether a server has ended that may only be out of reach, in ms. */
+export const DOUBT_MS = 1_500;
 /** Time for which a quarantined fingerprint is refused, in ms. */
 export const QUARANTINE_MS = 600_000;
 /** The requests in flight at a lost server become suspects only if there are fewer of them than this number. */
--- a/packages/core/crashing_parts.ts
+++ b/packages/core/crashing_parts.ts
@@ -1,31 +1,79 @@
 /** Applies the blame of parts that crash servers to the requests of one host. */
 import type * as attempts from "./attempts.ts";
+import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
+import * as handover from "./handover.ts";
 import * as hostState from "./host_state.ts";
 import * as linkChecks from "./link_checks.ts";
+import type * as refusals from "./refusals.ts";
 import type * as request from "./request.ts";
+import * as suspectMarks from "./suspect_marks.ts";
+
+/** Why a request with a blamed part is refused. */
+type PartRefusal = Pick<refusals.RefusalReason, "code" | "waitMs">;
 
 /**
- * Whether a request has a part that crashes servers and must be refused. From time
- * to time the host that holds the control roles lets one such request try.
+ * Returns why a request must be refused: it has a part that crashes servers.
+ * Undefined if it may run. While it is in doubt whether the servers have ended, a
+ * host that has lost its links to them leaves the decision to one that has not.
  *
  * @example
- * if (isRefused(state, request)) refuse(state, { refused: request, code: "poison_request" });
+ * const refusal = findRefusal(state, request);
  */
-export function isRefused(
+export function findRefusal(
   state: hostState.HostState,
-  { parts }: request.Request,
-): boolean {
-  const blamed = state.parts.find(parts);
-  if (blamed === undefined) return false;
+  request: request.Request,
+): PartRefusal | undefined {
+  const { parts, doubts } = state;
+  const blamed = parts.find(request.parts);
+  if (blamed === undefined) return undefined;
+  const servers = parts.listServers(blamed);
+  if (!servers.some((server) => doubts.has(server))) {
+    return { code: "poison_request" };
+  }
+  doubts.scheduleTrials(servers);
+  return handover.isLeftToPeers(state, request)
+    ? undefined
+    : { code: "suspect_request", waitMs: constants.DOUBT_MS };
+}
+
+/**
+ * Returns why an arriving request must be refused: it has a part that crashes
+ * servers. Undefined if it may run. From time to time the host that holds the
+ * control roles lets one such request try.
+ *
+ * @example
+ * const refusal = findArrivalRefusal(state, request);
+ */
+export function findArrivalRefusal(
+  state: hostState.HostState,
+  request: request.Request,
+): PartRefusal | undefined {
+  const blamed = state.parts.find(request.parts);
+  if (blamed === undefined) return undefined;
   state.parts.recordRequest(blamed, state.now)
     .forEach((mark) => state.effects.push({ kind: "suspect", mark }));
   const trial = state.mayTryParts()
     ? state.parts.takeTrial(blamed, state.now)
     : undefined;
-  if (trial === undefined) return true;
+  if (trial === undefined) return findRefusal(state, request);
   state.effects.push({ kind: "suspect", mark: trial });
-  return false;
+  return undefined;
+}
+
+/**
+ * Withdraws the crashes of a server that has not ended.
+ *
+ * @example
+ * withdrawMarks(state, { server: "s1@1", at: 4_000 });
+ */
+export function withdrawMarks(
+  state: hostState.HostState,
+  loss: events.ServerLoss,
+): void {
+  const before = state.parts.listBlamed();
+  state.parts.withdraw(loss);
+  reportChange(state, before);
 }
 
 /**
@@ -43,12 +91,17 @@
   const hasBegun = offset + tokens > 0 || request.software !== undefined;
   const isLeaving = state.table.get(server)?.info.state === "leaving";
   if (hasBegun || isLeaving || request.parts === undefined) return;
+  const doubtful = linkChecks.isBehindLostLinks(state, server);
   const marks = state.parts.buildMarks(request.parts, {
     server,
     at: state.now,
   });
-  marks.forEach((mark) => linkChecks.reportSuspect(state, mark));
-  addMarks(state, marks);
+  addMarks(
+    state,
+    marks.map((mark) =>
+      suspectMarks.reportSuspect(state, { ...mark, doubtful })
+    ),
+  );
 }
 
 /**
@@ -120,9 +173,12 @@
     blamed.every((part) => before.includes(part));
   if (isSame) return;
   state.effects.push({ kind: "parts_blamed", parts: blamed });
-  state.queue.removeWhere(({ request: { parts } }) =>
-    state.parts.find(parts) !== undefined
-  ).forEach(({ request: refused, ran }) =>
-    hostState.refuse(state, { refused, code: "poison_request", ran })
-  );
+  state.queue.removeWhere(({ request }) =>
+    findRefusal(state, request) !== undefined
+  ).forEach(({ request: refused, ran }) => {
+    const refusal = findRefusal(state, refused);
+    if (refusal !== undefined) {
+      hostState.refuse(state, { refused, ran, ...refusal });
+    }
+  });
 }
--- a/packages/core/deadline_checks.ts
+++ b/packages/core/deadline_checks.ts
@@ -10,6 +10,7 @@
 import * as serverChecks from "./server_checks.ts";
 import * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
+import * as suspectChecks from "./suspect_checks.ts";
 import * as dispatching from "./dispatching.ts";
 
 /**
@@ -24,7 +25,7 @@
   state.reading.record(countPrefilling(state), state.now);
   serverChecks.checkServers(state);
   linkChecks.tryLinks(state);
-  linkChecks.decideDoubtfulMarks(state);
+  suspectChecks.checkSuspects(state);
   crashingParts.forgetParts(state);
   dispatching.dispatchQueue(state);
   preemptForDelayed(state);
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -26,6 +26,7 @@
 import * as serverState from "./server_state.ts";
 import * as serverWaits from "./server_waits.ts";
 import * as strandedRequests from "./stranded_requests.ts";
+import * as suspectChecks from "./suspect_checks.ts";
 import * as overflow from "./overflow.ts";
 import * as dispatching from "./dispatching.ts";
 import * as deadlineChecks from "./deadline_checks.ts";
@@ -131,6 +132,21 @@
     return this.#state.parts.listBlamed().length;
   }
 
+  /** Lists marks of requests that are refused, with monotonic times, to share them as long as they are. */
+  listPoisonMarks(): events.SuspectMark[] {
+    return this.#state.suspects.listPoisonMarks();
+  }
+
+  /** Whether it is in doubt that a lost server has ended. */
+  isDoubted(server: string): boolean {
+    return this.#state.doubts.has(server);
+  }
+
+  /** Lists the losses that this host knows to be wrong, with monotonic times, to share with other hosts. */
+  listWrongLosses(now: number): events.WrongLosses {
+    return this.#state.doubts.listWrong(now);
+  }
+
   /** Counts the requests that are refused because servers were lost while they ran. */
   countPoisonRequests(): number {
     return this.#state.suspects.countPoison();
@@ -330,7 +346,7 @@
     case "overflow_granted":
       return grants.setOverflow(state, event);
     case "suspected":
-      return addSuspects(state, event.marks);
+      return addSuspects(state, event);
     case "cleared":
       event.fingerprints.forEach((fingerprint) =>
         state.suspects.clear(fingerprint)
@@ -346,17 +362,15 @@
   }
 }
 
-/** Adds the marks of other hosts. */
+/** Adds the marks of other hosts, and refuses or separates the queued requests that they concern. */
 function addSuspects(
   state: hostState.HostState,
-  marks: readonly events.SuspectMark[],
+  event: Extract<events.DispatchEvent, { kind: "suspected" }>,
 ): void {
-  const requests = crashingParts.addMarks(state, marks);
-  const added = requests.filter((mark) =>
-    state.suspects.addRemote(mark, state.now)
+  attemptEnd.separateSuspects(
+    state,
+    suspectChecks.mergeSuspects(state, event),
   );
-  linkChecks.recordChange(state, { change: "received", marks: added });
-  attemptEnd.separateSuspects(state, requests);
 }
 
 /** Finds the servers that fail over all hosts. */
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -127,17 +127,31 @@
   readonly at?: number;
   /** Place in the prompt of the part that the mark concerns; 0 is the first. @default 0 */
   readonly place?: number;
+  /** Whether the server may only have been out of the reach of the host that made the mark. @default false */
+  readonly doubtful?: boolean;
 }
 
-/** What became of marks: this host made them and tells others or does not for now, it told them too early, or it learned more. */
+/** The loss of a server, and those before it. */
+export interface ServerLoss {
+  readonly server: string;
+  /** When the server was lost, monotonic ms. */
+  readonly at: number;
+}
+
+/** Servers that were lost but have not ended, by the time of the last such loss, in ms. */
+export type WrongLosses = Readonly<Record<string, number>>;
+
+/** What became of marks. */
 export type SuspectChange =
   | "made"
-  | "withheld"
-  | "withdrawn"
-  | "confirmed"
-  | "wrong"
   /** Another host made them. */
-  | "received";
+  | "received"
+  /** Their server may only be out of a host's reach. */
+  | "doubted"
+  /** Their server is gone. */
+  | "confirmed"
+  /** Their server has not ended. */
+  | "withdrawn";
 
 /** An event that the dispatcher handles. */
 export type DispatchEvent =
@@ -256,6 +270,8 @@
     /** Servers were lost while they ran these requests, for this host or another. */
     readonly kind: "suspected";
     readonly marks: readonly SuspectMark[];
+    /** Losses that other hosts found to be wrong, with monotonic times. @default none */
+    readonly wrongLosses?: WrongLosses;
   }
   | { readonly kind: "cleared"; readonly fingerprints: readonly string[] }
   | { readonly kind: "key_withdrawn"; readonly keyId: string }
@@ -302,11 +318,8 @@
   }
   /** A server was lost while it ran this request; other hosts must be told. */
   | { readonly kind: "suspect"; readonly mark: SuspectMark }
-  /** These marks may be wrong, because this host has lost its links to the servers; other hosts must not be told of them for now. */
-  | {
-    readonly kind: "suspects_withdrawn";
-    readonly marks: readonly SuspectMark[];
-  }
+  /** Marks of these losses are wrong, and other hosts must not be told of them. */
+  | { readonly kind: "losses_withdrawn"; readonly loss: ServerLoss }
   /** What this host knows of suspects has changed; for logs and metrics. */
   | {
     readonly kind: "suspects_changed";
--- a/packages/core/handover.ts
+++ b/packages/core/handover.ts
@@ -63,9 +63,8 @@
     (request.resumable ?? false);
   const attemptsLeft = (request.maxAttempts ?? constants.MAX_ATTEMPTS) -
     countSent(entry);
-  // A request that may crash servers is not sent to further hosts, which count
-  // its suspects anew.
-  return isSafe && !entry.suspect && attemptsLeft > 0 &&
+  // A request that may crash servers is not sent to further hosts.
+  return isSafe && !isSuspectForSure(state, request) && attemptsLeft > 0 &&
     isTakenElsewhere(state, request) &&
     (ownShare === 0 || drawFor(request.id) >= ownShare);
 }
@@ -83,6 +82,30 @@
   return !request.handedOver && listPeers(state, request).length > 0;
 }
 
+/** Whether enough servers have ended for certain while a request was in flight there. */
+function isSuspectForSure(
+  { suspects, doubts }: hostState.HostState,
+  { fingerprint }: request.Request,
+): boolean {
+  return suspects.isSuspect(fingerprint) &&
+    suspects.isSuspectWithout(fingerprint, (server) => doubts.has(server));
+}
+
+/**
+ * Whether this host has lost its links and leaves a request to hosts that have not,
+ * which know better whether servers have ended.
+ *
+ * @example
+ * if (isLeftToPeers(state, request)) return undefined;
+ */
+export function isLeftToPeers(
+  state: hostState.HostState,
+  request: request.Request,
+): boolean {
+  return linkChecks.hasLostLinks(state, request.target) &&
+    isTakenElsewhere(state, request) && !isSuspectForSure(state, request);
+}
+
 /**
  * Whether other hosts serve a target for this one, which has lost its links.
  *
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -7,7 +7,6 @@
 import type * as config from "./config.ts";
 import * as constants from "./constants.ts";
 import * as domainFailureDetector from "./domain_failure_detector.ts";
-import * as doubtfulMarks from "./doubtful_marks.ts";
 import * as engineChoice from "./engine_choice.ts";
 import * as enginePaces from "./engine_paces.ts";
 import type * as events from "./events.ts";
@@ -28,6 +27,7 @@
 import * as router from "./router.ts";
 import * as serverAvailability from "./server_availability.ts";
 import * as serverLimits from "./server_limits.ts";
+import * as serverDoubts from "./server_doubts.ts";
 import type * as serverLinks from "./server_links.ts";
 import type * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
@@ -105,7 +105,8 @@
   readonly failureShares: failureShares.FailureShares;
   /** Other hosts with working links; known only while this host's own ones are lost or have just been restored. */
   peers: readonly handover.PeerHost[];
-  readonly doubtfulMarks: doubtfulMarks.DoubtfulMarks;
+  /** Lost servers that may only be out of reach. */
+  readonly doubts: serverDoubts.ServerDoubts;
   /** Links of this host to the servers of each pool; undefined if it does not track them. */
   readonly links: Map<string, serverLinks.ServerLinks> | undefined;
   readonly random: utils.Random;
@@ -158,7 +159,7 @@
     mayExceedSlots: options.comparesPrompts ?? false,
     failureShares: shares,
     peers: [],
-    doubtfulMarks: new doubtfulMarks.DoubtfulMarks(),
+    doubts: new serverDoubts.ServerDoubts(),
     links: options.tracksLinks ? new Map() : undefined,
     random: options.random,
     router: new router.Router({
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -7,6 +7,7 @@
  */
 import * as brittleSenders from "./brittle_senders.ts";
 import type * as brittleRecords from "./brittle_records.ts";
+import * as constants from "./constants.ts";
 import type * as engineDivision from "./engine_division.ts";
 import * as enginePaces from "./engine_paces.ts";
 import type * as events from "./events.ts";
@@ -55,6 +56,8 @@
   readonly outcomes?: failureShares.HostOutcomes;
   /** Suspect parts of prompts with which answers have begun, in Unix ms; absent from hosts of earlier versions. */
   readonly answeredParts?: partBlames.PartAnswers;
+  /** Losses of servers that have not ended, in Unix ms; absent if there are none, and from hosts of earlier versions. */
+  readonly wrongLosses?: events.WrongLosses;
   /** Absent from hosts that take no requests of others, and from hosts of earlier versions. */
   readonly contact?: HostContact;
   /** What the host learned of brittle servers, in Unix ms; absent from hosts of earlier versions. */
@@ -88,6 +91,8 @@
   readonly outcomes?: failureShares.SharedOutcomes;
   /** Suspect parts of prompts with which answers have begun, in Unix ms; absent from hosts of earlier versions. */
   readonly answeredParts?: partBlames.PartAnswers;
+  /** Losses of servers that have not ended, in Unix ms; absent if there are none, and from hosts of earlier versions. */
+  readonly wrongLosses?: events.WrongLosses;
   /** Some hosts of the group in turn; absent from hosts of earlier versions. */
   readonly contacts?: readonly HostContact[];
   /** Newest record of each brittle server, in Unix ms; absent from hosts of earlier versions. */
@@ -209,6 +214,7 @@
         limits: status.limits ?? [],
         ...(status.brittle?.length && { brittle: status.brittle }),
         ...(status.answeredParts && { answeredParts: status.answeredParts }),
+        ...(status.wrongLosses && { wrongLosses: status.wrongLosses }),
         ...shared,
         ...(status.contact && { contacts: [status.contact] }),
         times: [status.at + now - at],
@@ -241,10 +247,6 @@
 export function mergeSummaries(
   summaries: readonly HostsSummary[],
 ): HostsSummary {
-  const marks = new Map(
-    summaries.flatMap(({ suspects }) => suspects)
-      .map((mark) => [`${mark.fingerprint}/${mark.server}`, mark]),
-  );
   const answered = summaries.map(({ answeredParts }) => answeredParts)
     .filter((parts) => parts !== undefined);
   const divisions = findNewestDecision(
@@ -257,7 +259,8 @@
     running: sumCounts(summaries.map(({ running }) => running)),
     prompting: sumCounts(summaries.map(({ prompting }) => prompting)),
     times: summaries.flatMap(({ times }) => times).slice(0, MAX_CLOCK_READINGS),
-    suspects: [...marks.values()],
+    suspects: mergeMarks(summaries.flatMap(({ suspects }) => suspects)),
+    ...mergeWrongLosses(summaries),
     ...(answered.length > 0 && {
       answeredParts: partBlames.mergePartAnswers(answered),
     }),
@@ -271,6 +274,33 @@
   };
 }
 
+/** Keeps one mark of each loss; it is doubtful if that of any host is. */
+function mergeMarks(
+  marks: readonly events.SuspectMark[],
+): events.SuspectMark[] {
+  const merged = new Map<string, events.SuspectMark>();
+  marks.forEach((mark) => {
+    const { fingerprint, server, at = 0 } = mark;
+    const moment = Math.round(at / constants.SAME_LOSS_MS);
+    const key = `${fingerprint}/${server}/${moment}`;
+    const doubtful = mark.doubtful || merged.get(key)?.doubtful;
+    merged.set(key, doubtful ? { ...mark, doubtful } : mark);
+  });
+  return [...merged.values()];
+}
+
+/** Merges the losses that hosts found to be wrong; empty while there are none. */
+function mergeWrongLosses(
+  summaries: readonly HostsSummary[],
+): Pick<HostsSummary, "wrongLosses"> {
+  const all = summaries.flatMap(({ wrongLosses }) =>
+    wrongLosses === undefined ? [] : [wrongLosses]
+  );
+  return all.length === 0
+    ? {}
+    : { wrongLosses: partBlames.mergePartAnswers(all) };
+}
+
 /**
  * Chooses the contacts of a summary: a few, others each time.
  *
@@ -336,9 +366,14 @@
 
 /** Picks the fields of a summary that remain valid longer than the load. */
 function pickDurableFields(
-  { hosts, suspects, divisions }: HostsSummary,
+  { hosts, suspects, wrongLosses, divisions }: HostsSummary,
 ): Partial<HostsSummary> {
-  return { hosts, suspects, ...(divisions && { divisions }) };
+  return {
+    hosts,
+    suspects,
+    ...(wrongLosses && { wrongLosses }),
+    ...(divisions && { divisions }),
+  };
 }
 
 /**
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -6,6 +6,7 @@
 import type * as events from "./events.ts";
 import type * as hostState from "./host_state.ts";
 import * as serverLinks from "./server_links.ts";
+import * as suspectMarks from "./suspect_marks.ts";
 
 /** Outcome of opening a connection to a server. */
 export interface ConnectionOutcome {
@@ -92,6 +93,7 @@
   const pool = state.table.get(server)?.info.pool;
   const links = pool === undefined ? undefined : getLinks(state, pool);
   if (pool === undefined || links === undefined) return;
+  if (reachable) state.doubts.recordSign(server, state.now);
   const servers = listLive(state, pool).length;
   const change = links.recordConnection(server, {
     reachable,
@@ -185,81 +187,22 @@
   );
 }
 
-/**
- * Reports a suspect of this host to the others, unless its server may only be out
- * of this host's reach.
- *
- * @example
- * reportSuspect(state, { fingerprint, server: "s1@1" });
- */
-export function reportSuspect(
-  state: hostState.HostState,
-  mark: events.SuspectMark,
-): void {
-  const { doubtfulMarks, now } = state;
-  if (isBehindLostLinks(state, mark.server)) {
-    recordChange(state, { change: "withheld", marks: [mark] });
-    return doubtfulMarks.add(mark, now);
-  }
-  recordChange(state, { change: "made", marks: [mark] });
-  doubtfulMarks.recordReported(mark, now);
-  state.effects.push({ kind: "suspect", mark });
-}
-
-/**
- * Decides on the suspects that were withheld: those whose servers are gone are
- * reported, those whose servers have answered are forgotten.
- *
- * @example
- * decideDoubtfulMarks(state);
- */
-export function decideDoubtfulMarks(state: hostState.HostState): void {
-  const { doubtfulMarks, table, suspects } = state;
-  if (doubtfulMarks.size === 0) return;
-  const { confirmed, wrong } = doubtfulMarks.decide((name) => table.get(name));
-  wrong.forEach((mark) => {
-    suspects.remove(mark);
-    state.parts.remove(mark);
-  });
-  recordChange(state, { change: "wrong", marks: wrong });
-  recordChange(state, { change: "confirmed", marks: confirmed });
-  confirmed.forEach((mark) => state.effects.push({ kind: "suspect", mark }));
-}
-
-/**
- * Records for logs and metrics what became of marks.
- *
- * @example
- * recordChange(state, { change: "received", marks });
- */
-export function recordChange(
-  state: hostState.HostState,
-  changed: {
-    readonly change: events.SuspectChange;
-    readonly marks: readonly events.SuspectMark[];
-  },
-): void {
-  if (changed.marks.length === 0) return;
-  state.effects.push({ kind: "suspects_changed", ...changed });
-}
-
-/** Withdraws the suspects that were reported since this host began to lose its links to a pool. */
-function withdrawSuspects(state: hostState.HostState, pool: string): void {
-  const links = getLinks(state, pool)?.getState();
-  if (links?.kind !== "lost") return;
-  const servers = new Set(listLive(state, pool));
-  const marks = state.doubtfulMarks.withdraw(servers, links.since);
-  if (marks.length === 0) return;
-  recordChange(state, { change: "withdrawn", marks });
-  state.effects.push({ kind: "suspects_withdrawn", marks });
-}
-
 function listLive({ table }: hostState.HostState, pool: string): string[] {
   return table.listServers()
     .filter(({ info }) => info.state === "live" && info.pool === pool)
     .map(({ info }) => info.name);
 }
 
+/** Makes the marks doubtful that were made since this host began to lose its links to a pool. */
+function markDoubtful(state: hostState.HostState, pool: string): void {
+  const links = getLinks(state, pool)?.getState();
+  if (links?.kind !== "lost") return;
+  suspectMarks.markDoubtful(state, {
+    servers: listLive(state, pool),
+    since: links.since,
+  });
+}
+
 function applyChange(
   state: hostState.HostState,
   { pool, change }: {
@@ -270,7 +213,7 @@
   state.effects.push({ kind: "links_changed", pool, change });
   switch (change) {
     case "lost":
-      withdrawSuspects(state, pool);
+      markDoubtful(state, pool);
       state.failureShares.forget(pool, listLive(state, pool));
       return scheduleTrials(state);
     case "restored":
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -11,8 +11,8 @@
 ];
 
 /** A dispatcher of a host, with the effects of all events so far. */
-function startHost() {
-  const dispatcher = testing.startDispatcher({ tracksLinks: true });
+function startHost(options: Pick<testing.StartOptions, "suspects"> = {}) {
+  const dispatcher = testing.startDispatcher({ tracksLinks: true, ...options });
   const servers = dispatcher.inspect().servers
     .map(({ info }) => ({ ...info, failureDomain: "a" }));
   dispatcher.handle({ kind: "servers_changed", servers }, 0);
@@ -138,45 +138,144 @@
   t.end();
 });
 
+const LOST = {
+  kind: "failed",
+  attempt: 1,
+  failure: "connection_lost",
+  answerStarted: false,
+  resumable: false,
+} as const;
+
+/** Starts two hosts, of which the first loses two servers and then its links. */
+function startCutHost() {
+  const cut = startHost();
+  const other = startHost();
+  cut.open("a", 0, { repeatable: false });
+  cut.open("b", 0, { repeatable: false });
+  const [serverOfA, serverOfB] = cut.list("start").map(({ server }) =>
+    server.name
+  );
+  cut.send({ ...LOST, requestId: "a" }, 10);
+  cut.setReachable(false, 20);
+  cut.send({ ...LOST, requestId: "b" }, 30);
+  return { cut, other, serverOfA, serverOfB };
+}
+
+/** Lists the marks of a host as it shares them. */
+function listShared({ dispatcher, list }: ReturnType<typeof startHost>) {
+  return list("suspect").map(({ mark }) =>
+    dispatcher.isDoubted(mark.server) ? { ...mark, doubtful: true } : mark
+  );
+}
+
 // Guards against requests that all hosts refuse as poison because their servers
-// were cut off from one host; and against poison that is forgotten by it.
-tap.test("suspects of a cut are withheld until their servers answer or are gone", (t) => {
-  const { dispatcher, send, setReachable, open, list } = startHost();
-  const fail = (requestId: string, now: number) =>
-    send({
-      kind: "failed",
-      requestId,
-      attempt: 1,
-      failure: "connection_lost",
-      answerStarted: false,
-      resumable: false,
-    }, now);
-  open("a", 0, { repeatable: false });
-  open("b", 0, { repeatable: false });
-  const [{ server: serverOfA }, { server: serverOfB }] = list("start");
-  t.not(serverOfA.name, serverOfB.name);
-  fail("a", 10);
-  setReachable(false, 20);
-  fail("b", 30);
-  t.equal(list("suspect").length, 1, "before the cut was known");
-  t.same(list("suspects_withdrawn").flatMap(({ marks }) => marks), [
-    { fingerprint: "a", server: serverOfA.name },
-  ]);
-  setReachable(true, 3_000);
-  send({
+// were cut off from one host.
+tap.test("suspects of a cut are withdrawn once another host hears of their servers", (t) => {
+  const { cut, other, serverOfA, serverOfB } = startCutHost();
+  t.not(serverOfA, serverOfB);
+  const shared = listShared(cut);
+  t.same(shared.map(({ doubtful }) => doubtful), [true, true]);
+  other.send({ kind: "suspected", marks: shared }, 600);
+  t.ok(other.dispatcher.isDoubted(serverOfA));
+  other.send({
+    kind: "connection_tried",
+    server: serverOfA,
+    reachable: true,
+  }, 900);
+  other.send({
     kind: "responded",
-    server: serverOfA.name,
+    server: serverOfB,
     signals: core.NO_SIGNALS,
-    sentAt: 3_000,
+    sentAt: 800,
     succeeded: true,
-  }, 3_010);
-  const servers = dispatcher.inspect().servers.map(({ info }) => info)
-    .filter(({ name }) => name !== serverOfB.name);
-  send({ kind: "servers_changed", servers }, 3_020);
-  send({ kind: "ticked" }, 3_050);
-  t.same(list("suspect").slice(1).map(({ mark }) => mark), [
-    { fingerprint: "b", server: serverOfB.name },
+  }, 900);
+  other.send({ kind: "ticked" }, 950);
+  const wrongLosses = other.dispatcher.listWrongLosses(950);
+  t.same(Object.keys(wrongLosses).toSorted(), [serverOfA, serverOfB].sort());
+  cut.send({ kind: "suspected", marks: [], wrongLosses }, 1_500);
+  t.same(cut.list("losses_withdrawn").map(({ loss }) => loss.at), [10, 30]);
+  t.notOk(cut.dispatcher.isDoubted(serverOfA));
+  // The marks still arrive by way of hosts that have not heard of it.
+  other.send({ kind: "suspected", marks: shared }, 2_000);
+  t.notOk(other.dispatcher.isDoubted(serverOfA));
+  t.end();
+});
+
+// Guards against poison that counts as a cut because the server that it ended is
+// back before its entry changes.
+tap.test("a server that is heard of late has ended if its entry goes", (t) => {
+  const { cut, other, serverOfA, serverOfB } = startCutHost();
+  other.send({ kind: "suspected", marks: listShared(cut) }, 600);
+  other.send({
+    kind: "connection_tried",
+    server: serverOfA,
+    reachable: true,
+  }, 3_000);
+  const servers = other.dispatcher.inspect().servers.map(({ info }) => info)
+    .filter(({ name }) => name !== serverOfA);
+  other.send({ kind: "ticked" }, 3_050);
+  t.ok(other.dispatcher.isDoubted(serverOfA));
+  other.send({ kind: "servers_changed", servers }, 4_500);
+  other.send({ kind: "ticked" }, 4_550);
+  t.notOk(other.dispatcher.isDoubted(serverOfA));
+  t.same(other.dispatcher.listWrongLosses(4_600), {});
+  const confirmed = other.list("suspects_changed")
+    .filter(({ change }) => change === "confirmed");
+  t.same(confirmed.flatMap(({ marks }) => marks.map(({ server }) => server)), [
+    serverOfA,
+  ]);
+  // The other server stays listed and in doubt until it is heard of for long.
+  other.send({
+    kind: "connection_tried",
+    server: serverOfB,
+    reachable: true,
+  }, 5_000);
+  other.send({ kind: "ticked" }, 14_900);
+  t.ok(other.dispatcher.isDoubted(serverOfB));
+  other.send({ kind: "ticked" }, 15_050);
+  t.same(Object.keys(other.dispatcher.listWrongLosses(15_050)), [serverOfB]);
+  t.end();
+});
+
+// Guards against a sound request that is refused as poison, and against one that
+// ends a fourth server, while it is in doubt whether servers have ended.
+tap.test("a request in doubt is refused as not run, or left to hosts with links", (t) => {
+  const marks = ["r1", "r2"].map((server) => ({
+    fingerprint: "a",
+    server,
+    at: 0,
+    doubtful: true,
+  }));
+  const suspects = { poisonLimit: 2, holdsRemote: false };
+  const whole = startHost({ suspects });
+  whole.send({ kind: "suspected", marks }, 300);
+  whole.open("a#1", 310);
+  t.match(whole.list("refuse").map(({ refusal }) => refusal), [
+    { code: "suspect_request", ran: "no" },
+  ]);
+  whole.send({ kind: "ticked" }, 600);
+  t.same(
+    whole.list("try_links").flatMap(({ servers }) =>
+      servers.map(({ name }) => name)
+    ).toSorted(),
+    ["r1", "r2"],
+  );
+  const cut = startHost({ suspects });
+  cut.setReachable(false, 0);
+  cut.send({ kind: "peers_changed", peers: PEERS }, 10);
+  cut.send({ kind: "suspected", marks }, 300);
+  cut.open("a#1", 310);
+  t.same(cut.list("refuse"), []);
+  t.same(cut.list("hand_over").map(({ request }) => request.id), ["a#1"]);
+  cut.open("a#2", 320, { handedOver: true });
+  t.match(cut.list("refuse").map(({ refusal }) => refusal), [
+    { code: "suspect_request", ran: "no" },
   ]);
+  const gone = { fingerprint: "b", server: "r0", at: 0 };
+  const alsoMarked = { ...marks[0], fingerprint: "b" };
+  cut.send({ kind: "suspected", marks: [gone, alsoMarked] }, 330);
+  cut.open("b#1", 340);
+  t.match(cut.list("refuse").map(({ requestId }) => requestId), ["a#2", "b#1"]);
   t.end();
 });
 
--- a/packages/core/part_blames.ts
+++ b/packages/core/part_blames.ts
@@ -6,6 +6,7 @@
  * event, and no answer has begun with it since. The hosts share crashes, answers
  * and trials.
  */
+import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
 
 /** Crashes at which a part is blamed; two below those after which hardly any more are borne. */
@@ -114,11 +115,19 @@
     return true;
   }
 
-  /** Removes a mark of this host whose server has not ended. */
-  remove({ fingerprint, server }: events.SuspectMark): void {
-    if (!fingerprint.startsWith(CRASH_PREFIX)) return;
-    const part = this.#parts.get(fingerprint.slice(CRASH_PREFIX.length));
-    if (part?.crashes.delete(server)) this.#update();
+  /** Withdraws the crashes of a server up to a time: it has not ended. */
+  withdraw({ server, at }: events.ServerLoss): void {
+    const wrong = [...this.#parts.values()].filter(({ crashes }) =>
+      (crashes.get(server) ?? Number.POSITIVE_INFINITY) <=
+        at + constants.SAME_LOSS_MS
+    );
+    wrong.forEach(({ crashes }) => crashes.delete(server));
+    if (wrong.length > 0) this.#update();
+  }
+
+  /** Lists the servers that were lost to a part. */
+  listServers(name: string): string[] {
+    return [...this.#parts.get(name)?.crashes.keys() ?? []];
   }
 
   /** Records that an answer has begun: none of its parts crashes servers. */
--- a/packages/core/progress.ts
+++ b/packages/core/progress.ts
@@ -49,6 +49,7 @@
 ): void {
   const { name, failureDomain } = server.info;
   server.lastResponseAt = state.now;
+  if (state.doubts.hasAny()) state.doubts.recordSign(name, state.now);
   linkChecks.getLinks(state, server.info.pool)?.recordData(name, state.now);
   serverAvailability.recordResponse(server);
   if (server.overdueSince !== undefined) {
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -13,17 +13,29 @@
   readonly until: number;
 }
 
+/** The loss of a server while a request was in flight there. */
+interface Loss {
+  readonly server: string;
+  /** Monotonic ms; undefined if it is not known. */
+  readonly at: number | undefined;
+  /** Whether the request has completed since, so that the loss had another cause. */
+  cleared: boolean;
+}
+
 interface Suspect {
-  /** Servers that were lost while the request was in flight there. */
-  readonly servers: Set<string>;
-  /** Lost servers that no longer count: the request has since completed, so their loss had another cause. */
-  readonly cleared: Set<string>;
+  readonly losses: Loss[];
   /** Time until which another host may be retrying the request, monotonic ms. */
   heldUntil: number;
+  /** When a loss was last added, monotonic ms. */
+  addedAt: number;
 }
 
-/** Maximum number of tracked fingerprints; the oldest are evicted first. */
+/** Maximum number of tracked fingerprints; the oldest are evicted first, those that are refused last. */
 const MAX_SUSPECTS = 10_000;
+/** Maximum number of marks of refused requests that are shared again. */
+const MAX_SHARED = 60;
+/** Shortest time between two removals of old suspects, in ms. */
+const FORGET_MS = 1_000;
 
 /** Options of {@link SuspectTable}. */
 export interface SuspectOptions {
@@ -35,12 +47,23 @@
   readonly holdsRemote?: boolean;
 }
 
+/** Whether a loss of a server is the same as another one. */
+function isSameLoss(
+  one: Pick<events.SuspectMark, "server" | "at">,
+  other: Pick<events.SuspectMark, "server" | "at">,
+): boolean {
+  return one.server === other.server &&
+    (one.at === undefined || other.at === undefined ||
+      Math.abs(one.at - other.at) <= constants.SAME_LOSS_MS);
+}
+
 /** Maps request fingerprints to the servers that were lost while these requests were in flight. */
 export class SuspectTable {
   readonly #suspects = new Map<string, Suspect>();
   readonly #isolateAfter: number;
   readonly #poisonLimit: number;
   readonly #holdsRemote: boolean;
+  #forgottenAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: SuspectOptions = {}) {
     this.#isolateAfter = options.isolateAfter ?? 1;
@@ -50,14 +73,23 @@
 
   /** Adds a mark that this host made. */
   add(mark: events.SuspectMark): void {
-    const suspect = this.#get(mark.fingerprint);
-    suspect.cleared.delete(mark.server);
-    suspect.servers.add(mark.server);
+    const suspect = this.#get(mark.fingerprint, mark.at ?? 0);
+    const known = suspect.losses.find((loss) => isSameLoss(loss, mark));
+    if (known !== undefined) known.cleared = false;
+    else suspect.losses.push(toLoss(mark));
   }
 
-  /** Removes a mark of this host whose server has not ended. */
-  remove({ fingerprint, server }: events.SuspectMark): void {
-    this.#suspects.get(fingerprint)?.servers.delete(server);
+  /** Withdraws the losses of a server up to a time, monotonic ms: it has not ended. */
+  withdraw({ server, at: until }: events.ServerLoss): void {
+    this.#suspects.forEach((suspect, fingerprint) => {
+      const left = suspect.losses.filter((loss) =>
+        loss.server !== server ||
+        (loss.at ?? until) > until + constants.SAME_LOSS_MS
+      );
+      if (left.length === suspect.losses.length) return;
+      suspect.losses.splice(0, suspect.losses.length, ...left);
+      if (left.length === 0) this.#suspects.delete(fingerprint);
+    });
   }
 
   /**
@@ -66,30 +98,57 @@
    * Returns whether it is new.
    */
   addRemote(mark: events.SuspectMark, now: number): boolean {
-    const suspect = this.#get(mark.fingerprint);
-    const { servers, cleared } = suspect;
-    if (servers.has(mark.server) || cleared.has(mark.server)) return false;
-    suspect.servers.add(mark.server);
-    if (!this.#holdsRemote) return true;
-    suspect.heldUntil = now + constants.SUSPECT_HOLD_MS;
+    if (now - (mark.at ?? now) > constants.QUARANTINE_MS) return false;
+    const known = this.#suspects.get(mark.fingerprint)?.losses ?? [];
+    if (known.some((loss) => isSameLoss(loss, mark))) return false;
+    const suspect = this.#get(mark.fingerprint, now);
+    suspect.losses.push(toLoss(mark));
+    if (this.#holdsRemote) suspect.heldUntil = now + constants.SUSPECT_HOLD_MS;
     return true;
   }
 
   /** Counts the fingerprints that are refused. */
   countPoison(): number {
-    return [...this.#suspects.values()]
-      .filter(({ servers }) => servers.size >= this.#poisonLimit).length;
+    return [...this.#suspects.keys()]
+      .filter((fingerprint) => this.isPoison(fingerprint)).length;
+  }
+
+  /** Lists marks of the fingerprints that are refused, to share them again; enough of each to refuse it. */
+  listPoisonMarks(): events.SuspectMark[] {
+    return [...this.#suspects.keys()]
+      .filter((fingerprint) => this.isPoison(fingerprint))
+      .flatMap((fingerprint) =>
+        this.#listCounted(fingerprint).slice(-this.#poisonLimit)
+          .map(({ server, at }) => ({ fingerprint, server, at }))
+      ).slice(-MAX_SHARED);
   }
 
-  #get(fingerprint: string): Suspect {
+  /** Lists the marks of a server. */
+  listAt(server: string): events.SuspectMark[] {
+    return [...this.#suspects].flatMap(([fingerprint, { losses }]) =>
+      losses.filter((loss) => loss.server === server)
+        .map(({ at }) => ({ fingerprint, server, at }))
+    );
+  }
+
+  /** Forgets the requests in whose flight no server was lost for long. */
+  forget(now: number): void {
+    if (now - this.#forgottenAt < FORGET_MS) return;
+    this.#forgottenAt = now;
+    this.#suspects.forEach(({ addedAt }, fingerprint) => {
+      if (now - addedAt <= constants.QUARANTINE_MS) return;
+      this.#suspects.delete(fingerprint);
+    });
+  }
+
+  #get(fingerprint: string, now: number): Suspect {
     const known = this.#suspects.get(fingerprint);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      known.addedAt = Math.max(known.addedAt, now);
+      return known;
+    }
     this.#removeOldest();
-    const suspect = {
-      servers: new Set<string>(),
-      cleared: new Set<string>(),
-      heldUntil: 0,
-    };
+    const suspect = { losses: [], heldUntil: 0, addedAt: now };
     this.#suspects.set(fingerprint, suspect);
     return suspect;
   }
@@ -102,21 +161,37 @@
   clear(fingerprint: string): void {
     const suspect = this.#suspects.get(fingerprint);
     if (suspect === undefined) return;
-    suspect.servers.forEach((server) => suspect.cleared.add(server));
-    suspect.servers.clear();
+    suspect.losses.forEach((loss) => {
+      loss.cleared = true;
+    });
     suspect.heldUntil = 0;
   }
 
   #removeOldest(): void {
     if (this.#suspects.size < MAX_SUSPECTS) return;
-    const [oldest] = this.#suspects.keys();
-    this.#suspects.delete(oldest);
+    const [first] = this.#suspects.keys();
+    const oldest = [...this.#suspects.keys()]
+      .find((one) => !this.isPoison(one));
+    this.#suspects.delete(oldest ?? first);
+  }
+
+  #listCounted(fingerprint: string): Loss[] {
+    return this.#suspects.get(fingerprint)?.losses
+      .filter(({ cleared }) => !cleared) ?? [];
   }
 
   /** Whether enough servers were lost to the request that it must not run beside other suspects. */
   isSuspect(fingerprint: string): boolean {
-    const servers = this.#suspects.get(fingerprint)?.servers;
-    return (servers?.size ?? 0) >= this.#isolateAfter;
+    return this.#listCounted(fingerprint).length >= this.#isolateAfter;
+  }
+
+  /** Whether a request is a suspect even without the losses of some servers. */
+  isSuspectWithout(
+    fingerprint: string,
+    isLeftOut: (server: string) => boolean,
+  ): boolean {
+    return this.#listWithout(fingerprint, isLeftOut).length >=
+      this.#isolateAfter;
   }
 
   /** Returns how much longer copies of the request are refused because another host may be running it, in ms. */
@@ -127,9 +202,34 @@
 
   /** Whether enough servers were lost to the request that it must be refused. */
   isPoison(fingerprint: string): boolean {
-    const servers = this.#suspects.get(fingerprint)?.servers;
-    return (servers?.size ?? 0) >= this.#poisonLimit;
+    return this.#listCounted(fingerprint).length >= this.#poisonLimit;
   }
+
+  /** Whether a request must be refused even without the losses of some servers. */
+  isPoisonWithout(
+    fingerprint: string,
+    isLeftOut: (server: string) => boolean,
+  ): boolean {
+    return this.#listWithout(fingerprint, isLeftOut).length >=
+      this.#poisonLimit;
+  }
+
+  #listWithout(
+    fingerprint: string,
+    isLeftOut: (server: string) => boolean,
+  ): Loss[] {
+    return this.#listCounted(fingerprint)
+      .filter(({ server }) => !isLeftOut(server));
+  }
+
+  /** Lists the servers whose losses count against a request. */
+  listServers(fingerprint: string): string[] {
+    return this.#listCounted(fingerprint).map(({ server }) => server);
+  }
+}
+
+function toLoss({ server, at }: events.SuspectMark): Loss {
+  return { server, at, cleared: false };
 }
 
 /** The marks of all hosts until they expire, as the overlay keeps them. */
@@ -139,14 +239,19 @@
   /** Adds a mark; returns whether it is new. */
   add(mark: PoisonMark): boolean {
     const id = `${mark.fingerprint}/${mark.server}`;
-    if (this.#marks.has(id)) return false;
+    const known = this.#marks.get(id);
+    if (known !== undefined && isSameLoss(known, mark)) return false;
     this.#marks.set(id, mark);
     return true;
   }
 
-  /** Removes a mark that may be wrong. */
-  remove({ fingerprint, server }: events.SuspectMark): void {
-    this.#marks.delete(`${fingerprint}/${server}`);
+  /** Withdraws the marks of a server up to a time, monotonic ms: it has not ended. */
+  withdraw({ server, at: until }: events.ServerLoss): void {
+    this.#marks.forEach((mark, id) => {
+      const isWrong = mark.server === server &&
+        (mark.at ?? until) <= until + constants.SAME_LOSS_MS;
+      if (isWrong) this.#marks.delete(id);
+    });
   }
 
   list(): PoisonMark[] {
--- a/packages/core/refusals.ts
+++ b/packages/core/refusals.ts
@@ -22,6 +22,8 @@
     "An operation with this idempotency key already exists; use a new key only for a different operation.",
   poison_request:
     "Backend servers were lost while running this request; do not send it again unchanged.",
+  suspect_request:
+    "Backend servers were lost while running this request, and it is not known yet whether they have ended; retry later.",
   origin_unknown:
     "No host knows which software version began this stream, and another one must not go on with it; retry, or begin the stream anew.",
   store_unavailable:
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -17,6 +17,7 @@
   | "key_withdrawn"
   | "conflict"
   | "poison_request"
+  | "suspect_request"
   | "origin_unknown"
   | "store_unavailable"
   | "backend_failed"
--- /dev/null
+++ b/packages/core/server_doubts.ts
@@ -0,0 +1,159 @@
+/**
+ * Servers of which this host or another one does not know whether they have ended
+ * or are only out of its reach. The requests that were in flight there count as
+ * suspects all the while. A server that is gone from the list has ended. One that
+ * accepts a connection or sends data soon after has not: a server that ended needs
+ * some seconds to be back. Of one that is heard of only later this is sure once it
+ * has stayed listed for a time, since the entry of a server that is back under its
+ * name may change late.
+ */
+import * as constants from "./constants.ts";
+import type * as events from "./events.ts";
+
+/** Time after which a sign of a server was sent after its loss for certain, in ms; data of other connections may be read late. */
+const MARGIN_MS = 250;
+/** Time after a loss within which a server that ended cannot be back, nor its address in use again, in ms. */
+const EARLY_MS = 1_500;
+/** Time for which a server that is heard of later must stay listed, in ms. */
+const SETTLE_MS = 10_000;
+/** Time for which other hosts are told that a loss was wrong, in ms. */
+const SHARE_MS = 10_000;
+/** Time for which a wrong loss is remembered, in ms; longer than other hosts share its marks. */
+const REMEMBER_MS = 60_000;
+/** Time within which losses count as those of the same cut, in ms. */
+const RECENT_MS = 2_000;
+
+/** A server in doubt. Times are monotonic ms. */
+interface Doubt {
+  /** When the server was last lost. */
+  readonly at: number;
+  /** When this host learned of it. */
+  readonly knownAt: number;
+  /** When the server was first heard of since. */
+  heardAt?: number;
+  /** Whether a connection is to be tried. */
+  needsTrial: boolean;
+}
+
+/** A wrong loss, and when this host learned that it was wrong, monotonic ms. */
+interface WrongLoss {
+  readonly at: number;
+  readonly knownAt: number;
+}
+
+/** Servers of which it has turned out whether they have ended. */
+export interface DecidedServers {
+  /** They are gone from the list. */
+  readonly ended: readonly string[];
+  /** They have not ended. */
+  readonly wrong: readonly events.ServerLoss[];
+}
+
+/** The doubts of one host. */
+export class ServerDoubts {
+  readonly #doubts = new Map<string, Doubt>();
+  readonly #wrong = new Map<string, WrongLoss>();
+  /** Recent losses of this host, which may turn out to be doubtful. */
+  #recent: events.ServerLoss[] = [];
+
+  /** Whether any server is in doubt; most checks end here. */
+  hasAny(): boolean {
+    return this.#doubts.size > 0;
+  }
+
+  /** Whether it is in doubt that a server has ended. */
+  has(server: string): boolean {
+    return this.#doubts.has(server);
+  }
+
+  /** Records a loss that this host noticed. */
+  recordLoss(loss: events.ServerLoss): void {
+    this.#recent = this.#recent.filter(({ at }) => loss.at - at <= RECENT_MS);
+    this.#recent.push(loss);
+  }
+
+  /** Lists the recent losses of some servers since a time. */
+  listRecent(
+    servers: ReadonlySet<string>,
+    since: number,
+  ): events.ServerLoss[] {
+    return this.#recent.filter(({ server, at }) =>
+      at >= since && servers.has(server)
+    );
+  }
+
+  /** Adds a doubt; returns whether it is new. */
+  add({ server, at }: events.ServerLoss, now: number): boolean {
+    const known = this.#doubts.get(server);
+    if (known !== undefined && at <= known.at) return false;
+    this.#doubts.set(server, { at, knownAt: now, needsTrial: false });
+    return known === undefined;
+  }
+
+  /** Lets connections to servers in doubt be tried, because requests are refused for their losses. */
+  scheduleTrials(servers: readonly string[]): void {
+    servers.forEach((server) => {
+      const doubt = this.#doubts.get(server);
+      if (doubt !== undefined) doubt.needsTrial = true;
+    });
+  }
+
+  /** Takes the servers to which connections are to be tried now. */
+  takeTrials(now: number): string[] {
+    return [...this.#doubts].filter(([, doubt]) => {
+      const isDue = doubt.needsTrial && now - doubt.knownAt >= MARGIN_MS &&
+        now - doubt.at <= EARLY_MS;
+      if (isDue) doubt.needsTrial = false;
+      return isDue;
+    }).map(([server]) => server);
+  }
+
+  /** Records that a server accepted a connection or sent data. */
+  recordSign(server: string, now: number): void {
+    const doubt = this.#doubts.get(server);
+    if (doubt === undefined || now - doubt.knownAt < MARGIN_MS) return;
+    doubt.heardAt ??= now;
+  }
+
+  /** Decides on the servers that are gone from the list, or that have been heard of. */
+  decide(
+    isListed: (server: string) => boolean,
+    now: number,
+  ): DecidedServers {
+    const ended = [...this.#doubts.keys()].filter((one) => !isListed(one));
+    ended.forEach((server) => this.#doubts.delete(server));
+    const wrong = [...this.#doubts].filter(([, { at, heardAt }]) =>
+      heardAt !== undefined &&
+      (heardAt - at <= EARLY_MS || now - heardAt >= SETTLE_MS)
+    ).map(([server, { at }]) => ({ server, at }));
+    return { ended, wrong };
+  }
+
+  /** Withdraws a server's losses up to a time; returns whether that is news. */
+  withdraw({ server, at }: events.ServerLoss, now: number): boolean {
+    const known = this.#wrong.get(server);
+    if (known !== undefined && known.at >= at) return false;
+    this.#wrong.set(server, { at, knownAt: now });
+    const doubt = this.#doubts.get(server);
+    const isDecided = doubt !== undefined &&
+      doubt.at <= at + constants.SAME_LOSS_MS;
+    if (isDecided) this.#doubts.delete(server);
+    return true;
+  }
+
+  /** Whether a loss is known to be wrong. */
+  isWrong({ server, at }: events.ServerLoss): boolean {
+    const wrongAt = this.#wrong.get(server)?.at;
+    return wrongAt !== undefined && at <= wrongAt + constants.SAME_LOSS_MS;
+  }
+
+  /** Lists the wrong losses to share with other hosts. */
+  listWrong(now: number): events.WrongLosses {
+    [...this.#wrong].filter(([, { knownAt }]) => now - knownAt > REMEMBER_MS)
+      .forEach(([server]) => this.#wrong.delete(server));
+    return Object.fromEntries(
+      [...this.#wrong].filter(([, { knownAt }]) => now - knownAt <= SHARE_MS)
+        .map(([server, { at }]) => [server, at]),
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/suspect_checks.ts
@@ -0,0 +1,114 @@
+/**
+ * Decides which requests are refused because servers were lost while they ran, and
+ * whether these servers have really ended.
+ */
+import * as constants from "./constants.ts";
+import * as crashingParts from "./crashing_parts.ts";
+import type * as events from "./events.ts";
+import * as handover from "./handover.ts";
+import type * as hostState from "./host_state.ts";
+import type * as refusals from "./refusals.ts";
+import type * as request from "./request.ts";
+import * as suspectMarks from "./suspect_marks.ts";
+
+/** Why a suspect is refused. */
+export type SuspectRefusal = Pick<refusals.RefusalReason, "code" | "waitMs">;
+
+/**
+ * Returns why a request must be refused; undefined if it may run. While it is in
+ * doubt whether the servers have ended, a host that has lost its links to them
+ * leaves the decision to one that has not.
+ *
+ * @example
+ * const refusal = findRefusal(state, request);
+ */
+export function findRefusal(
+  state: hostState.HostState,
+  request: request.Request,
+): SuspectRefusal | undefined {
+  const { suspects, doubts } = state;
+  const { fingerprint } = request;
+  if (!suspects.isPoison(fingerprint)) return undefined;
+  const isSure = !doubts.hasAny() ||
+    suspects.isPoisonWithout(fingerprint, (one) => doubts.has(one));
+  if (isSure) return { code: "poison_request" };
+  doubts.scheduleTrials(suspects.listServers(fingerprint));
+  return handover.isLeftToPeers(state, request)
+    ? undefined
+    : { code: "suspect_request", waitMs: constants.DOUBT_MS };
+}
+
+/**
+ * Adds the marks of other hosts, and the losses that they found to be wrong.
+ *
+ * @example
+ * const requests = mergeSuspects(state, { marks, wrongLosses });
+ */
+export function mergeSuspects(
+  state: hostState.HostState,
+  { marks, wrongLosses = {} }: {
+    readonly marks: readonly events.SuspectMark[];
+    readonly wrongLosses?: events.WrongLosses;
+  },
+): events.SuspectMark[] {
+  const { doubts, suspects, table, now } = state;
+  Object.entries(wrongLosses).forEach(([server, at]) =>
+    withdrawLosses(state, { server, at })
+  );
+  const left = marks.filter(({ server, at = now }) =>
+    !doubts.isWrong({ server, at })
+  );
+  left.filter(({ doubtful, server }) =>
+    doubtful === true && table.get(server) !== undefined
+  ).forEach(({ server, at = now }) => doubts.add({ server, at }, now));
+  const added = crashingParts.addMarks(state, left)
+    .filter((mark) => suspects.addRemote(mark, now));
+  suspectMarks.recordChange(state, { change: "received", marks: added });
+  // Whether their servers have ended is found out before the request comes again.
+  added.filter(({ fingerprint }) => suspects.isPoison(fingerprint))
+    .forEach(({ fingerprint }) =>
+      doubts.scheduleTrials(suspects.listServers(fingerprint))
+    );
+  return added;
+}
+
+/**
+ * Decides on the servers in doubt, tries connections to them and forgets old
+ * suspects.
+ *
+ * @example
+ * checkSuspects(state);
+ */
+export function checkSuspects(state: hostState.HostState): void {
+  const { doubts, suspects, table, now } = state;
+  suspects.forget(now);
+  if (!doubts.hasAny()) return;
+  const { ended, wrong } = doubts.decide(
+    (server) => table.get(server) !== undefined,
+    now,
+  );
+  suspectMarks.recordChange(state, {
+    change: "confirmed",
+    marks: ended.flatMap((server) => suspects.listAt(server)),
+  });
+  wrong.forEach((loss) => withdrawLosses(state, loss));
+  const servers = doubts.takeTrials(now)
+    .flatMap((name) => table.get(name)?.info ?? []);
+  if (servers.length > 0) state.effects.push({ kind: "try_links", servers });
+}
+
+/** Withdraws the marks of losses that were wrong: the server has not ended. */
+function withdrawLosses(
+  state: hostState.HostState,
+  loss: events.ServerLoss,
+): void {
+  const { doubts, suspects, now } = state;
+  if (!doubts.withdraw(loss, now)) return;
+  suspectMarks.recordChange(state, {
+    change: "withdrawn",
+    marks: suspects.listAt(loss.server),
+  });
+  suspects.withdraw(loss);
+  crashingParts.withdrawMarks(state, loss);
+  state.effects.push({ kind: "losses_withdrawn", loss });
+}
--- a/packages/core/testing.ts
+++ b/packages/core/testing.ts
@@ -67,6 +67,7 @@
   readonly seed?: number;
   /** @default false */
   readonly tracksLinks?: boolean;
+  readonly suspects?: core.SuspectOptions;
   /** @default a token bucket */
   readonly budget?: core.RetryBudget;
 }
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -220,9 +220,8 @@
   {
     name: "dispatcher: a poison request is run a third time",
     file: "packages/core/attempt_end.ts",
-    find:
-      "if (state.suspects.isPoison(request.fingerprint)) {\n    const poison",
-    replace: 'if (request.fingerprint === "") {\n    const poison',
+    find: "if (suspicion !== undefined) {",
+    replace: 'if (suspicion !== undefined && request.id === "") {',
     test: DISPATCHER,
   },
   {
@@ -236,10 +235,9 @@
   {
     name: "dispatcher: a poison request is admitted again",
     file: "packages/core/admission_control.ts",
-    find:
-      "if (state.suspects.isPoison(request.fingerprint)) {\n    return { code",
-    replace: 'if (request.fingerprint === "") {\n    return { code',
-    test: DISPATCHER,
+    find: "if (suspicion !== undefined) return suspicion;",
+    replace: "void suspicion;",
+    test: "packages/core/dispatcher_test.ts",
   },
   {
     name: "dispatcher: copies of a suspect request run concurrently",
@@ -751,10 +749,68 @@
     test: "platform/handover_ran_test.ts",
   },
   {
-    name: "lost links: other hosts learn of suspects of the cut",
+    name: "doubts: servers behind lost links count as ended",
+    file: "packages/core/attempt_end.ts",
+    find: "const doubtful = linkChecks.isBehindLostLinks(state, server);",
+    replace: 'const doubtful = server === "";',
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: servers that were lost before the links count as ended",
     file: "packages/core/link_checks.ts",
-    find: "if (isBehindLostLinks(state, mark.server)) {",
-    replace: "if (mark.server === undefined) {",
+    find: "      markDoubtful(state, pool);\n",
+    replace: "",
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: a server that is back counts as one that has not ended",
+    file: "packages/core/server_doubts.ts",
+    find: "(heardAt - at <= EARLY_MS ||",
+    replace: "(heardAt > at ||",
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: a server that is heard of late stays in doubt",
+    file: "packages/core/server_doubts.ts",
+    find: "now - heardAt >= SETTLE_MS)",
+    replace: "now < heardAt)",
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: hosts do not tell which servers have not ended",
+    file: "packages/core/suspect_checks.ts",
+    find: "withdrawLosses(state, { server, at })\n",
+    replace: "void [server, at]\n",
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: a withdrawn mark counts again when it arrives late",
+    file: "packages/core/suspect_checks.ts",
+    find: "!doubts.isWrong({ server, at })",
+    replace: 'server !== "" || at < 0',
+    test: LOST_LINKS,
+  },
+  {
+    name:
+      "doubts: a request that has ended servers for certain is left to others",
+    file: "packages/core/handover.ts",
+    find:
+      "isTakenElsewhere(state, request) && !isSuspectForSure(state, request);",
+    replace: "isTakenElsewhere(state, request);",
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: a request in doubt is refused by a host without links",
+    file: "packages/core/suspect_checks.ts",
+    find: "return handover.isLeftToPeers(state, request)",
+    replace: 'return request.id === ""',
+    test: LOST_LINKS,
+  },
+  {
+    name: "doubts: servers of requests in doubt are not tried",
+    file: "packages/core/suspect_checks.ts",
+    find: "doubts.takeTrials(now)",
+    replace: "doubts.takeTrials(now - 600_000)",
     test: LOST_LINKS,
   },
   {
@@ -1102,22 +1158,22 @@
   {
     name: "parts: queued requests with a blamed part are sent",
     file: "packages/core/crashing_parts.ts",
-    find: "state.parts.find(parts) !== undefined\n  ).forEach",
-    replace: 'state.parts.find(parts) === ""\n  ).forEach',
+    find: "findRefusal(state, request) !== undefined\n  ).forEach",
+    replace: 'findRefusal(state, request)?.code === "draining"\n  ).forEach',
     test: PARTS,
   },
   {
     name: "parts: a request with a blamed part is sent again",
     file: "packages/core/attempt_end.ts",
-    find: "if (state.parts.find(request.parts) !== undefined) {",
-    replace: 'if (state.parts.find(request.parts) === "") {',
+    find: "if (blame !== undefined) {",
+    replace: 'if (blame !== undefined && request.id === "") {',
     test: PARTS,
   },
   {
     name: "parts: hosts do not tell each other when a part crashed a server",
     file: "packages/core/crashing_parts.ts",
-    find: "marks.forEach((mark) => linkChecks.reportSuspect(state, mark));",
-    replace: "void linkChecks;",
+    find: "suspectMarks.reportSuspect(state, { ...mark, doubtful })",
+    replace: "doubtful ? suspectMarks.reportSuspect(state, mark) : mark",
     test: SHARED_BLAMES,
   },
   {
