Share the marks of refused requests for as long as these are refused

What callers saw: a host that started some 12 s after a request had ended three servers sent it to a server again.

Cause: marks were shared for 10 s, so a host that starts later, or is cut off for longer, never learned of them.

--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -37,14 +37,14 @@
   };
 }
 
-/** Describes the requests that were in flight at lost servers. */
+/** Describes the requests that were in flight at lost servers: recent ones, and those that are refused. */
 function describeSuspects(
   { clock, dispatch, marks }: Parts,
   offsetMs: number,
 ): Pick<core.HostStatus, "suspects" | "wrongLosses"> {
   marks.removeExpired(clock.now());
   const recent = marks.list().map(({ until: _until, ...mark }) => mark);
-  const suspects = recent.map((mark) =>
+  const suspects = [...dispatch.listPoisonMarks(), ...recent].map((mark) =>
     dispatch.isDoubted(mark.server) ? { ...mark, doubtful: true } : mark
   );
   const wrongLosses = dispatch.listWrongLosses();
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -813,6 +813,13 @@
     replace: "doubts.takeTrials(now - 600_000)",
     test: LOST_LINKS,
   },
+  {
+    name: "suspects: a request that is refused is forgotten by hosts",
+    file: "packages/banyangrade/gateway/host_updates.ts",
+    find: "[...dispatch.listPoisonMarks(), ...recent]",
+    replace: "[...recent]",
+    test: "platform/late_poison_test.ts",
+  },
   {
     name: "lost links: failures of servers out of reach are reported",
     file: "packages/core/link_checks.ts",
