Tell other hosts at once which requests were in flight at lost servers

Cause: a status takes up to a second to the relay, one to the other relays and one to their hosts, and servers are back after three. A domain whose relay is lost hears nothing for longer.

Change: each host passes on what is news to it to four others that it knows, over the connections of the handover. Statuses bring the rest.

--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -215,6 +215,7 @@
     parts.presence.stop(),
   ]);
   parts.dispatch.stop();
+  parts.spreading.stop();
   parts.heldBytes.stop();
   ingress.close();
   readiness.close();
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -24,6 +24,7 @@
 import * as connectionPools from "./connection_pools.ts";
 import * as handoverTask from "./handover_task.ts";
 import * as linkTelemetry from "./link_telemetry.ts";
+import * as suspectSpreading from "./suspect_spreading.ts";
 import * as suspectTelemetry from "./suspect_telemetry.ts";
 import * as startupWaits from "./startup_waits.ts";
 import * as streamOriginsTask from "./stream_origins_task.ts";
@@ -51,6 +52,7 @@
   readonly dispatch: dispatchTask.DispatchTask;
   /** Recently lost servers, with the requests that they ran. */
   readonly marks: core.MarkSet;
+  readonly spreading: suspectSpreading.SuspectSpreading;
   readonly coldStarts: core.ColdStartTracker;
   readonly versions: core.SoftwareVersions;
   readonly streamOrigins: streamOriginsTask.StreamOriginsTask;
@@ -193,14 +195,17 @@
     }),
     onSuspect: ({ mark }) => {
       draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS });
+      draft.spreading.add([mark]);
     },
     onSuspectsChanged: (changed) => {
       suspectTelemetry.recordSuspectsChanged(draft, changed);
+      if (changed.change === "doubted") draft.spreading.add(changed.marks);
     },
     onPartsBlamed: ({ parts }) =>
       serverLog.warn({ parts }, "Parts that crash servers changed."),
     onLossesWithdrawn: ({ loss }) => {
       draft.marks.withdraw(loss);
+      draft.spreading.addWrongLoss(loss);
     },
     onAskCapacity: () => undefined,
     onOverdueChanged: ({ server, overdue }) =>
@@ -259,6 +264,20 @@
       !draft.state.draining && !draft.state.closed &&
       draft.belief.hasHadState(),
     onRequest: (incoming) => draft.requestHandler.handle(incoming),
+    onSuspects: (text) => {
+      draft.metrics.recordSuspectMessage("taken");
+      draft.spreading.accept(text);
+    },
+  });
+  draft.spreading = new suspectSpreading.SuspectSpreading({
+    clock,
+    clocks: draft.clocks,
+    isDoubted: (server) => dispatch.isDoubted(server),
+    onSend: (text, hosts) => {
+      draft.metrics.recordSuspectMessage("sent");
+      draft.handover.sendSuspects(text, hosts);
+    },
+    onNews: (news) => dispatch.send({ kind: "suspected", ...news }),
   });
 }
 
--- a/packages/banyangrade/gateway/handover_protocol.ts
+++ b/packages/banyangrade/gateway/handover_protocol.ts
@@ -12,7 +12,7 @@
 const HEADERS = {
   /** Secret of the process that is called. */
   secret: "x-handover-secret",
-  /** Set on a question about the links of the called host instead of a request. */
+  /** Set on a question about the links of the called host, or on news of lost servers, instead of a request. */
   question: "x-handover-question",
   /** Time since the request arrived at the calling host, in ms. */
   elapsedMs: "x-handover-elapsed-ms",
@@ -24,6 +24,9 @@
   ran: "x-handover-ran",
 } as const;
 
+/** Value of the header of a question that says that the message is news of lost servers. */
+const SUSPECTS = "suspects";
+
 /** Bounds of the numbers in these headers. */
 const MAX_ELAPSED_MS = 3_600_000;
 const MAX_SENT = 1_000;
@@ -39,6 +42,8 @@
 /** A call of another host. */
 export type HostCall =
   | { readonly kind: "question" }
+  /** Requests that were in flight at lost servers. */
+  | { readonly kind: "suspects" }
   | { readonly kind: "request"; readonly handover: ingress.Handover }
   /** The secret is wrong or missing. */
   | { readonly kind: "stranger" };
@@ -57,6 +62,18 @@
   return { [HEADERS.secret]: secret, [HEADERS.question]: "links" };
 }
 
+/**
+ * Builds the headers of news of lost servers.
+ *
+ * @example
+ * const headers = buildSuspectsHeaders({ secret });
+ */
+export function buildSuspectsHeaders(
+  { secret }: { readonly secret: string },
+): Record<string, string> {
+  return { [HEADERS.secret]: secret, [HEADERS.question]: SUSPECTS };
+}
+
 /**
  * Builds the headers that a request gets when it is handed over.
  *
@@ -118,6 +135,7 @@
 ): HostCall {
   const digest = utils.computeDigest(String(headers[HEADERS.secret] ?? ""));
   if (!utils.isSameDigest(digest, secretDigest)) return { kind: "stranger" };
+  if (headers[HEADERS.question] === SUSPECTS) return { kind: "suspects" };
   if (headers[HEADERS.question] !== undefined) return { kind: "question" };
   const software = headers[HEADERS.software];
   return {
--- a/packages/banyangrade/gateway/handover_task.ts
+++ b/packages/banyangrade/gateway/handover_task.ts
@@ -29,6 +29,8 @@
 const MAX_REACHED_AGE_MS = 400;
 /** Time for which a host waits for the trials of its links before it answers, in ms; ten times the latency between failure domains. */
 const TRIAL_WAIT_MS = 60;
+/** Largest size of news of lost servers, in bytes. */
+const MAX_SUSPECTS_BYTES = 256 * 1024;
 /** Maximum number of connections to one other host. */
 const MAX_CONNECTIONS = 128;
 
@@ -47,6 +49,8 @@
   readonly takesRequests: () => boolean;
   /** Handles a request that another host hands over. */
   readonly onRequest: (incoming: ingress.IncomingRequest) => void;
+  /** Handles news of lost servers. */
+  readonly onSuspects: (text: string) => void;
 }
 
 /** A host to which requests can be sent. */
@@ -141,6 +145,8 @@
         return;
       case "question":
         return void this.#answerQuestion(response);
+      case "suspects":
+        return void this.#takeSuspects(request, response);
       case "request": {
         const { heldBytes, onRequest } = this.#options;
         response.sendDate = false;
@@ -158,6 +164,54 @@
     }
   }
 
+  /** Sends news of lost servers to some other hosts; statuses bring them to those that cannot be reached. */
+  sendSuspects(text: string, hosts: number): void {
+    if (this.#closed) return;
+    this.#chooseAsked().slice(0, hosts).forEach((contact) =>
+      void this.#sendSuspectsTo(contact, text)
+    );
+  }
+
+  async #sendSuspectsTo(
+    contact: core.HostContact,
+    text: string,
+  ): Promise<void> {
+    try {
+      const { dispatcher } = this.#connect(contact);
+      const { body } = await dispatcher.request({
+        method: "POST",
+        path: "/",
+        headers: handoverProtocol.buildSuspectsHeaders(contact),
+        body: text,
+        signal: AbortSignal.timeout(ANSWER_MS),
+      });
+      await body.dump();
+    } catch (thrown) {
+      const message = utils.getErrorMessage(thrown);
+      this.#options.log.debug({ peer: contact.host, message }, "No answer.");
+    }
+  }
+
+  async #takeSuspects(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    try {
+      for await (const chunk of request) {
+        bytes += (chunk as Buffer).length;
+        if (bytes > MAX_SUSPECTS_BYTES) return void request.destroy();
+        chunks.push(chunk as Buffer);
+      }
+    } catch {
+      // The other host has closed the connection.
+      return;
+    }
+    response.writeHead(204).end();
+    this.#options.onSuspects(Buffer.concat(chunks).toString("utf8"));
+  }
+
   async close(): Promise<void> {
     this.#closed = true;
     clearTimeout(this.#timer);
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -169,6 +169,11 @@
     "Requests and parts of prompts that were in flight at lost servers, by what became of the suspicion.",
     ["change"],
   );
+  readonly #suspectMessages = this.#createCounter(
+    "banyangrade_suspect_messages_total",
+    "Messages by which hosts tell each other at once of requests at lost servers, beside their statuses.",
+    ["direction"],
+  );
   readonly #requestsToEjected = this.#createCounter(
     "banyangrade_requests_to_ejected_servers_total",
     "Attempts sent to ejected servers because no other server was in use.",
@@ -271,6 +276,10 @@
     this.#suspectChanges.inc({ change }, count);
   }
 
+  recordSuspectMessage(direction: "sent" | "taken"): void {
+    this.#suspectMessages.inc({ direction });
+  }
+
   recordAttemptMoved(): void {
     this.#attemptsMoved.inc();
   }
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -813,6 +813,27 @@
     replace: "doubts.takeTrials(now - 600_000)",
     test: LOST_LINKS,
   },
+  {
+    name: "spreading: news go round for ever",
+    file: "packages/banyangrade/gateway/suspect_spreading.ts",
+    find: "if (this.#told.has(key)) return false;",
+    replace: "void key;",
+    test: "packages/banyangrade/gateway/suspect_spreading_test.ts",
+  },
+  {
+    name: "spreading: hosts do not pass news on",
+    file: "packages/banyangrade/gateway/suspect_spreading.ts",
+    find: "if (marks.length === 0) return;\n    this.#marks.push(...marks);",
+    replace: "",
+    test: "packages/banyangrade/gateway/suspect_spreading_test.ts",
+  },
+  {
+    name: "spreading: other hosts are not called",
+    file: "packages/banyangrade/gateway/handover_task.ts",
+    find: "void this.#sendSuspectsTo(contact, text)",
+    replace: "void [contact, text]",
+    test: "platform/poison_requests_test.ts",
+  },
   {
     name: "suspects: a request that is refused is forgotten by hosts",
     file: "packages/banyangrade/gateway/host_updates.ts",
