Clear suspects at all hosts once they complete anywhere

Cause: a completed request was cleared at the host of its completion only, and servers that end at the same moment counted one by one for a request that is in flight everywhere. A loss also counted for certain in the second before a host notices a cut.

Change: hosts tell each other which suspects completed, and when. Losses within 0.5 s count as one for a request that completed in the 10 s before. In the first 1.5 s after a loss a request is refused as not run, not as poison.

A poison request never completes, so none of this lets it pass.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -26,6 +26,10 @@
   readonly onSuspect: (
     effect: Extract<core.DispatchEffect, { kind: "suspect" }>,
   ) => void;
+  /** Called when a suspect has completed, so that its marks no longer count. @default ignored */
+  readonly onSuspectAnswered?: (
+    effect: Extract<core.DispatchEffect, { kind: "suspect_answered" }>,
+  ) => void;
   /** Called when other hosts must not be told of losses any more. @default ignored */
   readonly onLossesWithdrawn?: (
     effect: Extract<core.DispatchEffect, { kind: "losses_withdrawn" }>,
@@ -195,6 +199,12 @@
     return this.#options.dispatcher.listPoisonMarks();
   }
 
+  /** Lists the suspects that have completed, with monotonic times. */
+  listAnsweredRequests(): core.AnsweredRequests {
+    const { dispatcher, clock } = this.#options;
+    return dispatcher.listAnsweredRequests(clock.now());
+  }
+
   /** Whether it is in doubt that a lost server has ended. */
   isDoubted(server: string): boolean {
     return this.#options.dispatcher.isDoubted(server);
@@ -323,6 +333,8 @@
         return this.#options.onSuspect(effect);
       case "parts_blamed":
         return this.#options.onPartsBlamed?.(effect);
+      case "suspect_answered":
+        return this.#options.onSuspectAnswered?.(effect);
       case "losses_withdrawn":
         return this.#options.onLossesWithdrawn?.(effect);
       case "suspects_changed":
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -203,6 +203,8 @@
     },
     onPartsBlamed: ({ parts }) =>
       serverLog.warn({ parts }, "Parts that crash servers changed."),
+    onSuspectAnswered: ({ fingerprint, at }) =>
+      draft.spreading.addAnswered({ fingerprint, at }),
     onLossesWithdrawn: ({ loss }) => {
       draft.marks.withdraw(loss);
       draft.spreading.addWrongLoss(loss);
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -41,18 +41,22 @@
 function describeSuspects(
   { clock, dispatch, marks }: Parts,
   offsetMs: number,
-): Pick<core.HostStatus, "suspects" | "wrongLosses"> {
+): Pick<core.HostStatus, "suspects" | "wrongLosses" | "answeredRequests"> {
   marks.removeExpired(clock.now());
   const recent = marks.list().map(({ until: _until, ...mark }) => mark);
   const suspects = [...dispatch.listPoisonMarks(), ...recent].map((mark) =>
     dispatch.isDoubted(mark.server) ? { ...mark, doubtful: true } : mark
   );
   const wrongLosses = dispatch.listWrongLosses();
+  const answered = dispatch.listAnsweredRequests();
   return {
     suspects: applyOffset(suspects, offsetMs),
     ...(Object.keys(wrongLosses).length > 0 && {
       wrongLosses: applyOffsetToTimes(wrongLosses, offsetMs),
     }),
+    ...(Object.keys(answered).length > 0 && {
+      answeredRequests: applyOffsetToTimes(answered, offsetMs),
+    }),
   };
 }
 
@@ -185,12 +189,15 @@
       "server: Sender of other brittle servers than before.",
     );
   }
-  const { suspects, wrongLosses = {} } = others;
-  if (suspects.length > 0 || Object.keys(wrongLosses).length > 0) {
+  const { suspects, wrongLosses = {}, answeredRequests = {} } = others;
+  const isNews = suspects.length + Object.keys(wrongLosses).length +
+      Object.keys(answeredRequests).length > 0;
+  if (isNews) {
     dispatch.send({
       kind: "suspected",
       marks: applyOffset(suspects, offsetMs),
       wrongLosses: applyOffsetToTimes(wrongLosses, offsetMs),
+      answered: applyOffsetToTimes(answeredRequests, offsetMs),
     });
   }
   const movedMs = clocks.updateTrueTime({ others: others.times });
--- a/packages/banyangrade/gateway/suspect_spreading.ts
+++ b/packages/banyangrade/gateway/suspect_spreading.ts
@@ -30,6 +30,7 @@
     doubtful: z.boolean().optional(),
   })),
   wrongLosses: z.record(z.string(), z.number()),
+  answered: z.record(z.string(), z.number()).default({}),
 });
 
 /** What hosts tell each other; times are in Unix ms. */
@@ -52,6 +53,7 @@
   readonly #told = new lru.LRUCache<string, true>({ max: MAX_TOLD });
   #marks: core.SuspectMark[] = [];
   #wrongLosses: Record<string, number> = {};
+  #answered: Record<string, number> = {};
   #timer: NodeJS.Timeout | undefined;
   #sentAt = Number.NEGATIVE_INFINITY;
 
@@ -74,6 +76,15 @@
     this.#schedule();
   }
 
+  /** Tells other hosts that a suspect has completed. */
+  addAnswered({ fingerprint, at }: {
+    readonly fingerprint: string;
+    readonly at: number;
+  }): void {
+    this.#answered[fingerprint] = at;
+    this.#schedule();
+  }
+
   /** Accepts the message of another host; ignores one that cannot be parsed. */
   accept(text: string): void {
     const parsed = SPREAD.safeParse(utils.parseJson(text));
@@ -81,11 +92,11 @@
     const offsetMs = this.#getOffset();
     const marks = parsed.data.marks.map((mark) => applyOffset(mark, -offsetMs))
       .filter((mark) => this.#isNew(mark));
-    const wrongLosses = Object.fromEntries(
-      Object.entries(parsed.data.wrongLosses)
-        .map(([server, at]) => [server, at - offsetMs]),
-    );
-    this.#options.onNews({ marks, wrongLosses });
+    this.#options.onNews({
+      marks,
+      wrongLosses: addToTimes(parsed.data.wrongLosses, -offsetMs),
+      answered: addToTimes(parsed.data.answered, -offsetMs),
+    });
     if (marks.length === 0) return;
     this.#marks.push(...marks);
     this.#schedule();
@@ -96,6 +107,7 @@
     this.#timer = undefined;
     this.#marks = [];
     this.#wrongLosses = {};
+    this.#answered = {};
   }
 
   #markDoubtful(mark: core.SuspectMark): core.SuspectMark {
@@ -127,12 +139,14 @@
     const offsetMs = this.#getOffset();
     const marks = this.#marks.splice(0).slice(-MAX_MARKS)
       .map((mark) => applyOffset(this.#markDoubtful(mark), offsetMs));
-    const wrongLosses = Object.fromEntries(
-      Object.entries(this.#wrongLosses)
-        .map(([server, at]) => [server, at + offsetMs]),
-    );
+    const news: SpreadSuspects = {
+      marks,
+      wrongLosses: addToTimes(this.#wrongLosses, offsetMs),
+      answered: addToTimes(this.#answered, offsetMs),
+    };
     this.#wrongLosses = {};
-    this.#options.onSend(JSON.stringify({ marks, wrongLosses }), FANOUT);
+    this.#answered = {};
+    this.#options.onSend(JSON.stringify(news), FANOUT);
   }
 
   /** Returns the difference between Unix and monotonic time, in ms. */
@@ -147,3 +161,12 @@
 ): core.SuspectMark {
   return mark.at === undefined ? mark : { ...mark, at: mark.at + offsetMs };
 }
+
+function addToTimes(
+  times: Readonly<Record<string, number>>,
+  ms: number,
+): Record<string, number> {
+  return Object.fromEntries(
+    Object.entries(times).map(([name, at]) => [name, at + ms]),
+  );
+}
--- a/packages/banyangrade/gateway/suspect_spreading_test.ts
+++ b/packages/banyangrade/gateway/suspect_spreading_test.ts
@@ -62,6 +62,7 @@
   doubted.add(MARK.server);
   spreading.add([MARK]);
   spreading.addWrongLoss({ server: "s2@1", at: 60 });
+  spreading.addAnswered({ fingerprint: "g", at: 70 });
   await utils.waitFor(SENT_MS);
   const messages = sent.map((text) =>
     utils.parseJson(text) as suspectSpreading.SpreadSuspects
@@ -71,6 +72,7 @@
     [{ server: "s1@1", doubtful: true }],
   ]);
   t.same(Object.keys(messages[1].wrongLosses), ["s2@1"]);
+  t.same(Object.keys(messages[1].answered), ["g"]);
   spreading.stop();
 });
 
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -62,7 +62,8 @@
 ): void {
   const ended = endAttempt(state, event);
   if (ended === undefined) return;
-  state.suspects.clear(ended.request.fingerprint);
+  const { fingerprint } = ended.request;
+  suspectChecks.clearSuspect(state, { fingerprint, at: state.now });
   crashingParts.recordAnswer(state, ended.request);
   state.lengths.record(hostState.getEstimateKey(ended.request), {
     tokens: event.tokens,
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -137,6 +137,11 @@
     return this.#state.suspects.listPoisonMarks();
   }
 
+  /** Lists the suspects that have completed, with monotonic times, to share with other hosts. */
+  listAnsweredRequests(now: number): events.AnsweredRequests {
+    return this.#state.suspects.listAnswered(now);
+  }
+
   /** Whether it is in doubt that a lost server has ended. */
   isDoubted(server: string): boolean {
     return this.#state.doubts.has(server);
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -153,6 +153,9 @@
   /** Their server has not ended. */
   | "withdrawn";
 
+/** Requests that completed although servers were lost while they ran, by fingerprint, with the time of the last answer, in ms. */
+export type AnsweredRequests = Readonly<Record<string, number>>;
+
 /** An event that the dispatcher handles. */
 export type DispatchEvent =
   | { readonly kind: "arrived"; readonly request: request.Request }
@@ -272,6 +275,8 @@
     readonly marks: readonly SuspectMark[];
     /** Losses that other hosts found to be wrong, with monotonic times. @default none */
     readonly wrongLosses?: WrongLosses;
+    /** Suspects that completed at other hosts, with monotonic times. @default none */
+    readonly answered?: AnsweredRequests;
   }
   | { readonly kind: "cleared"; readonly fingerprints: readonly string[] }
   | { readonly kind: "key_withdrawn"; readonly keyId: string }
@@ -318,6 +323,13 @@
   }
   /** A server was lost while it ran this request; other hosts must be told. */
   | { readonly kind: "suspect"; readonly mark: SuspectMark }
+  /** A suspect has completed, so that its marks no longer count; other hosts must be told. */
+  | {
+    readonly kind: "suspect_answered";
+    readonly fingerprint: string;
+    /** Monotonic ms. */
+    readonly at: number;
+  }
   /** Marks of these losses are wrong, and other hosts must not be told of them. */
   | { readonly kind: "losses_withdrawn"; readonly loss: ServerLoss }
   /** What this host knows of suspects has changed; for logs and metrics. */
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -58,6 +58,8 @@
   readonly answeredParts?: partBlames.PartAnswers;
   /** Losses of servers that have not ended, in Unix ms; absent if there are none, and from hosts of earlier versions. */
   readonly wrongLosses?: events.WrongLosses;
+  /** Suspects that have completed, in Unix ms; absent if there are none, and from hosts of earlier versions. */
+  readonly answeredRequests?: events.AnsweredRequests;
   /** Absent from hosts that take no requests of others, and from hosts of earlier versions. */
   readonly contact?: HostContact;
   /** What the host learned of brittle servers, in Unix ms; absent from hosts of earlier versions. */
@@ -93,6 +95,8 @@
   readonly answeredParts?: partBlames.PartAnswers;
   /** Losses of servers that have not ended, in Unix ms; absent if there are none, and from hosts of earlier versions. */
   readonly wrongLosses?: events.WrongLosses;
+  /** Suspects that have completed, in Unix ms; absent if there are none, and from hosts of earlier versions. */
+  readonly answeredRequests?: events.AnsweredRequests;
   /** Some hosts of the group in turn; absent from hosts of earlier versions. */
   readonly contacts?: readonly HostContact[];
   /** Newest record of each brittle server, in Unix ms; absent from hosts of earlier versions. */
@@ -215,6 +219,8 @@
         ...(status.brittle?.length && { brittle: status.brittle }),
         ...(status.answeredParts && { answeredParts: status.answeredParts }),
         ...(status.wrongLosses && { wrongLosses: status.wrongLosses }),
+        ...(status.answeredRequests &&
+          { answeredRequests: status.answeredRequests }),
         ...shared,
         ...(status.contact && { contacts: [status.contact] }),
         times: [status.at + now - at],
@@ -247,8 +253,11 @@
 export function mergeSummaries(
   summaries: readonly HostsSummary[],
 ): HostsSummary {
-  const answered = summaries.map(({ answeredParts }) => answeredParts)
-    .filter((parts) => parts !== undefined);
+  const answeredParts = mergeTimes(summaries.map((one) => one.answeredParts));
+  const wrongLosses = mergeTimes(summaries.map((one) => one.wrongLosses));
+  const answeredRequests = mergeTimes(
+    summaries.map((one) => one.answeredRequests),
+  );
   const divisions = findNewestDecision(
     summaries.flatMap((one) => one.divisions ?? []),
   );
@@ -260,10 +269,9 @@
     prompting: sumCounts(summaries.map(({ prompting }) => prompting)),
     times: summaries.flatMap(({ times }) => times).slice(0, MAX_CLOCK_READINGS),
     suspects: mergeMarks(summaries.flatMap(({ suspects }) => suspects)),
-    ...mergeWrongLosses(summaries),
-    ...(answered.length > 0 && {
-      answeredParts: partBlames.mergePartAnswers(answered),
-    }),
+    ...(wrongLosses && { wrongLosses }),
+    ...(answeredRequests && { answeredRequests }),
+    ...(answeredParts && { answeredParts }),
     contacts: summaries.flatMap(({ contacts }) => contacts ?? []),
     outcomes: failureShares.mergeOutcomes(
       summaries.flatMap(({ outcomes }) => outcomes ?? []),
@@ -289,16 +297,12 @@
   return [...merged.values()];
 }
 
-/** Merges the losses that hosts found to be wrong; empty while there are none. */
-function mergeWrongLosses(
-  summaries: readonly HostsSummary[],
-): Pick<HostsSummary, "wrongLosses"> {
-  const all = summaries.flatMap(({ wrongLosses }) =>
-    wrongLosses === undefined ? [] : [wrongLosses]
-  );
-  return all.length === 0
-    ? {}
-    : { wrongLosses: partBlames.mergePartAnswers(all) };
+/** Merges the latest times by name; undefined while there are none. */
+function mergeTimes(
+  times: readonly (Readonly<Record<string, number>> | undefined)[],
+): Readonly<Record<string, number>> | undefined {
+  const known = times.filter((one) => one !== undefined);
+  return known.length === 0 ? undefined : partBlames.mergePartAnswers(known);
 }
 
 /**
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -279,6 +279,65 @@
   t.end();
 });
 
+// Guards against sound requests that are refused as poison by hosts that have not
+// noticed a cut yet.
+tap.test("a request is refused as poison only after the time in which a cut is noticed", (t) => {
+  const { send, open, list } = startHost({
+    suspects: { poisonLimit: 2, holdsRemote: false },
+  });
+  const marks = ["r1", "r2"].map((server) => ({
+    fingerprint: "a",
+    server,
+    at: 0,
+  }));
+  send({ kind: "suspected", marks }, 300);
+  open("a#1", 310);
+  open("a#2", 2_000);
+  t.same(list("refuse").map(({ refusal }) => refusal.code), [
+    "suspect_request",
+    "poison_request",
+  ]);
+  t.end();
+});
+
+// Guards against sound requests that are refused because all servers were lost at
+// once, and that no host tells the others of when they complete.
+tap.test("a request that completes is no suspect at any host", (t) => {
+  const options = {
+    suspects: { poisonLimit: 2, isolateAfter: 2, holdsRemote: false },
+  };
+  const one = startHost(options);
+  const other = startHost(options);
+  const finish = (requestId: string, now: number) =>
+    one.send({ kind: "finished", requestId, attempt: 1, tokens: 1 }, now);
+  one.open("a#1", 0);
+  finish("a#1", 50);
+  const marks = ["r1", "r2"].map((server) => ({
+    fingerprint: "a",
+    server,
+    at: 100,
+  }));
+  [one, other].forEach(({ send }) => send({ kind: "suspected", marks }, 200));
+  one.open("a#2", 2_000);
+  other.open("a#3", 2_000);
+  t.same(
+    one.list("refuse"),
+    [],
+    "it completed before, and both were lost at once",
+  );
+  t.equal(other.list("refuse").length, 1);
+  finish("a#2", 2_050);
+  t.match(one.list("suspect_answered"), [{ fingerprint: "a", at: 2_050 }]);
+  const answered = one.dispatcher.listAnsweredRequests(2_060);
+  other.send({ kind: "suspected", marks, answered }, 2_100);
+  other.open("a#4", 2_200);
+  t.equal(other.list("refuse").length, 1);
+  other.send({ kind: "suspected", marks }, 2_300);
+  other.open("a#5", 2_400);
+  t.equal(other.list("refuse").length, 1, "its marks arrive again");
+  t.end();
+});
+
 // Guards against orders for more servers because requests hang behind a cut, or
 // because two hosts count them.
 tap.test("a host without links reports no demand that others serve", (t) => {
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -28,12 +28,22 @@
   heldUntil: number;
   /** When a loss was last added, monotonic ms. */
   addedAt: number;
+  /** When it last completed, monotonic ms. */
+  answeredAt: number;
 }
 
 /** Maximum number of tracked fingerprints; the oldest are evicted first, those that are refused last. */
 const MAX_SUSPECTS = 10_000;
 /** Maximum number of marks of refused requests that are shared again. */
 const MAX_SHARED = 60;
+/** Time for which other hosts are told that a suspect has completed, in ms. */
+const SHARE_ANSWER_MS = 10_000;
+/** Largest number of completed requests that are remembered. */
+const MAX_ANSWERED = 1_000;
+/** Time for which a request counts as frequent after it completed, in ms. */
+const RECENT_ANSWER_MS = 10_000;
+/** Time within which servers were lost at the same moment, in ms. */
+const SAME_MOMENT_MS = 500;
 /** Shortest time between two removals of old suspects, in ms. */
 const FORGET_MS = 1_000;
 
@@ -60,6 +70,8 @@
 /** Maps request fingerprints to the servers that were lost while these requests were in flight. */
 export class SuspectTable {
   readonly #suspects = new Map<string, Suspect>();
+  /** When requests last completed at this host, monotonic ms; the latest last. */
+  readonly #answeredAt = new Map<string, number>();
   readonly #isolateAfter: number;
   readonly #poisonLimit: number;
   readonly #holdsRemote: boolean;
@@ -102,6 +114,7 @@
     const known = this.#suspects.get(mark.fingerprint)?.losses ?? [];
     if (known.some((loss) => isSameLoss(loss, mark))) return false;
     const suspect = this.#get(mark.fingerprint, now);
+    if ((mark.at ?? now) <= suspect.answeredAt) return false;
     suspect.losses.push(toLoss(mark));
     if (this.#holdsRemote) suspect.heldUntil = now + constants.SUSPECT_HOLD_MS;
     return true;
@@ -148,23 +161,56 @@
       return known;
     }
     this.#removeOldest();
-    const suspect = { losses: [], heldUntil: 0, addedAt: now };
+    const suspect = {
+      losses: [],
+      heldUntil: 0,
+      addedAt: now,
+      answeredAt: Number.NEGATIVE_INFINITY,
+    };
     this.#suspects.set(fingerprint, suspect);
     return suspect;
   }
 
   /**
-   * Records that the request completed. Other hosts keep sending its marks for
-   * some time. If these marks counted again, later requests with the same
-   * fingerprint, such as lookups, would be refused for unrelated server losses.
+   * Records that the request completed at a time, monotonic ms, at this host or
+   * another one. Other hosts keep sending its marks for some time. If these marks
+   * counted again, later requests with the same fingerprint, such as lookups, would
+   * be refused for unrelated server losses. Returns whether it cleared any.
    */
-  clear(fingerprint: string): void {
+  clear(fingerprint: string, at = Number.POSITIVE_INFINITY): boolean {
+    this.#recordAnswer(fingerprint, at);
     const suspect = this.#suspects.get(fingerprint);
-    if (suspect === undefined) return;
-    suspect.losses.forEach((loss) => {
+    if (suspect === undefined) return false;
+    const before = suspect.losses.filter((loss) =>
+      !loss.cleared && (loss.at ?? at) <= at
+    );
+    before.forEach((loss) => {
       loss.cleared = true;
     });
     suspect.heldUntil = 0;
+    if (Number.isFinite(at)) {
+      suspect.answeredAt = Math.max(suspect.answeredAt, at);
+    }
+    return before.length > 0;
+  }
+
+  #recordAnswer(fingerprint: string, at: number): void {
+    if (!Number.isFinite(at)) return;
+    this.#answeredAt.delete(fingerprint);
+    this.#answeredAt.set(fingerprint, at);
+    if (this.#answeredAt.size <= MAX_ANSWERED) return;
+    const [oldest] = this.#answeredAt.keys();
+    this.#answeredAt.delete(oldest);
+  }
+
+  /** Lists when suspects last completed, to share with other hosts, monotonic ms. */
+  listAnswered(now: number): events.AnsweredRequests {
+    return Object.fromEntries(
+      [...this.#suspects].filter(([, { answeredAt }]) =>
+        now - answeredAt <= SHARE_ANSWER_MS
+      ).slice(-MAX_SHARED)
+        .map(([fingerprint, { answeredAt }]) => [fingerprint, answeredAt]),
+    );
   }
 
   #removeOldest(): void {
@@ -175,9 +221,20 @@
     this.#suspects.delete(oldest ?? first);
   }
 
+  /** Lists the losses that count. Of those at the same moment one counts if the request completed shortly before: it is frequent and was in flight everywhere. */
   #listCounted(fingerprint: string): Loss[] {
-    return this.#suspects.get(fingerprint)?.losses
+    const losses = this.#suspects.get(fingerprint)?.losses
       .filter(({ cleared }) => !cleared) ?? [];
+    const answeredAt = this.#answeredAt.get(fingerprint);
+    if (losses.length < 2 || answeredAt === undefined) return losses;
+    let last = Number.NEGATIVE_INFINITY;
+    return losses.toSorted((a, b) => (a.at ?? 0) - (b.at ?? 0))
+      .filter(({ at = 0 }) => {
+        const isSameMoment = at - last < SAME_MOMENT_MS &&
+          at - answeredAt <= RECENT_ANSWER_MS;
+        if (!isSameMoment) last = at;
+        return !isSameMoment;
+      });
   }
 
   /** Whether enough servers were lost to the request that it must not run beside other suspects. */
@@ -190,8 +247,9 @@
     fingerprint: string,
     isLeftOut: (server: string) => boolean,
   ): boolean {
-    return this.#listWithout(fingerprint, isLeftOut).length >=
-      this.#isolateAfter;
+    const left = this.#listCounted(fingerprint)
+      .filter(({ server }) => !isLeftOut(server));
+    return left.length >= this.#isolateAfter;
   }
 
   /** Returns how much longer copies of the request are refused because another host may be running it, in ms. */
@@ -205,21 +263,14 @@
     return this.#listCounted(fingerprint).length >= this.#poisonLimit;
   }
 
-  /** Whether a request must be refused even without the losses of some servers. */
+  /** Whether a request must be refused even without some losses. */
   isPoisonWithout(
     fingerprint: string,
-    isLeftOut: (server: string) => boolean,
+    isLeftOut: (loss: Pick<events.SuspectMark, "server" | "at">) => boolean,
   ): boolean {
-    return this.#listWithout(fingerprint, isLeftOut).length >=
-      this.#poisonLimit;
-  }
-
-  #listWithout(
-    fingerprint: string,
-    isLeftOut: (server: string) => boolean,
-  ): Loss[] {
-    return this.#listCounted(fingerprint)
-      .filter(({ server }) => !isLeftOut(server));
+    const left = this.#listCounted(fingerprint)
+      .filter((loss) => !isLeftOut(loss));
+    return left.length >= this.#poisonLimit;
   }
 
   /** Lists the servers whose losses count against a request. */
--- a/packages/core/suspect_checks.ts
+++ b/packages/core/suspect_checks.ts
@@ -29,8 +29,10 @@
   const { suspects, doubts } = state;
   const { fingerprint } = request;
   if (!suspects.isPoison(fingerprint)) return undefined;
-  const isSure = !doubts.hasAny() ||
-    suspects.isPoisonWithout(fingerprint, (one) => doubts.has(one));
+  const isSure = suspects.isPoisonWithout(
+    fingerprint,
+    (loss) => isInDoubt(state, loss),
+  );
   if (isSure) return { code: "poison_request" };
   doubts.scheduleTrials(suspects.listServers(fingerprint));
   return handover.isLeftToPeers(state, request)
@@ -38,18 +40,29 @@
     : { code: "suspect_request", waitMs: constants.DOUBT_MS };
 }
 
+/** Whether a lost server may not have ended: it is in doubt, or so recently lost that the host may not have noticed yet that its links are. */
+function isInDoubt(
+  { links, doubts, table, now }: hostState.HostState,
+  { server, at }: Pick<events.SuspectMark, "server" | "at">,
+): boolean {
+  if (doubts.has(server)) return true;
+  const isRecent = at !== undefined && now - at < constants.DOUBT_MS;
+  return links !== undefined && isRecent && table.get(server) !== undefined;
+}
+
 /**
- * Adds the marks of other hosts, and the losses that they found to be wrong.
+ * Adds the marks of other hosts, the losses that they found to be wrong and the
+ * suspects that completed there.
  *
  * @example
  * const requests = mergeSuspects(state, { marks, wrongLosses });
  */
 export function mergeSuspects(
   state: hostState.HostState,
-  { marks, wrongLosses = {} }: {
-    readonly marks: readonly events.SuspectMark[];
-    readonly wrongLosses?: events.WrongLosses;
-  },
+  { marks, wrongLosses = {}, answered = {} }: Omit<
+    Extract<events.DispatchEvent, { kind: "suspected" }>,
+    "kind"
+  >,
 ): events.SuspectMark[] {
   const { doubts, suspects, table, now } = state;
   Object.entries(wrongLosses).forEach(([server, at]) =>
@@ -64,6 +77,9 @@
   const added = crashingParts.addMarks(state, left)
     .filter((mark) => suspects.addRemote(mark, now));
   suspectMarks.recordChange(state, { change: "received", marks: added });
+  Object.entries(answered).forEach(([fingerprint, at]) =>
+    clearSuspect(state, { fingerprint, at })
+  );
   // Whether their servers have ended is found out before the request comes again.
   added.filter(({ fingerprint }) => suspects.isPoison(fingerprint))
     .forEach(({ fingerprint }) =>
@@ -72,6 +88,21 @@
   return added;
 }
 
+/**
+ * Records that a request has completed, here or at another host: the losses of
+ * servers until then had another cause.
+ *
+ * @example
+ * clearSuspect(state, { fingerprint, at: state.now });
+ */
+export function clearSuspect(
+  state: hostState.HostState,
+  { fingerprint, at }: { readonly fingerprint: string; readonly at: number },
+): void {
+  if (!state.suspects.clear(fingerprint, at)) return;
+  state.effects.push({ kind: "suspect_answered", fingerprint, at });
+}
+
 /**
  * Decides on the servers in doubt, tries connections to them and forgets old
  * suspects.
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -834,6 +834,36 @@
     replace: "void [contact, text]",
     test: "platform/poison_requests_test.ts",
   },
+  {
+    name: "doubts: a loss counts for certain before a cut is noticed",
+    file: "packages/core/suspect_checks.ts",
+    find: "links !== undefined && isRecent &&",
+    replace: "links === undefined && isRecent &&",
+    test: LOST_LINKS,
+  },
+  {
+    name: "suspects: hosts do not tell which suspects have completed",
+    file: "packages/core/suspect_checks.ts",
+    find: "clearSuspect(state, { fingerprint, at })\n",
+    replace: "void [fingerprint, at]\n",
+    test: LOST_LINKS,
+  },
+  {
+    name:
+      "suspects: a frequent request is refused when all servers end at once",
+    file: "packages/core/quarantine.ts",
+    find: "at - last < SAME_MOMENT_MS &&",
+    replace: "at < last &&",
+    test: LOST_LINKS,
+  },
+  {
+    name: "suspects: marks of servers behind lost links are withheld",
+    file: "packages/core/suspect_marks.ts",
+    find: 'state.effects.push({ kind: "suspect", mark });\n  return mark;',
+    replace:
+      'if (!doubtful) state.effects.push({ kind: "suspect", mark });\n  return mark;',
+    test: "packages/core/poison_service_fuzz_test.ts",
+  },
   {
     name: "suspects: a request that is refused is forgotten by hosts",
     file: "packages/banyangrade/gateway/host_updates.ts",
