--- a/packages/core/brittle_service_testing.ts
+++ b/packages/core/brittle_service_testing.ts
@@ -3,9 +3,9 @@
  * they must refuse too many requests in a second: dispatchers, statuses over the
  * relays of the failure domains, callers that come again, and faults of hosts.
  */
-import * as tinyqueue from "tinyqueue";
 import * as utils from "@banyangrade/utils";
 import * as core from "./mod.ts";
+import * as fleetTesting from "./fleet_testing.ts";
 import * as testing from "./testing.ts";
 
 /** Time from which the servers say that they are brittle, in ms. */
@@ -132,11 +132,6 @@
   readonly onRefused?: (waitMs: number | undefined) => void;
 }
 
-interface Timer {
-  readonly at: number;
-  readonly run: () => void;
-}
-
 /**
  * Runs a fleet and counts what happened.
  *
@@ -150,11 +145,10 @@
 class Simulation {
   readonly #fleet: Fleet;
   readonly #random: utils.Random;
-  readonly #timers = new tinyqueue.default<Timer>([], (a, b) => a.at - b.at);
+  readonly #time = new fleetTesting.VirtualTime();
   readonly #hosts: Host[] = [];
   readonly #servers: Server[];
   readonly #relays = new Map<string, { host: Host; until: number }>();
-  #now = 0;
   #ids = 0;
   #slotUseMs = 0;
   readonly #crashedAt: number[] = [];
@@ -179,14 +173,7 @@
     const { faults, totalMs } = this.#fleet;
     faults.forEach((fault) => this.#scheduleFault(fault));
     this.#scheduleCall();
-    for (
-      let next = this.#timers.pop();
-      next !== undefined && next.at < totalMs;
-      next = this.#timers.pop()
-    ) {
-      this.#now = next.at;
-      next.run();
-    }
+    this.#time.run(totalMs);
     const { servers, slots } = this.#fleet;
     const slotMs = (totalMs - SHORT_MS) * servers * slots;
     this.#servers.flatMap(({ running }) => running)
@@ -200,8 +187,12 @@
     };
   }
 
+  get #now(): number {
+    return this.#time.now;
+  }
+
   #schedule(ms: number, run: () => void): void {
-    this.#timers.push({ at: this.#now + ms, run });
+    this.#time.schedule(ms, run);
   }
 
   /** Whether a request sent at this time counts: the servers have little room, and its deadline is before the end. */
@@ -217,14 +208,10 @@
       name: `h${index}`,
       domain: `d${index % domains}`,
       weight: 1 + this.#random.next() * (uneven - 1),
-      dispatcher: new core.Dispatcher({
+      dispatcher: fleetTesting.createDispatcher({
         failureDomain: `d${index % domains}`,
         host: `h${index}`,
-        random: utils.createRandom(this.#random.below(2 ** 31)),
-        preempts: false,
-        minRetryAfterMs: 50,
-        comparesPrompts: true,
-        tracksLinks: true,
+        seed: this.#random.below(2 ** 31),
       }),
       calls: new Map(),
       startedAt: this.#now,
@@ -234,11 +221,11 @@
     };
     this.#hosts.push(host);
     const { serves, slots } = this.#fleet;
-    const pool = { ...testing.POOL, failureDomain: host.domain, slots, serves };
-    const configuration = testing.buildConfiguration([
-      testing.buildClass(1),
-      pool,
-    ]);
+    const configuration = fleetTesting.buildConfiguration({
+      failureDomain: host.domain,
+      slots,
+      serves,
+    });
     this.#send(host, { kind: "configured", configuration });
     this.#sendServers(host);
     this.#schedule(this.#random.below(BUSY_TICK_MS), () => this.#tick(host));
