Let hosts send to brittle servers while another service is lost

What callers would see: while all servers of a small service are down, brittle servers of other services get no requests.

Cause: a host that had lost its links to any service was no candidate for a sender, and the end of a small service looks like lost links at all hosts.

Change: candidates say to which services they have lost their links, and relays leave them out for these only. The test and a mutation show it.

--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -66,11 +66,11 @@
   offsetMs: number,
 ): Pick<core.HostStatus, "brittle" | "sender"> {
   const brittle = applyOffset(dispatch.listBrittleRecords(), offsetMs);
-  const mayBeSender = handover.mayTakeRequests() &&
-    dispatch.listLostLinks().length === 0;
+  const lost = dispatch.listLostLinks();
+  const sender = { ...dispatch.describeSender(), lost };
   return {
     ...(brittle.length > 0 && { brittle }),
-    ...(mayBeSender && { sender: dispatch.describeSender() }),
+    ...(handover.mayTakeRequests() && { sender }),
   };
 }
 
--- a/packages/core/brittle_senders.ts
+++ b/packages/core/brittle_senders.ts
@@ -32,6 +32,8 @@
   readonly room: Readonly<Record<string, number>>;
   /** Servers whose sender it is. */
   readonly servers: readonly string[];
+  /** Services to whose servers it has lost its links; absent from hosts of earlier versions. */
+  readonly lost?: readonly string[];
 }
 
 /** The sender of a brittle server. */
@@ -130,7 +132,11 @@
   const most = Math.ceil(servers.length / candidates.length);
   const counts = new Map(candidates.map((one) => [one, 0]));
   const chosen = new Map<string, SenderCandidate>();
-  const choose = (server: string, among: readonly SenderCandidate[]) => {
+  const choose = (
+    { server, service }: BrittleServerInfo,
+    wanted: readonly SenderCandidate[],
+  ) => {
+    const among = wanted.filter(({ lost = [] }) => !lost.includes(service));
     if (among.length === 0) return;
     const first = rankFirst(among.map(({ contact }) => contact.host), server);
     const one = among.find(({ contact }) => contact.host === first) ?? among[0];
@@ -138,19 +144,22 @@
     chosen.set(server, one);
   };
   const sorted = servers.toSorted((a, b) => a.server < b.server ? -1 : 1);
-  sorted.forEach(({ server }) =>
+  sorted.forEach((needed) =>
     choose(
-      server,
+      needed,
       candidates.filter((one) =>
-        one.servers.includes(server) && (counts.get(one) ?? 0) < most
+        one.servers.includes(needed.server) && (counts.get(one) ?? 0) < most
       ),
     )
   );
-  sorted.filter(({ server }) => !chosen.has(server)).forEach(({ server }) => {
-    const fewest = Math.min(...counts.values());
+  sorted.filter(({ server }) => !chosen.has(server)).forEach((needed) => {
+    const able = candidates.filter(({ lost = [] }) =>
+      !lost.includes(needed.service)
+    );
+    const fewest = Math.min(...able.map((one) => counts.get(one) ?? 0));
     choose(
-      server,
-      candidates.filter((one) => counts.get(one) === fewest),
+      needed,
+      able.filter((one) => counts.get(one) === fewest),
     );
   });
   return sorted.flatMap(({ server, service }) => {
--- a/packages/core/brittle_senders_test.ts
+++ b/packages/core/brittle_senders_test.ts
@@ -114,6 +114,29 @@
   t.end();
 });
 
+// Guards against brittle servers without a sender, because all servers of another
+// service have ended.
+tap.test("a host without links to a service sends to the servers of others", (t) => {
+  const lostOther = buildCandidates(3).map((one) => ({
+    ...one,
+    lost: ["other"],
+  }));
+  t.equal(core.chooseSenders(listServers(6), lostOther).length, 6);
+  const [first, ...others] = buildCandidates(3);
+  const senders = core.chooseSenders(listServers(6), [
+    { ...first, lost: [SERVICE] },
+    ...others,
+  ]);
+  t.equal(senders.length, 6);
+  t.notOk(senders.some(({ sender }) => sender.host === first.contact.host));
+  const lostAll = buildCandidates(3).map((one) => ({
+    ...one,
+    lost: [SERVICE],
+  }));
+  t.same(core.chooseSenders(listServers(6), lostAll), []);
+  t.end();
+});
+
 // Guards against two hosts that send to a server for a moment, each time a host joins or
 // is lost, or a relay is replaced.
 tap.test("a server keeps its sender unless that one has too many servers", (t) => {
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -65,7 +65,7 @@
   /** What the host learned of brittle servers, in Unix ms; absent from hosts of earlier versions. */
   readonly brittle?: readonly brittleRecords.BrittleRecord[];
   /** What the host does as a sender of brittle servers; absent if it must not be one. */
-  readonly sender?: Pick<brittleSenders.SenderCandidate, "room" | "servers">;
+  readonly sender?: Omit<brittleSenders.SenderCandidate, "contact">;
 }
 
 /** Decision of one host on how engines are divided between short and long prompts. */
--- a/packages/core/poison_service_testing.ts
+++ b/packages/core/poison_service_testing.ts
@@ -281,7 +281,7 @@
           this.#endServer(this.#servers[fault.server % this.#servers.length])
         );
       case "links_cut":
-        return at(() => this.#cutLinks(fault, index));
+        return at(() => this.#dropLinks(fault, index));
       case "cut_off":
       case "store_lost":
         return;
@@ -300,7 +300,7 @@
     });
   }
 
-  #cutLinks(
+  #dropLinks(
     fault: Extract<Fault, { kind: "links_cut" }>,
     index: number,
   ): void {
@@ -804,7 +804,7 @@
       if (!host.alive) return;
       this.#drawOthers(host, FANOUT).forEach((other) =>
         this.#time.schedule(LINK_MS, () => {
-          const shifted = shiftAll({ marks, wrongLosses, answered }, {
+          const shifted = applyShift({ marks, wrongLosses, answered }, {
             byMs: host.skewMs - other.skewMs,
           });
           const news = shifted.marks.filter((mark) => isNews(other, mark));
@@ -867,7 +867,7 @@
       hosts: summary.hosts + 1,
       asOf: this.#now,
     });
-    const shifted = shiftAll({
+    const shifted = applyShift({
       marks: summary.suspects,
       wrongLosses: summary.wrongLosses ?? {},
       answered: summary.answeredRequests ?? {},
@@ -879,7 +879,7 @@
     const { dispatcher, marks, skewMs } = host;
     marks.removeExpired(this.#now);
     const recent = marks.list().map(({ until: _until, ...mark }) => mark);
-    const shared = shiftAll({
+    const shared = applyShift({
       marks: [...dispatcher.listPoisonMarks(), ...recent]
         .map((mark) => markDoubtful(host, mark)),
       wrongLosses: dispatcher.listWrongLosses(this.#now),
@@ -927,7 +927,7 @@
 }
 
 /** Converts times between the clocks of hosts. */
-function shiftAll(
+function applyShift(
   { marks, wrongLosses, answered }: Shared,
   { byMs }: { readonly byMs: number },
 ): Shared {
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -857,13 +857,20 @@
     test: LOST_LINKS,
   },
   {
-    name: "suspects: marks of servers behind lost links are withheld",
-    file: "packages/core/suspect_marks.ts",
-    find: 'state.effects.push({ kind: "suspect", mark });\n  return mark;',
-    replace:
-      'if (!doubtful) state.effects.push({ kind: "suspect", mark });\n  return mark;',
+    name: "suspects: losses in doubt do not count",
+    file: "packages/core/suspect_checks.ts",
+    find: "return handover.isLeftToPeers(state, request)",
+    replace: 'return request.id !== ""',
     test: "packages/core/poison_service_fuzz_test.ts",
   },
+  {
+    name: "brittle: a host sends to servers that it does not reach",
+    file: "packages/core/brittle_senders.ts",
+    find:
+      "const able = candidates.filter(({ lost = [] }) =>\n      !lost.includes(needed.service)\n    );",
+    replace: "const able = candidates;",
+    test: "packages/core/brittle_senders_test.ts",
+  },
   {
     name: "suspects: a request that is refused is forgotten by hosts",
     file: "packages/banyangrade/gateway/host_updates.ts",
