Take a loss for the same one although its time was corrected

What callers would see: sound requests that are refused for minutes after a cut, and hosts that tell each other the same news every second.

Cause: hosts convert the time of a loss with each status, and their clocks are corrected. A mark some ms later than the known one began a new doubt, and a wrong loss some ms later was news again.

--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -201,6 +201,31 @@
   t.end();
 });
 
+// Guards against news that go round for ever, and doubts that never end, because the
+// time of a loss changes a little each time that a host's clock is corrected.
+tap.test("a loss is the same one by a clock that is corrected", (t) => {
+  const { send, dispatcher, list } = startHost();
+  const shift = (at: number) => {
+    const mark = { fingerprint: "a", server: "r1", at, doubtful: true };
+    send({ kind: "suspected", marks: [mark] }, 600 + at);
+    send({ kind: "ticked" }, 600 + at);
+  };
+  [0, 20, 40].forEach(shift);
+  send({ kind: "connection_tried", server: "r1", reachable: true }, 3_000);
+  [60, 80].forEach((at) => shift(at));
+  send({ kind: "ticked" }, 13_100);
+  t.notOk(dispatcher.isDoubted("r1"));
+  [0, 20, 40].forEach((ms) =>
+    send({
+      kind: "suspected",
+      marks: [],
+      wrongLosses: { r1: ms, r2: ms },
+    }, 13_200 + ms)
+  );
+  t.same(list("losses_withdrawn").map(({ loss }) => loss.server), ["r1", "r2"]);
+  t.end();
+});
+
 // Guards against poison that counts as a cut because the server that it ended is
 // back before its entry changes.
 tap.test("a server that is heard of late has ended if its entry goes", (t) => {
--- a/packages/core/server_doubts.ts
+++ b/packages/core/server_doubts.ts
@@ -85,7 +85,7 @@
   /** Adds a doubt; returns whether it is new. */
   add({ server, at }: events.ServerLoss, now: number): boolean {
     const known = this.#doubts.get(server);
-    if (known !== undefined && at <= known.at) return false;
+    if (known !== undefined && isSameOrBefore(at, known.at)) return false;
     this.#doubts.set(server, { at, knownAt: now, needsTrial: false });
     return known === undefined;
   }
@@ -132,11 +132,10 @@
   /** Withdraws a server's losses up to a time; returns whether that is news. */
   withdraw({ server, at }: events.ServerLoss, now: number): boolean {
     const known = this.#wrong.get(server);
-    if (known !== undefined && known.at >= at) return false;
+    if (known !== undefined && isSameOrBefore(at, known.at)) return false;
     this.#wrong.set(server, { at, knownAt: now });
     const doubt = this.#doubts.get(server);
-    const isDecided = doubt !== undefined &&
-      doubt.at <= at + constants.SAME_LOSS_MS;
+    const isDecided = doubt !== undefined && isSameOrBefore(doubt.at, at);
     if (isDecided) this.#doubts.delete(server);
     return true;
   }
@@ -144,7 +143,7 @@
   /** Whether a loss is known to be wrong. */
   isWrong({ server, at }: events.ServerLoss): boolean {
     const wrongAt = this.#wrong.get(server)?.at;
-    return wrongAt !== undefined && at <= wrongAt + constants.SAME_LOSS_MS;
+    return wrongAt !== undefined && isSameOrBefore(at, wrongAt);
   }
 
   /** Lists the wrong losses to share with other hosts. */
@@ -157,3 +156,8 @@
     );
   }
 }
+
+/** Whether a loss is the same as another one or before it; the clocks of hosts differ, and are corrected. */
+function isSameOrBefore(at: number, other: number): boolean {
+  return at <= other + constants.SAME_LOSS_MS;
+}
