--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -993,7 +993,7 @@
   {
     name: "brittle senders: each change of the hosts moves servers",
     file: "packages/core/brittle_senders.ts",
-    find: "one.servers.includes(server) &&",
+    find: "one.servers.includes(needed.server) &&",
     replace: "one === undefined &&",
     test: BRITTLE_SENDERS,
   },
@@ -1035,8 +1035,8 @@
   {
     name: "brittle senders: one host sends to all servers",
     file: "packages/core/brittle_senders.ts",
-    find: "candidates.filter((one) => counts.get(one) === fewest),",
-    replace: "candidates,",
+    find: "able.filter((one) => counts.get(one) === fewest),",
+    replace: "able,",
     test: BRITTLE_SENDERS,
   },
   {
