Join losses of the same moment at hosts by routes only

What callers would see: the other program sends a poison request to a third server, if it completed once and then ended two at the same moment.

Cause: joined the losses of a frequent request at all hosts, also where two losses are the limit. Change: an option, set for hosts that serve by routes, which share marks and allow three.

--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -329,7 +329,12 @@
 // once, and that no host tells the others of when they complete.
 tap.test("a request that completes is no suspect at any host", (t) => {
   const options = {
-    suspects: { poisonLimit: 2, isolateAfter: 2, holdsRemote: false },
+    suspects: {
+      poisonLimit: 2,
+      isolateAfter: 2,
+      holdsRemote: false,
+      joinsMoments: true,
+    },
   };
   const one = startHost(options);
   const other = startHost(options);
--- a/packages/core/poison_service_testing.ts
+++ b/packages/core/poison_service_testing.ts
@@ -232,7 +232,12 @@
         host: name,
         failureDomain: domain,
         seed: this.#random.below(2 ** 31),
-        suspects: { isolateAfter: 2, poisonLimit: 3, holdsRemote: false },
+        suspects: {
+          isolateAfter: 2,
+          poisonLimit: 3,
+          holdsRemote: false,
+          joinsMoments: true,
+        },
       }),
       marks: new core.MarkSet(),
       told: new Set(),
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -55,6 +55,8 @@
   readonly poisonLimit?: number;
   /** Whether copies of a request are refused while another host may be retrying it. @default true */
   readonly holdsRemote?: boolean;
+  /** Whether of losses at the same moment one counts for a request that completed shortly before. @default false */
+  readonly joinsMoments?: boolean;
 }
 
 /** Whether a loss of a server is the same as another one. */
@@ -75,12 +77,14 @@
   readonly #isolateAfter: number;
   readonly #poisonLimit: number;
   readonly #holdsRemote: boolean;
+  readonly #joinsMoments: boolean;
   #forgottenAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: SuspectOptions = {}) {
     this.#isolateAfter = options.isolateAfter ?? 1;
     this.#poisonLimit = options.poisonLimit ?? constants.POISON_LIMIT;
     this.#holdsRemote = options.holdsRemote ?? true;
+    this.#joinsMoments = options.joinsMoments ?? false;
   }
 
   /** Adds a mark that this host made. */
@@ -195,7 +199,7 @@
   }
 
   #recordAnswer(fingerprint: string, at: number): void {
-    if (!Number.isFinite(at)) return;
+    if (!this.#joinsMoments || !Number.isFinite(at)) return;
     this.#answeredAt.delete(fingerprint);
     this.#answeredAt.set(fingerprint, at);
     if (this.#answeredAt.size <= MAX_ANSWERED) return;
