Spare requests that have completed the ends of another one

Half of the requests were alike and in flight at each of three ends of the only server.

Cause: each loss counted against all requests in flight there, however often they had completed before. Once refused, none could complete any more.

Change: losses of a request that has completed at this host do not count if one explains them that never has and has reached the limit itself. The poison request never completes, so it is never spared. Removing an old suspect looks at a hundred of them, not at all.

One mutation.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -84,7 +84,7 @@
   // Callers retry after any loss, mostly at another host, so a request is not held
   // for a single loss that another host saw.
   holdsRemote: false,
-  joinsMoments: true,
+  sparesAnswered: true,
 };
 /** Time for which a lost server is reported to the other hosts, in ms; several status reports, so that each host receives it. */
 const SUSPECT_TTL_MS = 10_000;
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -333,7 +333,7 @@
       poisonLimit: 2,
       isolateAfter: 2,
       holdsRemote: false,
-      joinsMoments: true,
+      sparesAnswered: true,
     },
   };
   const one = startHost(options);
@@ -368,6 +368,35 @@
   t.end();
 });
 
+// Guards against a frequent request that is refused for good because it was in flight
+// wherever a poison request ended a server.
+tap.test("a request that has completed is not refused for the ends of another one", (t) => {
+  const { send, open, list } = startHost({
+    suspects: {
+      poisonLimit: 2,
+      isolateAfter: 2,
+      holdsRemote: false,
+      sparesAnswered: true,
+    },
+  });
+  open("a#1", 0);
+  send({ kind: "finished", requestId: "a#1", attempt: 1, tokens: 1 }, 50);
+  const listMarks = (fingerprint: string) =>
+    ["r8", "r9"].map((server, n) => ({
+      fingerprint,
+      server,
+      at: 100 + 3_000 * n,
+    }));
+  send({ kind: "suspected", marks: listMarks("a") }, 5_000);
+  open("a#2", 5_100);
+  t.equal(list("refuse").length, 1, "no other request explains it");
+  send({ kind: "suspected", marks: listMarks("poison") }, 5_200);
+  open("a#3", 5_300);
+  open("poison#1", 5_300);
+  t.same(list("refuse").map(({ requestId }) => requestId), ["a#2", "poison#1"]);
+  t.end();
+});
+
 // Guards against orders for more servers because requests hang behind a cut, or
 // because two hosts count them.
 tap.test("a host without links reports no demand that others serve", (t) => {
--- a/packages/core/poison_service_fuzz_test.ts
+++ b/packages/core/poison_service_fuzz_test.ts
@@ -96,3 +96,38 @@
   );
   t.end();
 });
+
+// Guards against a frequent request that is refused for good, because it was in
+// flight at each of three ends of the only server and completed at none between.
+tap.test("a frequent request goes on although it was in flight at all ends", (t) => {
+  const outcome = poisonTesting.replayFleet({
+    hosts: 5,
+    domains: 4,
+    servers: 1,
+    goneMs: 5_990,
+    keepsName: true,
+    callers: 4,
+    pauseMs: 466,
+    repeatable: true,
+    load: 0.20536561158939298,
+    alike: 0.5,
+    skewMs: 200,
+    totalMs: 40_000,
+    faults: [{
+      kind: "links_cut",
+      share: 0.948806010810097,
+      how: "hang",
+      at: 2_619,
+      forMs: 7_782,
+    }],
+    seed: 171516451,
+  });
+  t.equal(outcome.refusedAsPoison, 0);
+  t.ok(outcome.sound >= MIN_SOUND);
+  t.ok(
+    outcome.served >= MIN_SERVED * outcome.sound,
+    `${outcome.served} of ${outcome.sound} served`,
+  );
+  t.ok(outcome.more <= MAX_MORE);
+  t.end();
+});
--- a/packages/core/poison_service_testing.ts
+++ b/packages/core/poison_service_testing.ts
@@ -236,7 +236,7 @@
           isolateAfter: 2,
           poisonLimit: 3,
           holdsRemote: false,
-          joinsMoments: true,
+          sparesAnswered: true,
         },
       }),
       marks: new core.MarkSet(),
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -38,6 +38,8 @@
 const MAX_SHARED = 60;
 /** Time for which other hosts are told that a suspect has completed, in ms. */
 const SHARE_ANSWER_MS = 10_000;
+/** Largest number of suspects among which the one to remove is sought. */
+const MAX_EXAMINED = 100;
 /** Largest number of completed requests that are remembered. */
 const MAX_ANSWERED = 1_000;
 /** Time for which a request counts as frequent after it completed, in ms. */
@@ -55,8 +57,8 @@
   readonly poisonLimit?: number;
   /** Whether copies of a request are refused while another host may be retrying it. @default true */
   readonly holdsRemote?: boolean;
-  /** Whether of losses at the same moment one counts for a request that completed shortly before. @default false */
-  readonly joinsMoments?: boolean;
+  /** Whether losses count less against a request that has completed before. @default false */
+  readonly sparesAnswered?: boolean;
 }
 
 /** Whether a loss of a server is the same as another one. */
@@ -77,14 +79,14 @@
   readonly #isolateAfter: number;
   readonly #poisonLimit: number;
   readonly #holdsRemote: boolean;
-  readonly #joinsMoments: boolean;
+  readonly #sparesAnswered: boolean;
   #forgottenAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: SuspectOptions = {}) {
     this.#isolateAfter = options.isolateAfter ?? 1;
     this.#poisonLimit = options.poisonLimit ?? constants.POISON_LIMIT;
     this.#holdsRemote = options.holdsRemote ?? true;
-    this.#joinsMoments = options.joinsMoments ?? false;
+    this.#sparesAnswered = options.sparesAnswered ?? false;
   }
 
   /** Adds a mark that this host made. */
@@ -199,7 +201,7 @@
   }
 
   #recordAnswer(fingerprint: string, at: number): void {
-    if (!this.#joinsMoments || !Number.isFinite(at)) return;
+    if (!this.#sparesAnswered || !Number.isFinite(at)) return;
     this.#answeredAt.delete(fingerprint);
     this.#answeredAt.set(fingerprint, at);
     if (this.#answeredAt.size <= MAX_ANSWERED) return;
@@ -219,20 +221,27 @@
 
   #removeOldest(): void {
     if (this.#suspects.size < MAX_SUSPECTS) return;
-    const [first] = this.#suspects.keys();
-    const oldest = [...this.#suspects.keys()]
-      .find((one) => !this.isPoison(one));
-    this.#suspects.delete(oldest ?? first);
+    const oldest = [...this.#suspects.keys()].slice(0, MAX_EXAMINED);
+    const removed = oldest.find((one) => !this.isPoison(one)) ?? oldest[0];
+    this.#suspects.delete(removed);
   }
 
-  /** Lists the losses that count. Of those at the same moment one counts if the request completed shortly before: it is frequent and was in flight everywhere. */
+  /**
+   * Lists the losses that count. Of a request that has completed before, those do not
+   * that a request explains which never has, and of those at the same moment one
+   * does if it completed shortly before: it is frequent and was in flight everywhere.
+   */
   #listCounted(fingerprint: string): Loss[] {
-    const losses = this.#suspects.get(fingerprint)?.losses
-      .filter(({ cleared }) => !cleared) ?? [];
+    const losses = this.#listUncleared(fingerprint);
     const answeredAt = this.#answeredAt.get(fingerprint);
     if (losses.length < 2 || answeredAt === undefined) return losses;
+    const guilty = [...this.#suspects.keys()].filter((other) =>
+      !this.#answeredAt.has(other) &&
+      this.#listUncleared(other).length >= this.#poisonLimit
+    ).flatMap((other) => this.#listUncleared(other));
     let last = Number.NEGATIVE_INFINITY;
     return losses.toSorted((a, b) => (a.at ?? 0) - (b.at ?? 0))
+      .filter((loss) => !guilty.some((other) => isSameLoss(loss, other)))
       .filter(({ at = 0 }) => {
         const isSameMoment = at - last < SAME_MOMENT_MS &&
           at - answeredAt <= RECENT_ANSWER_MS;
@@ -241,6 +250,11 @@
       });
   }
 
+  #listUncleared(fingerprint: string): Loss[] {
+    return this.#suspects.get(fingerprint)?.losses
+      .filter(({ cleared }) => !cleared) ?? [];
+  }
+
   /** Whether enough servers were lost to the request that it must not run beside other suspects. */
   isSuspect(fingerprint: string): boolean {
     return this.#listCounted(fingerprint).length >= this.#isolateAfter;
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -871,6 +871,13 @@
     replace: "const able = candidates;",
     test: "packages/core/brittle_senders_test.ts",
   },
+  {
+    name: "suspects: a frequent request is refused for the ends of another one",
+    file: "packages/core/quarantine.ts",
+    find: "!guilty.some((other) => isSameLoss(loss, other))",
+    replace: "guilty.length >= 0 || loss.cleared",
+    test: LOST_LINKS,
+  },
   {
     name: "suspects: a request that is refused is forgotten by hosts",
     file: "packages/banyangrade/gateway/host_updates.ts",
