Count requests whose callers left as suspects of the servers that end after

Cause: only an attempt that was in flight made a mark.

They count once the server is lost: a connection breaks, or nothing listens at its address any more. One that is silent may be out of reach and makes no mark, and an answer to a request that was sent after the stop clears it.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -248,8 +248,13 @@
   { dispatch }: Pick<Draft, "dispatch">,
   { name, url }: core.ServerInfo,
 ): Promise<void> {
-  const reachable = await service.tryConnection(url);
-  dispatch.send({ kind: "connection_tried", server: name, reachable });
+  const trial = await service.tryConnection(url);
+  dispatch.send({
+    kind: "connection_tried",
+    server: name,
+    reachable: trial === "opened",
+    refused: trial === "refused",
+  });
 }
 
 function addHandover(draft: Draft): void {
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -402,6 +402,7 @@
       requestId: request.id,
       attempt: effect.attempt,
       failure: failed.failure,
+      refused: failed.refused,
       answerStarted: this.#telemetry.getEvents() > 0,
       resumable: route.kind === "stream" && route.resumable,
     });
--- a/packages/core/attempt_end.ts
+++ b/packages/core/attempt_end.ts
@@ -63,6 +63,7 @@
   const ended = endAttempt(state, event);
   if (ended === undefined) return;
   const { fingerprint } = ended.request;
+  state.stopped.recordAnswer(ended.server, ended.startedAt);
   suspectChecks.clearSuspect(state, { fingerprint, at: state.now });
   crashingParts.recordAnswer(state, ended.request);
   state.lengths.record(hostState.getEstimateKey(ended.request), {
@@ -98,6 +99,9 @@
   const server = state.table.get(ended.server);
   if (server !== undefined) recordFailure(state, { server, event, ended });
   if (event.failure === "connection_lost") markSuspect(state, ended);
+  if (event.failure === "connection_lost" || event.refused) {
+    markStopped(state, ended.server);
+  }
   decideRetry(state, { event, ended });
   dispatchFreedSlots(state, ended);
 }
@@ -236,6 +240,21 @@
   crashingParts.markParts(state, ended);
 }
 
+/**
+ * Marks the requests whose attempts were stopped at a server shortly before it was
+ * lost. Their callers may leave before the server ends, which would hide who ended it.
+ *
+ * @example
+ * markStopped(state, "s1@1");
+ */
+export function markStopped(
+  state: hostState.HostState,
+  server: string,
+): void {
+  state.stopped.take(server, state.now)
+    .forEach((attempt) => markSuspect(state, attempt));
+}
+
 /** Queues the request of a failed attempt for a retry, or refuses it. */
 function decideRetry(
   state: hostState.HostState,
@@ -406,6 +425,7 @@
   if (current === undefined) return;
   const { attempt } = current;
   endAttempt(state, { requestId, attempt });
+  if (reason === "caller_left") state.stopped.add(current, state.now);
   state.effects.push({ kind: "stop", requestId, attempt, reason });
 }
 
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -318,7 +318,9 @@
     case "responded":
       return recordSignals(state, event);
     case "connection_tried":
-      return linkChecks.recordConnection(state, event);
+      linkChecks.recordConnection(state, event);
+      if (event.refused) attemptEnd.markStopped(state, event.server);
+      return;
     case "peers_changed":
       state.peers = event.peers;
       return dispatching.dispatchQueue(state);
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -184,6 +184,8 @@
     readonly requestId: string;
     readonly attempt: number;
     readonly failure: AttemptFailure;
+    /** Whether nothing listens at the server's address. @default false */
+    readonly refused?: boolean;
     /** Whether bytes of the answer were already passed to the caller. */
     readonly answerStarted: boolean;
     /** Whether another attempt can resume at the offset reached. */
@@ -229,6 +231,8 @@
     readonly kind: "connection_tried";
     readonly server: string;
     readonly reachable: boolean;
+    /** Whether nothing listens at the server's address. @default false */
+    readonly refused?: boolean;
   }
   | {
     /** Other hosts with working links, to which requests may be handed. */
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -31,6 +31,7 @@
 import type * as serverLinks from "./server_links.ts";
 import type * as serverState from "./server_state.ts";
 import * as servers from "./servers.ts";
+import * as stoppedAttempts from "./stopped_attempts.ts";
 
 /** Options of {@link createHostState}. */
 export interface HostStateOptions {
@@ -73,6 +74,8 @@
   readonly table: servers.ServerTable;
   readonly queue: queue.RequestQueue;
   readonly running: attempts.AttemptTable;
+  /** Attempts that were stopped lately, under which a server may still end. */
+  readonly stopped: stoppedAttempts.StoppedAttempts;
   readonly budget: retry.RetryBudget;
   readonly lengths: lengths.LengthEstimator;
   readonly credits: fairness.ShareCredits;
@@ -140,6 +143,7 @@
     table,
     queue: new queue.RequestQueue(),
     running: new attempts.AttemptTable(),
+    stopped: new stoppedAttempts.StoppedAttempts(),
     budget: options.budget ?? new retry.TokenRetryBudget(),
     lengths: new lengths.LengthEstimator(),
     credits: new fairness.ShareCredits(),
--- a/packages/core/stopped_requests_test.ts
+++ b/packages/core/stopped_requests_test.ts
@@ -54,9 +54,16 @@
 // Guards against the same where nothing else runs at the server.
 tap.test("a request whose caller left is a suspect when its server refuses connections", (t) => {
   const { send, listMarked } = startLeft();
-  send({ kind: "connection_tried", server: "r1", reachable: false }, 400);
+  const tried = {
+    kind: "connection_tried",
+    server: "r1",
+    reachable: false,
+  } as const;
+  send(tried, 300);
+  t.same(listMarked(), [], "a silent server may be out of reach");
+  send({ ...tried, refused: true }, 400);
   t.same(listMarked(), ["left"]);
-  send({ kind: "connection_tried", server: "r1", reachable: false }, 500);
+  send({ ...tried, refused: true }, 500);
   t.same(listMarked(), ["left"], "once");
   t.end();
 });
--- a/packages/core/suspect_checks.ts
+++ b/packages/core/suspect_checks.ts
@@ -111,8 +111,9 @@
  * checkSuspects(state);
  */
 export function checkSuspects(state: hostState.HostState): void {
-  const { doubts, suspects, table, now } = state;
+  const { doubts, stopped, suspects, table, now } = state;
   suspects.forget(now);
+  stopped.forget(now);
   if (!doubts.hasAny()) return;
   const { ended, wrong } = doubts.decide(
     (server) => table.get(server) !== undefined,
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -99,6 +99,8 @@
   | {
     readonly kind: "failed";
     readonly failure: core.AttemptFailure;
+    /** Whether nothing listens at the server's address. @default false */
+    readonly refused?: boolean;
     /** Complete error response of the server, which is forwarded if there is no further attempt. */
     readonly answer?: ForwardedResponse;
     readonly reason: string;
@@ -165,7 +167,12 @@
     const failure = utils.classifyTransportError(thrown);
     const isUnread = failure === "connection_lost" && call.toleratesUnread &&
       isEndUnread(reading);
-    return { kind: "failed", failure: isUnread ? "unread" : failure, reason };
+    return {
+      kind: "failed",
+      failure: isUnread ? "unread" : failure,
+      ...(utils.isRefusedConnection(thrown) && { refused: true }),
+      reason,
+    };
   } finally {
     watch.stop();
   }
--- a/packages/utils/backend.ts
+++ b/packages/utils/backend.ts
@@ -41,6 +41,17 @@
   return TIMEOUT_CODES.has(code) ? "timeout" : "connection_lost";
 }
 
+/**
+ * Whether an error says that nothing listens at the address, as after the end of a
+ * process. A server that is out of reach is silent instead.
+ *
+ * @example
+ * isRefusedConnection(error); // true
+ */
+export function isRefusedConnection(thrown: unknown): boolean {
+  return (thrown as { code?: string }).code === "ECONNREFUSED";
+}
+
 /**
  * Creates the connection pool for backend servers. Idle connections are closed
  * before the server would close them, because a call that is sent while the server
