Let hosts that start ask what other hosts know

What callers saw: once all hosts had restarted, in turn, at once or by kills, the request that had ended three servers ended 3 to 11 more.

Cause: marks are pushed when they are made. A host that starts later hears of them only from a relay that knows them, and in a restart the relays are new as well: each takes the role of one that drains, and knows the other relays from the published statuses, which it read every fourth round.

Change: a host that starts asks its relay before it takes work; if that has just started as well, it reads the published statuses, which now hold all marks that their publisher knows, and asks the relays that they name. Relays share all marks they know. One that does not answer is looked for again in the next round. A host that drains tells others what it knows, and one that starts tells them how it is reached. Wrong losses are remembered for as long as marks are, and told for 30 s, longer than marks stay in the store.

Logs and a metric say who told a host what.

--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -195,6 +195,10 @@
   }
 
   /** Lists marks of requests that are refused, with monotonic times. */
+  listKnownMarks(): core.SuspectMark[] {
+    return this.#options.dispatcher.listKnownMarks();
+  }
+
   listPoisonMarks(): core.SuspectMark[] {
     return this.#options.dispatcher.listPoisonMarks();
   }
--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -65,6 +65,8 @@
   #table: core.RouteTable | undefined;
   #configRevision = 0;
   #serversLoaded = false;
+  /** Whether the host has learned what other hosts know, or has given up asking. */
+  #recalled = false;
   /** Whether the host has had all parts of its state, also if it has lost the store since. */
   #hadState = false;
   #expiry: NodeJS.Timeout | undefined;
@@ -110,6 +112,12 @@
     this.#stops.splice(0).forEach((stop) => stop());
   }
 
+  /** Lets the host take work as soon as it has its state: it has asked what other hosts know. */
+  recordRecall(): void {
+    this.#recalled = true;
+    this.#checkFirstState();
+  }
+
   /** Returns the current configuration; undefined until it was read for the first time. */
   getTable(): core.RouteTable | undefined {
     return this.#table;
@@ -117,7 +125,8 @@
 
   /**
    * Whether the host has had its configuration, its list of servers and a
-   * confirmation of the store, all at the same time at least once.
+   * confirmation of the store, all at the same time at least once, after it had
+   * asked what other hosts know.
    */
   hasHadState(): boolean {
     return this.#hadState;
@@ -131,7 +140,7 @@
 
   /** Whether the load balancer should send new connections to this host. */
   isReady(): boolean {
-    return this.#table !== undefined && this.#serversLoaded &&
+    return this.#hadState && this.#table !== undefined &&
       this.#computeProofAge() <= READY_SHARE * this.#options.withdrawMs;
   }
 
@@ -257,7 +266,7 @@
 
   #checkFirstState(): void {
     const isComplete = this.#table !== undefined && this.#serversLoaded &&
-      this.isFresh();
+      this.#recalled && this.isFresh();
     if (this.#hadState || !isComplete) return;
     this.#hadState = true;
     this.#options.onFirstState();
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -5,6 +5,7 @@
 import * as ingressModule from "./ingress.ts";
 import * as readinessModule from "./readiness.ts";
 import * as gatewayParts from "./gateway_parts.ts";
+import * as sharedKnowledge from "./shared_knowledge.ts";
 
 /** A running host. */
 export interface GatewayHost {
@@ -37,6 +38,7 @@
   addGauges(parts);
   await parts.relay.start();
   parts.belief.start();
+  void sharedKnowledge.fetchShared(parts);
   parts.presence.start();
   parts.streamOrigins.start();
   parts.roles.start();
@@ -185,6 +187,7 @@
   state.draining = true;
   startupWaits.refuseAll();
   log.info({ open: dispatch.countOpen() }, "Draining.");
+  sharedKnowledge.sendShared(parts);
   // Requests are still accepted until the load balancer has seen the change.
   await Promise.all([
     roles.stop(),
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -281,11 +281,14 @@
     clock,
     clocks: draft.clocks,
     isDoubted: (server) => dispatch.isDoubted(server),
+    getContact: () => draft.handover.getContact(),
+    onContact: (contact) => draft.handover.recordContacts([contact]),
     onSend: (text, hosts) => {
       draft.metrics.recordSuspectMessage("sent");
       draft.handover.sendSuspects(text, hosts);
     },
-    onNews: (news) => dispatch.send({ kind: "suspected", ...news }),
+    onNews: ({ marks, wrongLosses, answered }) =>
+      dispatch.send({ kind: "suspected", marks, wrongLosses, answered }),
   });
 }
 
@@ -369,6 +372,8 @@
     incarnation,
     relay: draft.relay,
     describe: () => hostUpdates.describeHost(draft),
+    listKnown: () => hostUpdates.listKnownSuspects(draft),
+    onPublishedMarks: (marks) => hostUpdates.applyPublishedMarks(draft, marks),
     failureDomain: settings.failureDomain,
     listBrittle: () => draft.dispatch.listBrittle(),
     hasRole: () => draft.roles.hasRole(),
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -37,8 +37,17 @@
   readonly statuses: readonly core.HostStatus[];
   /** Software versions of the services as the host sees them; absent from hosts of earlier versions. */
   readonly versions?: core.PublishedViews;
+  /** Marks of suspects that the publishing host knows, its own and others'; absent from hosts of earlier versions. */
+  readonly known?: readonly core.SuspectMark[];
 }
 
+/** Who told a host that started what other hosts knew. */
+export type RecallSource =
+  | "relay"
+  /** Relays of other failure domains, or hosts' published statuses. */
+  | "others"
+  | "nobody";
+
 /** Options of {@link HostStatusTask}. */
 export interface HostStatusOptions {
   readonly store: store.KeyValueClient;
@@ -54,6 +63,8 @@
     "callRelay" | "callContact" | "getContact" | "closeIdle"
   >;
   readonly describe: () => core.HostStatus;
+  /** Lists marks of suspects for hosts that know none, with Unix times. */
+  readonly listKnown: () => readonly core.SuspectMark[];
   /** Whether this host holds a control role and must read the published statuses in each round. */
   readonly hasRole: () => boolean;
   /** Returns how engines are divided between short and long prompts; undefined if another host decides it. */
@@ -65,6 +76,8 @@
   readonly describeVersions: () => core.PublishedViews;
   /** Called with the versions that the other processes published, in the first read that succeeds. */
   readonly onVersions: (published: readonly core.PublishedViews[]) => void;
+  /** Called with the marks of suspects that other hosts published, with Unix times. */
+  readonly onPublishedMarks: (marks: readonly core.SuspectMark[]) => void;
   /** Called with the summary of all other hosts. */
   readonly onSummary: (summary: core.HostsSummary) => void;
 }
@@ -96,6 +109,11 @@
   /** Time from which this host publishes without a relay. */
   #publishFrom = Number.NEGATIVE_INFINITY;
   #publishFailures = 0;
+  /** Marks of suspects that this host knows, as of its last status. */
+  #known: readonly core.SuspectMark[] = [];
+  #recalled = false;
+  /** Whether a relay did not answer, so that another one may have replaced it. */
+  #hasLostRelay = false;
 
   /** Chooses the senders of brittle servers while this host is the relay. */
   readonly #chooser: core.SenderChooser;
@@ -114,6 +132,39 @@
     );
   }
 
+  /**
+   * Asks what other hosts know, before this host takes work: the relay, or if it has
+   * just started as well, the published statuses and the relays that these name.
+   */
+  async fetchShared(): Promise<RecallSource> {
+    this.#recordOwnStatus();
+    const source = await this.#askForShared();
+    this.#recalled = true;
+    return source;
+  }
+
+  async #askForShared(): Promise<RecallSource> {
+    const answer = await this.#reportToRelay();
+    if (answer !== undefined) this.#applyAnswer(answer);
+    if (answer?.recalled) return "relay";
+    await this.#readPublished();
+    await this.#fetchSummaries();
+    if (answer === undefined) this.#applyOthers();
+    const found = this.#received.size > 0 || this.#published.length > 0;
+    return found ? "others" : "nobody";
+  }
+
+  #applyAnswer({ others }: peer.ReportResponse): void {
+    this.#hosts = others.hosts + 1;
+    this.#options.onSummary(others);
+  }
+
+  #applyOthers(): void {
+    const others = this.#sumOthers({ without: this.#options.host });
+    this.#hosts = Math.max(this.#hosts, others.hosts + 1);
+    this.#options.onSummary(others);
+  }
+
   /** Reports the last usage counts; they stay in the store until the lease ends. */
   async stop(): Promise<void> {
     this.#stops.splice(0).forEach((stop) => stop());
@@ -152,6 +203,7 @@
     return {
       others: this.#sumOthers({ without: statuses[0]?.host ?? "" }),
       publishes: now - this.#publishedAt <= RECENT_PUBLISH_MS,
+      recalled: this.#recalled,
     };
   }
 
@@ -176,6 +228,7 @@
     const senders = this.#chooseSenders();
     return {
       ...sum,
+      suspects: core.mergeMarks([...sum.suspects, ...this.#known]),
       ...this.#describeDivisions(),
       ...(senders.length > 0 && { senders }),
       relayDomains: [this.#options.failureDomain],
@@ -198,16 +251,13 @@
   }
 
   async #runRound(): Promise<void> {
-    const { hasRole, relay, host } = this.#options;
+    const { hasRole, relay } = this.#options;
     this.#round += 1;
     this.#recordOwnStatus();
     const answer = await this.#reportToRelay();
     // The summary is applied before any call to the store: such a call may take
     // long, and the times of the other hosts in the summary would be outdated.
-    if (answer !== undefined) {
-      this.#hosts = answer.others.hosts + 1;
-      this.#options.onSummary(answer.others);
-    }
+    if (answer !== undefined) this.#applyAnswer(answer);
     // In the first round the relay may have just started and not have published.
     const isRelayStarting = answer !== undefined && this.#round === 1;
     if (answer?.publishes) this.#schedulePublication();
@@ -215,17 +265,21 @@
       await this.#publish();
       this.#schedulePublication();
     }
-    const readsPublished = answer === undefined &&
-      this.#round % ROUNDS_PER_READ === 1;
+    const readsPublished = answer === undefined && this.#isReadDue();
     if (readsPublished || hasRole()) await this.#readPublished();
     if (answer !== undefined) return;
     if (relay.getContact() !== undefined) await this.#fetchSummaries();
-    const others = this.#sumOthers({ without: host });
-    this.#hosts = Math.max(this.#hosts, others.hosts + 1);
-    this.#options.onSummary(others);
+    this.#applyOthers();
     relay.closeIdle();
   }
 
+  /** Whether the published statuses must be read to find the relays; those of a restart change each second. */
+  #isReadDue(): boolean {
+    const isRecent = this.#options.clock.now() - this.#readAt < ROUND_MS / 2;
+    if (isRecent) return false;
+    return this.#hasLostRelay || this.#round % ROUNDS_PER_READ === 1;
+  }
+
   /** Whether this host must publish now; a relay publishes in each round. */
   #isPublicationDue(): boolean {
     const { relay, clock } = this.#options;
@@ -254,7 +308,8 @@
   }
 
   #recordOwnStatus(): void {
-    const { clock, describe } = this.#options;
+    const { clock, describe, listKnown } = this.#options;
+    this.#known = listKnown();
     this.#statuses.record(describe(), { now: clock.now(), direct: true });
   }
 
@@ -289,12 +344,16 @@
   /** Fetches the summaries of all other relays concurrently. */
   async #fetchSummaries(): Promise<void> {
     const { relay, clock } = this.#options;
+    this.#hasLostRelay = false;
     await Promise.all(this.#contacts.map(async (contact) => {
       const summary = await relay.callContact(contact, {
         step: "relay.summary",
         run: (client, signal) => client.summary.query(undefined, { signal }),
       });
-      if (summary === undefined) return;
+      if (summary === undefined) {
+        this.#hasLostRelay = true;
+        return;
+      }
       this.#received.set(contact.address, { summary, at: clock.now() });
       this.#chooser.recordRelays(summary.relayDomains ?? [], clock.now());
     }));
@@ -313,7 +372,11 @@
       .forEach(([address]) => this.#received.delete(address));
     const sum = core.mergeSummaries([
       this.#statuses.sum(now, options),
-      { ...core.EMPTY_SUMMARY, senders: this.#chooseSenders() },
+      {
+        ...core.EMPTY_SUMMARY,
+        suspects: this.#known,
+        senders: this.#chooseSenders(),
+      },
       ...[...this.#received.values()].map(({ summary, at }) =>
         core.dropStaleLoad(summary, now - at)
       ),
@@ -359,6 +422,7 @@
     const published: PublishedStatuses = {
       ...(contact && { contact }),
       versions: this.#options.describeVersions(),
+      known: this.#known,
       statuses: this.#statuses.list(clock.now()),
     };
     const swapped = await client.swap({
@@ -415,6 +479,14 @@
     this.#published = keepNewest(
       published.flatMap(({ statuses = [] }) => statuses),
     );
+    this.#options.onPublishedMarks(
+      published.flatMap((one) =>
+        one.key === own ? [] : [
+          ...one.known ?? [],
+          ...(one.statuses ?? []).flatMap(({ suspects }) => suspects),
+        ]
+      ),
+    );
     this.#contacts = published.flatMap(({ key, contact }) =>
       contact === undefined || key === own ? [] : [contact]
     );
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -60,6 +60,38 @@
   };
 }
 
+/**
+ * Lists marks of suspects for hosts that know none, with Unix times.
+ *
+ * @example
+ * presence.listKnown = () => listKnownSuspects(parts);
+ */
+export function listKnownSuspects(
+  { clock, clocks, dispatch }: Parts,
+): core.SuspectMark[] {
+  const offsetMs = clocks.getTrueTime() - clock.now();
+  const marks = dispatch.listKnownMarks().map((mark) =>
+    dispatch.isDoubted(mark.server) ? { ...mark, doubtful: true } : mark
+  );
+  return applyOffset(marks, offsetMs);
+}
+
+/**
+ * Applies the marks of suspects that other hosts published.
+ *
+ * @example
+ * applyPublishedMarks(parts, marks);
+ */
+export function applyPublishedMarks(
+  { clock, clocks, dispatch }: Parts,
+  published: readonly core.SuspectMark[],
+): void {
+  if (published.length === 0) return;
+  const offsetMs = clock.now() - clocks.getTrueTime();
+  const marks = applyOffset(core.mergeMarks(published), offsetMs);
+  dispatch.send({ kind: "suspected", marks });
+}
+
 /** Describes what this host knows of brittle servers, and whether it may be the sender of some. */
 function describeBrittle(
   { dispatch, handover }: Parts,
--- a/packages/banyangrade/gateway/suspect_spreading.ts
+++ b/packages/banyangrade/gateway/suspect_spreading.ts
@@ -31,6 +31,13 @@
   })),
   wrongLosses: z.record(z.string(), z.number()),
   answered: z.record(z.string(), z.number()).default({}),
+  /** How the sender is reached; absent from hosts of earlier versions. */
+  contact: z.object({
+    host: z.string(),
+    failureDomain: z.string(),
+    address: z.string(),
+    secret: z.string(),
+  }).optional(),
 });
 
 /** What hosts tell each other; times are in Unix ms. */
@@ -41,6 +48,10 @@
   readonly clock: utils.Clock;
   readonly clocks: Pick<hostClocks.HostClocks, "getTrueTime">;
   readonly isDoubted: (server: string) => boolean;
+  /** Returns how this host is reached; undefined if it is not. */
+  readonly getContact: () => core.HostContact | undefined;
+  /** Called with how another host is reached. */
+  readonly onContact: (contact: core.HostContact) => void;
   /** Sends a message to some other hosts. */
   readonly onSend: (text: string, hosts: number) => void;
   /** Called with news of other hosts, with monotonic times. */
@@ -70,6 +81,16 @@
     this.#schedule();
   }
 
+  /**
+   * Tells other hosts all that this host knows, also what it has told before: it has
+   * just started and makes itself known, or it drains.
+   */
+  sendAll(marks: readonly core.SuspectMark[]): void {
+    marks.forEach((mark) => this.#isNew(mark));
+    this.#marks.push(...marks);
+    this.#schedule();
+  }
+
   /** Tells other hosts that a loss was wrong. */
   addWrongLoss({ server, at }: core.ServerLoss): void {
     this.#wrongLosses[server] = at;
@@ -89,6 +110,8 @@
   accept(text: string): void {
     const parsed = SPREAD.safeParse(utils.parseJson(text));
     if (!parsed.success) return;
+    const { contact } = parsed.data;
+    if (contact !== undefined) this.#options.onContact(contact);
     const offsetMs = this.#getOffset();
     const marks = parsed.data.marks.map((mark) => applyOffset(mark, -offsetMs))
       .filter((mark) => this.#isNew(mark));
@@ -139,7 +162,9 @@
     const offsetMs = this.#getOffset();
     const marks = this.#marks.splice(0).slice(-MAX_MARKS)
       .map((mark) => applyOffset(this.#markDoubtful(mark), offsetMs));
+    const contact = this.#options.getContact();
     const news: SpreadSuspects = {
+      ...(contact && { contact }),
       marks,
       wrongLosses: addToTimes(this.#wrongLosses, offsetMs),
       answered: addToTimes(this.#answered, offsetMs),
--- a/packages/banyangrade/gateway/suspect_spreading_test.ts
+++ b/packages/banyangrade/gateway/suspect_spreading_test.ts
@@ -20,6 +20,8 @@
     clock: utils.SYSTEM_CLOCK,
     clocks: { getTrueTime: () => utils.SYSTEM_CLOCK.now() + offsetMs },
     isDoubted: (server) => doubted.has(server),
+    getContact: () => undefined,
+    onContact: () => undefined,
     onSend: (text) => void sent.push(text),
     onNews: (one) => void news.push(one),
   });
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -134,6 +134,11 @@
     "Requests that waited for the first state of a host that had just started, by outcome.",
     ["outcome"],
   );
+  readonly #recalls = this.#createCounter(
+    "banyangrade_recalls_total",
+    "Starts of this host, by who told it what other hosts knew.",
+    ["source"],
+  );
   readonly #storeCalls = this.#createCounter(
     "banyangrade_store_calls_total",
     "Calls to the store by kind and outcome.",
@@ -247,6 +252,10 @@
     this.#startupWaits.inc({ outcome });
   }
 
+  recordRecall(source: "relay" | "others" | "nobody"): void {
+    this.#recalls.inc({ source });
+  }
+
   recordStoreCall(
     ended: { readonly call: string; readonly outcome: string },
   ): void {
--- a/packages/banyangrade/relay_testing.ts
+++ b/packages/banyangrade/relay_testing.ts
@@ -5,6 +5,7 @@
 import * as utils from "@banyangrade/utils";
 import * as testing from "@banyangrade/utils/testing.ts";
 import * as gatewayParts from "./gateway/gateway_parts.ts";
+import * as sharedKnowledge from "./gateway/shared_knowledge.ts";
 import type * as platformInterface from "./gateway/platform_interface.ts";
 
 /** Failure domain of all hosts. */
@@ -194,6 +195,7 @@
   await Promise.all(hosts.map(async ({ parts }) => {
     await parts.relay.start();
     parts.belief.start();
+    void sharedKnowledge.fetchShared(parts);
     parts.presence.start();
   }));
   return hosts;
--- a/packages/core/dispatcher.ts
+++ b/packages/core/dispatcher.ts
@@ -137,6 +137,12 @@
     return this.#state.suspects.listPoisonMarks();
   }
 
+  /** Lists marks of requests and parts for hosts that know none, with monotonic times. */
+  listKnownMarks(): events.SuspectMark[] {
+    const { parts, suspects } = this.#state;
+    return [...suspects.listKnown(), ...parts.listKnown()];
+  }
+
   /** Lists the suspects that have completed, with monotonic times, to share with other hosts. */
   listAnsweredRequests(now: number): events.AnsweredRequests {
     return this.#state.suspects.listAnswered(now);
--- a/packages/core/host_statuses.ts
+++ b/packages/core/host_statuses.ts
@@ -282,8 +282,13 @@
   };
 }
 
-/** Keeps one mark of each loss; it is doubtful if that of any host is. */
-function mergeMarks(
+/**
+ * Keeps one mark of each loss; it is doubtful if that of any host is.
+ *
+ * @example
+ * mergeMarks([...own, ...received]);
+ */
+export function mergeMarks(
   marks: readonly events.SuspectMark[],
 ): events.SuspectMark[] {
   const merged = new Map<string, events.SuspectMark>();
--- a/packages/core/part_blames.ts
+++ b/packages/core/part_blames.ts
@@ -26,6 +26,9 @@
 /** Time for which an answer is shared, in ms; longer than the marks that it clears. */
 const SHARE_ANSWER_MS = 30_000;
 
+/** Maximum number of marks that a host which knows none is told. */
+const MAX_KNOWN = 60;
+
 const CRASH_PREFIX = "part:";
 const TRIAL_PREFIX = "trial:";
 
@@ -183,10 +186,17 @@
     part.noticedAt = now;
     if (now - part.renewedAt < RENEW_MS) return [];
     part.renewedAt = now;
-    return [
-      ...listMarks(`${CRASH_PREFIX}${name}`, part.crashes),
-      ...listMarks(`${TRIAL_PREFIX}${name}`, part.trials),
-    ].map((mark) => ({ ...mark, place: part.place }));
+    return listPartMarks(name, part);
+  }
+
+  /** Lists marks for hosts that know none: those of blamed parts first, then of the parts that were noticed last. */
+  listKnown(): events.SuspectMark[] {
+    return [...this.#parts].map(([name, part]) => ({
+      marks: listPartMarks(name, part),
+      rank: this.#blamed.has(name) ? 0 : 1,
+      noticedAt: part.noticedAt,
+    })).toSorted((a, b) => a.rank - b.rank || b.noticedAt - a.noticedAt)
+      .flatMap(({ marks }) => marks).slice(0, MAX_KNOWN);
   }
 
   /**
@@ -263,6 +273,14 @@
   }
 }
 
+/** Lists the marks of the crashes and trials of a part. */
+function listPartMarks(name: string, part: SuspectPart): events.SuspectMark[] {
+  return [
+    ...listMarks(`${CRASH_PREFIX}${name}`, part.crashes),
+    ...listMarks(`${TRIAL_PREFIX}${name}`, part.trials),
+  ].map((mark) => ({ ...mark, place: part.place }));
+}
+
 function listMarks(
   fingerprint: string,
   marks: ReadonlyMap<string, number>,
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -36,8 +36,10 @@
 const MAX_SUSPECTS = 10_000;
 /** Maximum number of marks of refused requests that are shared again. */
 const MAX_SHARED = 60;
-/** Time for which other hosts are told that a suspect has completed, in ms. */
-const SHARE_ANSWER_MS = 10_000;
+/** Maximum number of marks that a host which knows none is told. */
+const MAX_KNOWN = 60;
+/** Time for which other hosts are told that a suspect has completed, in ms; longer than marks stay in the store. */
+const SHARE_ANSWER_MS = 30_000;
 /** Largest number of suspects among which the one to remove is sought. */
 const MAX_EXAMINED = 100;
 /** Largest number of completed requests that are remembered. */
@@ -142,6 +144,19 @@
       ).slice(-MAX_SHARED);
   }
 
+  /** Lists marks for hosts that know none: those of the requests with most losses first, then the latest. */
+  listKnown(): events.SuspectMark[] {
+    return [...this.#suspects].map(([fingerprint, { addedAt }]) => ({
+      fingerprint,
+      addedAt,
+      losses: this.#listUncleared(fingerprint).slice(-this.#poisonLimit),
+    })).toSorted((a, b) =>
+      b.losses.length - a.losses.length || b.addedAt - a.addedAt
+    ).flatMap(({ fingerprint, losses }) =>
+      losses.map(({ server, at }) => ({ fingerprint, server, at }))
+    ).slice(0, MAX_KNOWN);
+  }
+
   /** Lists the marks of a server. */
   listAt(server: string): events.SuspectMark[] {
     return [...this.#suspects].flatMap(([fingerprint, { losses }]) =>
--- a/packages/core/server_doubts.ts
+++ b/packages/core/server_doubts.ts
@@ -16,10 +16,10 @@
 const EARLY_MS = 1_500;
 /** Time for which a server that is heard of later must stay listed, in ms. */
 const SETTLE_MS = 10_000;
-/** Time for which other hosts are told that a loss was wrong, in ms. */
-const SHARE_MS = 10_000;
-/** Time for which a wrong loss is remembered, in ms; longer than other hosts share its marks. */
-const REMEMBER_MS = 60_000;
+/** Time for which other hosts are told that a loss was wrong, in ms; longer than marks stay in the store. */
+const SHARE_MS = 30_000;
+/** Time for which a wrong loss is remembered, in ms; hosts that never heard so share its marks for as long. */
+const REMEMBER_MS = constants.QUARANTINE_MS;
 /** Time within which losses count as those of the same cut, in ms. */
 const RECENT_MS = 2_000;
 
--- a/packages/peer/relay_protocol.ts
+++ b/packages/peer/relay_protocol.ts
@@ -39,6 +39,11 @@
   readonly others: core.HostsSummary;
   /** Whether the relay publishes the statuses to the store; if not, the follower publishes its own. */
   readonly publishes: boolean;
+  /**
+   * Whether the relay has learned what hosts knew before it started; a follower that
+   * starts asks others if not. Absent from hosts of earlier versions.
+   */
+  readonly recalled?: boolean;
   /**
    * The relay that the answering host follows itself, if it is no longer the relay.
    * A follower that the store rejects finds the new relay by it. Absent from hosts
