--- a/packages/core/poison_service_fuzz_test.ts
+++ b/packages/core/poison_service_fuzz_test.ts
@@ -97,6 +97,39 @@
   t.end();
 });
 
+const RESTART: fc.Arbitrary<poisonTesting.Fault> = fc.oneof(
+  fc.record({
+    kind: fc.constant("rolled" as const),
+    gapMs: fc.integer({ min: 0, max: 1_000 }),
+    at: AT,
+  }),
+  fc.record({ kind: fc.constant("all_killed" as const), at: AT }),
+);
+
+const RESTARTED: fc.Arbitrary<poisonTesting.Fleet> = fc.record({
+  fleet: FLEET,
+  hosts: fc.integer({ min: 3, max: 20 }),
+  leavesMs: fc.option(fc.integer({ min: 2, max: 80 }), { nil: undefined }),
+  restarts: fc.array(RESTART, { minLength: 1, maxLength: 3 }),
+}).map(({ fleet, restarts, ...changes }) => ({
+  ...fleet,
+  ...changes,
+  faults: [...fleet.faults, ...restarts],
+}));
+
+// Guards against hosts that restart and do not learn which request ended servers, and
+// against callers that leave before the end.
+tap.test("a request that ends servers is refused although hosts restart", (t) => {
+  fc.assert(
+    fc.property(
+      RESTARTED,
+      (fleet) => poisonTesting.replayFleet(fleet).more <= MAX_MORE,
+    ),
+    { numRuns: Math.ceil(RUNS / 10), seed: 65 },
+  );
+  t.end();
+});
+
 // Guards against a frequent request that is refused for good, because it was in
 // flight at each of three ends of the only server and completed at none between.
 tap.test("a frequent request goes on although it was in flight at all ends", (t) => {
--- a/packages/core/poison_service_testing.ts
+++ b/packages/core/poison_service_testing.ts
@@ -19,6 +19,9 @@
 const LINK_MS = 1;
 const ROUND_MS = 1_000;
 const ELECTION_MS = 3_000;
+const DRAIN_MS = 4_500;
+/** Time for which published statuses stay in the store, in ms. */
+const PUBLISHED_MS = 15_000;
 const TICK_MS = 20;
 const CONNECT_TIMEOUT_MS = 400;
 const ASK_MS = 400;
@@ -59,6 +62,8 @@
   /** Largest error of the hosts' clocks, in ms. */
   readonly skewMs: number;
   readonly totalMs: number;
+  /** Time after which a caller of the poison request leaves, in ms; its server goes on with it. @default it waits */
+  readonly leavesMs?: number;
   readonly faults: readonly Fault[];
   readonly seed: number;
 }
@@ -68,6 +73,10 @@
   /** A host is killed and starts again a second later. */
   | { readonly kind: "killed"; readonly host: number; readonly at: number }
   | { readonly kind: "joined"; readonly at: number }
+  /** All hosts drain, one after the other or together, and start again. */
+  | { readonly kind: "rolled"; readonly gapMs: number; readonly at: number }
+  /** All hosts are killed and start again a second later. */
+  | { readonly kind: "all_killed"; readonly at: number }
   /** Nobody reaches the host, and it reaches nobody. */
   | {
     readonly kind: "cut_off";
@@ -103,6 +112,8 @@
   readonly ends: number;
   /** Arrivals of the poison request at servers, sent by hosts in touch later than the window after the third end. */
   readonly more: number;
+  /** The same, sent by any host. */
+  readonly moreAnywhere: number;
   /** Sound requests at hosts in touch while the service was whole, and those that were served. */
   readonly sound: number;
   readonly served: number;
@@ -129,6 +140,7 @@
   statuses: core.HostStatuses;
   published?: core.HostsSummary;
   alive: boolean;
+  isDraining: boolean;
 }
 
 interface Server {
@@ -182,7 +194,18 @@
   /** Last time at which a server ended or the links of a host were cut. */
   #disturbedAt = 0;
   #ids = 0;
-  readonly #counts = { more: 0, sound: 0, served: 0, refusedAsPoison: 0 };
+  readonly #counts = {
+    more: 0,
+    moreAnywhere: 0,
+    sound: 0,
+    served: 0,
+    refusedAsPoison: 0,
+  };
+  /** What relays published in the store, by failure domain; the times of marks are true. */
+  readonly #published = new Map<
+    string,
+    { readonly known: readonly core.SuspectMark[]; readonly at: number }
+  >();
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
@@ -250,6 +273,7 @@
       peers: [],
       statuses: new core.HostStatuses(),
       alive: true,
+      isDraining: false,
     };
     const configuration = fleetTesting.buildConfiguration({
       failureDomain: domain,
@@ -258,6 +282,7 @@
     });
     this.#send(host, { kind: "configured", configuration });
     this.#sendServers(host);
+    this.#askForKnown(host);
     this.#time.schedule(this.#random.below(TICK_MS), () => this.#tick(host));
     this.#time.schedule(
       300 + this.#random.below(ROUND_MS / 2),
@@ -276,6 +301,21 @@
         return at(() =>
           void this.#hosts.push(this.#startHost(this.#hosts.length))
         );
+      case "rolled":
+        return this.#fleet.hosts === 0
+          ? undefined
+          : at(() =>
+            this.#hosts.forEach(({ index }) =>
+              this.#time.schedule(
+                index * fault.gapMs,
+                () => this.#drainHost(index),
+              )
+            )
+          );
+      case "all_killed":
+        return at(() =>
+          this.#hosts.forEach(({ index }) => this.#restartHost(index))
+        );
       case "relay_killed":
         return at(() => {
           const relay = this.#findRelay(`d${fault.domain}`);
@@ -293,6 +333,16 @@
     }
   }
 
+  /** Drains a host, which takes no callers and is no relay any more, and restarts it. */
+  #drainHost(index: number): void {
+    const host = this.#hosts[index];
+    if (!host.alive || host.isDraining) return;
+    host.isDraining = true;
+    this.#time.schedule(DRAIN_MS, () => {
+      if (this.#hosts[index] === host) this.#restartHost(index);
+    });
+  }
+
   #restartHost(index: number): void {
     const host = this.#hosts[index];
     if (!host.alive) return;
@@ -422,6 +472,9 @@
         kind: "connection_tried",
         server,
         reachable: cut === undefined && this.#findServer(server) !== undefined,
+        refused: cut === undefined
+          ? this.#findServer(server) === undefined
+          : cut !== "hang",
       }));
   }
 
@@ -441,6 +494,7 @@
           kind: "connection_tried",
           server: server.name,
           reachable: false,
+          refused: cut !== "hang",
         });
         this.#failAttempt(sent, "not_sent");
       });
@@ -451,6 +505,7 @@
         kind: "connection_tried",
         server: server.name,
         reachable: reached !== undefined,
+        refused: reached === undefined,
       });
       if (reached === undefined) return this.#failAttempt(sent, "not_sent");
       const isNamed = this.#fleet.keepsName ||
@@ -475,10 +530,9 @@
 
   #countPoison({ host, request }: Attempt): void {
     const third = this.#endedAt[COUNTED_ENDS - 1] ?? Number.POSITIVE_INFINITY;
-    const sentAt = request.arrivedAt;
-    if (sentAt > third + WINDOW_MS && this.#isInTouch(host)) {
-      this.#counts.more += 1;
-    }
+    if (request.arrivedAt <= third + WINDOW_MS) return;
+    this.#counts.moreAnywhere += 1;
+    if (this.#isInTouch(host)) this.#counts.more += 1;
   }
 
   #runAt(server: Server, attempt: Attempt, name: string): void {
@@ -486,7 +540,8 @@
     const { born } = server;
     if (attempt.request.fingerprint === "poison") {
       return this.#time.schedule(POISON_RUN_MS, () => {
-        if (attempt.ended || server.born !== born || !server.isUp) return;
+        const isLeft = attempt.ended && this.#fleet.leavesMs === undefined;
+        if (isLeft || server.born !== born || !server.isUp) return;
         this.#endedAt.push(this.#now);
         this.#endServer(server);
       });
@@ -602,7 +657,7 @@
 
   #drawHost(): Host | undefined {
     const open = this.#hosts.filter((host) =>
-      host.alive && !this.#isCutOff(host)
+      host.alive && !host.isDraining && !this.#isCutOff(host)
     );
     return open[this.#random.below(Math.max(1, open.length))];
   }
@@ -612,13 +667,26 @@
       this.#time.schedule(this.#fleet.pauseMs, () => this.#sendPoison());
     const host = this.#drawHost();
     if (host === undefined) return again();
-    this.#openCall(host, {
+    let isOpen = true;
+    const id = this.#openCall(host, {
       sentAt: this.#now,
       host,
       isCounted: false,
       fingerprint: "poison",
-      onEnd: again,
+      onEnd: () => {
+        if (!isOpen) return;
+        isOpen = false;
+        again();
+      },
     }, { repeatable: this.#fleet.repeatable });
+    if (this.#fleet.leavesMs === undefined) return;
+    this.#time.schedule(this.#fleet.leavesMs, () => {
+      if (!isOpen) return;
+      isOpen = false;
+      host.calls.delete(id);
+      this.#send(host, { kind: "cancelled", requestId: id });
+      again();
+    });
   }
 
   #scheduleSound(): void {
@@ -676,7 +744,7 @@
     host: Host,
     call: Call,
     changes: Partial<core.Request> = {},
-  ): void {
+  ): string {
     this.#ids += 1;
     const id = `${call.fingerprint}#${this.#ids}`;
     host.calls.set(id, call);
@@ -692,6 +760,7 @@
         ...changes,
       },
     });
+    return id;
   }
 
   #refuseCall(
@@ -718,7 +787,7 @@
     if (call === undefined) return;
     const [name, ...others] = peers;
     const changes = { repeatable: request.repeatable, handedOver: true };
-    if (name === undefined) return this.#openCall(host, call, changes);
+    if (name === undefined) return void this.#openCall(host, call, changes);
     const peer = this.#hosts.find((one) => one.name === name && one.alive);
     this.#time.schedule(LINK_MS, () => {
       const isReached = peer !== undefined && !this.#isCutOff(peer) &&
@@ -825,21 +894,22 @@
   /** Finds the relay of a failure domain; undefined while a new one is elected. */
   #findRelay(domain: string): Host | undefined {
     const known = this.#relays.get(domain);
+    const isReplaced = known?.host.isDraining ||
+      this.#hosts[known?.host.index ?? 0] !== known?.host;
     if (
-      known !== undefined && known.host.alive && !this.#isCutOff(known.host)
+      known !== undefined && known.host.alive && !isReplaced &&
+      !this.#isCutOff(known.host)
     ) {
       known.until = this.#now + ELECTION_MS;
       return known.host;
     }
-    const isLost = this.#fleet.faults.some((fault) =>
-      fault.kind === "store_lost" && this.#now >= fault.at &&
-      this.#now < fault.at + fault.forMs
-    );
-    if (isLost || (known !== undefined && this.#now < known.until)) {
-      return undefined;
-    }
+    // One that drains has released the role.
+    const isElecting = known !== undefined && !known.host.isDraining &&
+      this.#now < known.until;
+    if (this.#isStoreLost() || isElecting) return undefined;
     const host = this.#hosts.find((one) =>
-      one.alive && one.domain === domain && !this.#isCutOff(one)
+      one.alive && !one.isDraining && one.domain === domain &&
+      !this.#isCutOff(one)
     );
     if (host !== undefined) {
       this.#relays.set(domain, { host, until: this.#now + ELECTION_MS });
@@ -847,6 +917,40 @@
     return host;
   }
 
+  #isStoreLost(): boolean {
+    return this.#fleet.faults.some((fault) =>
+      fault.kind === "store_lost" && this.#now >= fault.at &&
+      this.#now < fault.at + fault.forMs
+    );
+  }
+
+  /** Lets a host that starts learn what its relay knows, or what is published and other relays know. */
+  #askForKnown(host: Host): void {
+    if (this.#now === 0 || this.#isCutOff(host)) return;
+    const own = this.#findRelay(host.domain);
+    const relays = own !== undefined && own !== host &&
+        this.#now - own.startedAt >= ROUND_MS
+      ? [own]
+      : [...this.#relays.values()].map((relay) => relay.host)
+        .filter((one) => one.alive && !this.#isCutOff(one));
+    const published = this.#isStoreLost()
+      ? []
+      : [...this.#published.values()].filter(({ at }) =>
+        this.#now - at <= PUBLISHED_MS
+      );
+    const marks = [
+      ...relays.flatMap((relay) => listKnown(relay)),
+      ...published.flatMap(({ known }) => known),
+    ];
+    this.#send(host, {
+      kind: "suspected",
+      ...applyShift({ marks, wrongLosses: {}, answered: {} }, {
+        byMs: -host.skewMs,
+      }),
+    });
+    this.#addNews(host, host.dispatcher.listKnownMarks());
+  }
+
   #runRound(host: Host): void {
     if (!host.alive) return;
     this.#time.schedule(ROUND_MS, () => this.#runRound(host));
@@ -864,7 +968,7 @@
       ...others,
     ]);
     // Other relays fetch what this one knows once a second.
-    if (host === relay) relay.published = relay.statuses.sum(this.#now);
+    if (host === relay) this.#publish(relay);
     this.#send(host, {
       kind: "load_shared",
       running: {},
@@ -880,6 +984,17 @@
     this.#send(host, { kind: "suspected", ...shifted });
   }
 
+  #publish(relay: Host): void {
+    const sum = relay.statuses.sum(this.#now);
+    const known = listKnown(relay);
+    relay.published = {
+      ...sum,
+      suspects: core.mergeMarks([...sum.suspects, ...known]),
+    };
+    if (this.#isStoreLost()) return;
+    this.#published.set(relay.domain, { known, at: this.#now });
+  }
+
   #describe(host: Host): core.HostStatus {
     const { dispatcher, marks, skewMs } = host;
     marks.removeExpired(this.#now);
@@ -912,6 +1027,15 @@
   return dispatcher.isDoubted(mark.server) ? { ...mark, doubtful: true } : mark;
 }
 
+/** Lists the marks that a host knows, at true times. */
+function listKnown({ dispatcher, skewMs }: Host): core.SuspectMark[] {
+  return dispatcher.listKnownMarks().map(({ at = 0, ...mark }) => ({
+    ...mark,
+    at: at + skewMs,
+    ...(dispatcher.isDoubted(mark.server) && { doubtful: true }),
+  }));
+}
+
 /** Whether a host has not passed on a mark yet. */
 function isNews(
   { told }: Host,
