Keep servers in doubt while the list of servers is not current

Cause: the entries of servers that had ended stayed listed through the outage, and the next servers answered at their addresses. Ten seconds after that sign two hosts, which had lost the store once more for a moment, took the ends for wrong. They told the others, which had seen the entries go and believed them all the same.

Change: the ten seconds begin anew while the list is not as in the store. A host whose list no longer has a server ignores that its loss was wrong.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -15,6 +15,8 @@
  * the time within which a withdrawn key must stop working.
  */
 const CONFIG_POLL_WAIT_MS = 800;
+/** Age up to which the last confirmation by the store shows that the list of servers is current, in ms; two polls and a slow call. */
+const CURRENT_MS = 2_000;
 /** Longest wait of one long poll for the list of servers, in ms; longer, as the polls for the configuration detect a lost store. */
 const SERVERS_POLL_WAIT_MS = 3_000;
 /** Delay after a change that batches further ones, in ms; a twentieth of the time within which a change must be applied. */
@@ -153,6 +155,12 @@
     return this.#servers.list();
   }
 
+  /** Whether the list of servers is as in the store: no entry is missing whose removal is not sure. */
+  isListCurrent(): boolean {
+    return !this.#servers.hasMissing() &&
+      this.#computeProofAge() <= CURRENT_MS;
+  }
+
   /** Whether a failure domain is being evacuated by the operators. */
   isEvacuated(failureDomain: string): boolean {
     return this.#evacuations.has(failureDomain);
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -193,6 +193,7 @@
       tracksLinks: true,
       // One host at a time, so that all hosts together try a part no more often.
       mayTryParts: () => draft.roles.hasRole(),
+      isListCurrent: () => draft.belief.isListCurrent(),
     }),
     onSuspect: ({ mark }) => {
       draft.marks.add({ ...mark, until: clock.now() + SUSPECT_TTL_MS });
--- a/packages/core/host_state.ts
+++ b/packages/core/host_state.ts
@@ -52,6 +52,8 @@
   readonly isConnected?: (server: string) => boolean;
   /** Whether this host may let a request try a part of prompts that is blamed. @default never */
   readonly mayTryParts?: () => boolean;
+  /** Whether the list of servers is as in the store. @default always */
+  readonly isListCurrent?: () => boolean;
   /** Whether this host finds out if it has lost its links to the servers. @default false */
   readonly tracksLinks?: boolean;
 }
@@ -83,6 +85,7 @@
   /** Parts of prompts that may crash servers. */
   readonly parts: partBlames.PartBlames;
   readonly mayTryParts: () => boolean;
+  readonly isListCurrent: () => boolean;
   readonly prompts: engineChoice.PromptLengths;
   /** Times between the events of streams, by engine process. */
   readonly paces: enginePaces.EnginePaces;
@@ -150,6 +153,7 @@
     suspects: new quarantine.SuspectTable(options.suspects),
     parts: new partBlames.PartBlames(),
     mayTryParts: options.mayTryParts ?? (() => false),
+    isListCurrent: options.isListCurrent ?? (() => true),
     prompts,
     paces,
     reading: new prefillAverages.PrefillAverages(),
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -397,6 +397,72 @@
   t.end();
 });
 
+/** Starts a host whose links to three servers were lost when these ended; others answer at their addresses later. */
+function startEndedServers() {
+  let isListCurrent = false;
+  const dispatcher = testing.startDispatcher({
+    tracksLinks: true,
+    suspects: { poisonLimit: 3, isolateAfter: 2, holdsRemote: false },
+    isListCurrent: () => isListCurrent,
+  });
+  const names = ["r1", "r2", "r3"];
+  const servers = names.map((name) => ({
+    name,
+    pool: "rooms",
+    url: "",
+    state: "live" as const,
+  }));
+  dispatcher.handle({ kind: "servers_changed", servers }, 0);
+  const marks = names.map((server) => ({
+    fingerprint: "poison",
+    server,
+    at: 10,
+    doubtful: true,
+  }));
+  dispatcher.handle({ kind: "suspected", marks }, 100);
+  names.forEach((server) =>
+    dispatcher.handle(
+      { kind: "connection_tried", server, reachable: true },
+      3_000,
+    )
+  );
+  const tickUntil = (from: number, until: number) => {
+    for (let now = from; now <= until; now += 100) {
+      dispatcher.handle({ kind: "ticked" }, now);
+    }
+  };
+  const setCurrent = () => {
+    isListCurrent = true;
+  };
+  return { dispatcher, names, tickUntil, setCurrent };
+}
+
+// Guards against ends that are withdrawn after a store outage, in which the entries
+// of servers that ended stay listed and others answer at their addresses.
+tap.test("servers stay in doubt while the list is not current", (t) => {
+  const { dispatcher, tickUntil, setCurrent } = startEndedServers();
+  tickUntil(3_100, 19_900);
+  t.equal(dispatcher.countPoisonRequests(), 1);
+  setCurrent();
+  tickUntil(20_000, 29_800);
+  t.equal(dispatcher.countPoisonRequests(), 1, "not settled yet");
+  tickUntil(29_900, 30_300);
+  t.equal(dispatcher.countPoisonRequests(), 0, "still listed 10 s later");
+  t.end();
+});
+
+// Guards against a host with an old list that withdraws ends of which others are sure.
+tap.test("a withdrawal of the loss of a server that is gone is ignored", (t) => {
+  const { dispatcher, names, tickUntil, setCurrent } = startEndedServers();
+  setCurrent();
+  dispatcher.handle({ kind: "servers_changed", servers: [] }, 4_000);
+  tickUntil(4_000, 4_500);
+  const wrongLosses = Object.fromEntries(names.map((name) => [name, 10]));
+  dispatcher.handle({ kind: "suspected", marks: [], wrongLosses }, 5_000);
+  t.equal(dispatcher.countPoisonRequests(), 1);
+  t.end();
+});
+
 // Guards against orders for more servers because requests hang behind a cut, or
 // because two hosts count them.
 tap.test("a host without links reports no demand that others serve", (t) => {
--- a/packages/core/server_doubts.ts
+++ b/packages/core/server_doubts.ts
@@ -5,7 +5,7 @@
  * accepts a connection or sends data soon after has not: a server that ended needs
  * some seconds to be back. Of one that is heard of only later this is sure once it
  * has stayed listed for a time, since the entry of a server that is back under its
- * name may change late.
+ * name may change late, and while the store is away none changes.
  */
 import * as constants from "./constants.ts";
 import type * as events from "./events.ts";
@@ -117,9 +117,14 @@
 
   /** Decides on the servers that are gone from the list, or that have been heard of. */
   decide(
-    isListed: (server: string) => boolean,
+    { isListed, isListCurrent }: {
+      readonly isListed: (server: string) => boolean;
+      /** Whether the list of servers is as in the store. */
+      readonly isListCurrent: boolean;
+    },
     now: number,
   ): DecidedServers {
+    if (!isListCurrent) this.#restartSettling(now);
     const ended = [...this.#doubts.keys()].filter((one) => !isListed(one));
     ended.forEach((server) => this.#doubts.delete(server));
     const wrong = [...this.#doubts].filter(([, { at, heardAt }]) =>
@@ -129,6 +134,14 @@
     return { ended, wrong };
   }
 
+  /** Lets servers that were heard of later stay listed for the whole time once more. */
+  #restartSettling(now: number): void {
+    this.#doubts.forEach((doubt) => {
+      const { at, heardAt } = doubt;
+      if (heardAt !== undefined && heardAt - at > EARLY_MS) doubt.heardAt = now;
+    });
+  }
+
   /** Withdraws a server's losses up to a time; returns whether that is news. */
   withdraw({ server, at }: events.ServerLoss, now: number): boolean {
     const known = this.#wrong.get(server);
--- a/packages/core/suspect_checks.ts
+++ b/packages/core/suspect_checks.ts
@@ -65,9 +65,11 @@
   >,
 ): events.SuspectMark[] {
   const { doubts, suspects, table, now } = state;
-  Object.entries(wrongLosses).forEach(([server, at]) =>
-    withdrawLosses(state, { server, at })
-  );
+  // A server that is gone from the list has ended; a host whose list is older may
+  // have taken the next process at its address for it.
+  Object.entries(wrongLosses).filter(([server]) =>
+    table.get(server) !== undefined
+  ).forEach(([server, at]) => withdrawLosses(state, { server, at }));
   const left = marks.filter(({ server, at = now }) =>
     !doubts.isWrong({ server, at })
   );
@@ -115,10 +117,10 @@
   suspects.forget(now);
   stopped.forget(now);
   if (!doubts.hasAny()) return;
-  const { ended, wrong } = doubts.decide(
-    (server) => table.get(server) !== undefined,
-    now,
-  );
+  const { ended, wrong } = doubts.decide({
+    isListed: (server) => table.get(server) !== undefined,
+    isListCurrent: state.isListCurrent(),
+  }, now);
   suspectMarks.recordChange(state, {
     change: "confirmed",
     marks: ended.flatMap((server) => suspects.listAt(server)),
--- a/packages/core/testing.ts
+++ b/packages/core/testing.ts
@@ -68,6 +68,8 @@
   /** @default false */
   readonly tracksLinks?: boolean;
   readonly suspects?: core.SuspectOptions;
+  /** @default always */
+  readonly isListCurrent?: () => boolean;
   /** @default a token bucket */
   readonly budget?: core.RetryBudget;
 }
