Count a server once for a request unless its process has ended in between

Cause: losses of one incarnation counted again after two seconds, so a server that resets its connections three times made poison of a frequent request.

Change: another loss of the same incarnation counts only if nothing listened at the server's address shortly before one of them.

--- a/packages/banyangrade/gateway/suspect_spreading.ts
+++ b/packages/banyangrade/gateway/suspect_spreading.ts
@@ -28,6 +28,7 @@
     at: z.number().optional(),
     place: z.number().optional(),
     doubtful: z.boolean().optional(),
+    restarted: z.boolean().optional(),
   })),
   wrongLosses: z.record(z.string(), z.number()),
   answered: z.record(z.string(), z.number()).default({}),
--- a/packages/core/events.ts
+++ b/packages/core/events.ts
@@ -129,6 +129,8 @@
   readonly place?: number;
   /** Whether the server may only have been out of the reach of the host that made the mark. @default false */
   readonly doubtful?: boolean;
+  /** Whether nothing listened at the server's address shortly before, so that another process ended under its entry. @default false */
+  readonly restarted?: boolean;
 }
 
 /** The loss of a server, and those before it. */
--- a/packages/core/link_checks.ts
+++ b/packages/core/link_checks.ts
@@ -12,6 +12,8 @@
 export interface ConnectionOutcome {
   readonly server: string;
   readonly reachable: boolean;
+  /** Whether nothing listens at the server's address. @default false */
+  readonly refused?: boolean;
 }
 
 /**
@@ -88,11 +90,13 @@
  */
 export function recordConnection(
   state: hostState.HostState,
-  { server, reachable }: ConnectionOutcome,
+  { server, reachable, refused = false }: ConnectionOutcome,
 ): void {
-  const pool = state.table.get(server)?.info.pool;
+  const known = state.table.get(server);
+  const pool = known?.info.pool;
   const links = pool === undefined ? undefined : getLinks(state, pool);
   if (pool === undefined || links === undefined) return;
+  if (known !== undefined && refused) known.refusedAt = state.now;
   if (reachable) state.doubts.recordSign(server, state.now);
   const servers = listLive(state, pool).length;
   const change = links.recordConnection(server, {
@@ -112,14 +116,15 @@
  */
 export function recordFailure(
   state: hostState.HostState,
-  { server, failure }: {
+  { server, failure, refused }: {
     readonly server: string;
     readonly failure: events.AttemptFailure;
+    readonly refused?: boolean;
   },
 ): void {
   switch (failure) {
     case "not_sent":
-      return recordConnection(state, { server, reachable: false });
+      return recordConnection(state, { server, reachable: false, refused });
     case "timeout":
     case "connection_lost":
       return recordSilence(state, server);
--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -463,6 +463,41 @@
   t.end();
 });
 
+/** Starts a host with one server, which it loses under a request once every four seconds. */
+function loseOneServer({ isRestarted }: { readonly isRestarted: boolean }) {
+  const { dispatcher, send, open } = startHost({
+    suspects: { poisonLimit: 3, isolateAfter: 9, holdsRemote: false },
+  });
+  const servers = [
+    { name: "r1", pool: "rooms", url: "", state: "live" },
+  ] as const;
+  send({ kind: "servers_changed", servers }, 0);
+  const setReachable = (reachable: boolean, now: number) =>
+    send({
+      kind: "connection_tried",
+      server: "r1",
+      reachable,
+      refused: !reachable,
+    }, now);
+  [0, 4_000, 8_000].forEach((now) => {
+    open(`a#${now}`, now, { repeatable: false });
+    send({ ...LOST, requestId: `a#${now}` }, now + 10);
+    if (!isRestarted) return;
+    setReachable(false, now + 1_000);
+    setReachable(true, now + 3_000);
+  });
+  return dispatcher.countPoisonRequests();
+}
+
+// Guards against a sound request that is refused because one server resets its
+// connections again and again, and against poison that ends a server several times
+// before its entry changes.
+tap.test("a server counts again only if its process has ended in between", (t) => {
+  t.equal(loseOneServer({ isRestarted: false }), 0);
+  t.equal(loseOneServer({ isRestarted: true }), 1);
+  t.end();
+});
+
 // Guards against orders for more servers because requests hang behind a cut, or
 // because two hosts count them.
 tap.test("a host without links reports no demand that others serve", (t) => {
--- a/packages/core/quarantine.ts
+++ b/packages/core/quarantine.ts
@@ -18,6 +18,7 @@
   readonly server: string;
   /** Monotonic ms; undefined if it is not known. */
   readonly at: number | undefined;
+  readonly restarted: boolean;
   /** Whether the request has completed since, so that the loss had another cause. */
   cleared: boolean;
 }
@@ -63,13 +64,14 @@
   readonly sparesAnswered?: boolean;
 }
 
-/** Whether a loss of a server is the same as another one. */
+/** Whether a loss of a server is the same as another one; a process that resets connections has not ended each time. */
 function isSameLoss(
-  one: Pick<events.SuspectMark, "server" | "at">,
-  other: Pick<events.SuspectMark, "server" | "at">,
+  one: Omit<events.SuspectMark, "fingerprint">,
+  other: Omit<events.SuspectMark, "fingerprint">,
 ): boolean {
+  const isOneProcess = !one.restarted && !other.restarted;
   return one.server === other.server &&
-    (one.at === undefined || other.at === undefined ||
+    (isOneProcess || one.at === undefined || other.at === undefined ||
       Math.abs(one.at - other.at) <= constants.SAME_LOSS_MS);
 }
 
@@ -140,7 +142,7 @@
       .filter((fingerprint) => this.isPoison(fingerprint))
       .flatMap((fingerprint) =>
         this.#listCounted(fingerprint).slice(-this.#poisonLimit)
-          .map(({ server, at }) => ({ fingerprint, server, at }))
+          .map((loss) => toMark(fingerprint, loss))
       ).slice(-MAX_SHARED);
   }
 
@@ -153,7 +155,7 @@
     })).toSorted((a, b) =>
       b.losses.length - a.losses.length || b.addedAt - a.addedAt
     ).flatMap(({ fingerprint, losses }) =>
-      losses.map(({ server, at }) => ({ fingerprint, server, at }))
+      losses.map((loss) => toMark(fingerprint, loss))
     ).slice(0, MAX_KNOWN);
   }
 
@@ -161,7 +163,7 @@
   listAt(server: string): events.SuspectMark[] {
     return [...this.#suspects].flatMap(([fingerprint, { losses }]) =>
       losses.filter((loss) => loss.server === server)
-        .map(({ at }) => ({ fingerprint, server, at }))
+        .map((loss) => toMark(fingerprint, loss))
     );
   }
 
@@ -312,8 +314,15 @@
   }
 }
 
-function toLoss({ server, at }: events.SuspectMark): Loss {
-  return { server, at, cleared: false };
+function toLoss({ server, at, restarted = false }: events.SuspectMark): Loss {
+  return { server, at, restarted, cleared: false };
+}
+
+function toMark(
+  fingerprint: string,
+  { server, at, restarted }: Loss,
+): events.SuspectMark {
+  return { fingerprint, server, at, ...(restarted && { restarted }) };
 }
 
 /** The marks of all hosts until they expire, as the overlay keeps them. */
--- a/packages/core/server_state.ts
+++ b/packages/core/server_state.ts
@@ -51,6 +51,8 @@
   tokenMs: number;
   /** When the server last sent data to this host, monotonic ms. */
   lastResponseAt: number;
+  /** When nothing last listened at its address, monotonic ms; undefined if something always did. */
+  refusedAt?: number;
   /** Since when the server is overdue; undefined if it has answered since, or never was. */
   overdueSince?: number;
   /** Time until which an overdue server is avoided, monotonic ms. */
--- a/packages/core/suspect_marks.ts
+++ b/packages/core/suspect_marks.ts
@@ -2,6 +2,9 @@
 import type * as events from "./events.ts";
 import type * as hostState from "./host_state.ts";
 
+/** Time for which a server at whose address nothing listened counts as one that has started again, in ms. */
+const RESTARTED_MS = 10_000;
+
 /**
  * Reports a suspect of this host to the others. The mark is doubtful if this host
  * has lost its links to the server, which may only be out of its reach.
@@ -19,6 +22,7 @@
     server,
     at: now,
     ...(place !== undefined && { place }),
+    ...(isRestarted(state, server) && { restarted: true }),
   };
   if (doubtful) doubts.add({ server, at: now }, now);
   else doubts.recordLoss({ server, at: now });
@@ -28,6 +32,15 @@
   return mark;
 }
 
+/** Whether nothing listened at the address of a server shortly before. */
+function isRestarted(
+  { table, now }: hostState.HostState,
+  server: string,
+): boolean {
+  const refusedAt = table.get(server)?.refusedAt;
+  return refusedAt !== undefined && now - refusedAt <= RESTARTED_MS;
+}
+
 /**
  * Makes the marks of recent losses doubtful, because this host has lost its links
  * to the servers since a time, monotonic ms.
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -878,6 +878,20 @@
     replace: "guilty.length >= 0 || loss.cleared",
     test: LOST_LINKS,
   },
+  {
+    name: "suspects: a server that resets connections counts each time",
+    file: "packages/core/quarantine.ts",
+    find: "(isOneProcess || one.at",
+    replace: "(isOneProcess && one.at === 0 || one.at",
+    test: LOST_LINKS,
+  },
+  {
+    name: "suspects: a server that ends again under its entry counts once",
+    file: "packages/core/link_checks.ts",
+    find: "known.refusedAt = state.now;",
+    replace: "void known;",
+    test: LOST_LINKS,
+  },
   {
     name: "suspects: a request that is refused is forgotten by hosts",
     file: "packages/banyangrade/gateway/host_updates.ts",
