Correct the time of day before marks of other hosts are read

What callers would see: a sound request refused as poison.

Cause: a host that has just started read the times of marks by its own clock, was corrected by the same summary, and passed the marks on at other times, which counted as further losses.

Change: the summary's times are applied before its marks, and marks read in the store after the first summaries.

--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -112,6 +112,8 @@
   /** Marks of suspects that this host knows, as of its last status. */
   #known: readonly core.SuspectMark[] = [];
   #recalled = false;
+  /** Marks that were read in the store and are not applied yet. */
+  #publishedMarks: core.SuspectMark[] = [];
   /** Whether a relay did not answer, so that another one may have replaced it. */
   #hasLostRelay = false;
 
@@ -149,11 +151,17 @@
     if (answer?.recalled) return "relay";
     await this.#readPublished();
     await this.#fetchSummaries();
-    if (answer === undefined) this.#applyOthers();
+    // Summaries bring the times of day of other hosts, by which those of marks are read.
+    this.#applyOthers();
+    this.#applyPublishedMarks();
     const found = this.#received.size > 0 || this.#published.length > 0;
     return found ? "others" : "nobody";
   }
 
+  #applyPublishedMarks(): void {
+    this.#options.onPublishedMarks(this.#publishedMarks.splice(0));
+  }
+
   #applyAnswer({ others }: peer.ReportResponse): void {
     this.#hosts = others.hosts + 1;
     this.#options.onSummary(others);
@@ -270,6 +278,7 @@
     if (answer !== undefined) return;
     if (relay.getContact() !== undefined) await this.#fetchSummaries();
     this.#applyOthers();
+    this.#applyPublishedMarks();
     relay.closeIdle();
   }
 
@@ -479,13 +488,11 @@
     this.#published = keepNewest(
       published.flatMap(({ statuses = [] }) => statuses),
     );
-    this.#options.onPublishedMarks(
-      published.flatMap((one) =>
-        one.key === own ? [] : [
-          ...one.known ?? [],
-          ...(one.statuses ?? []).flatMap(({ suspects }) => suspects),
-        ]
-      ),
+    this.#publishedMarks = published.flatMap((one) =>
+      one.key === own ? [] : [
+        ...one.known ?? [],
+        ...(one.statuses ?? []).flatMap(({ suspects }) => suspects),
+      ]
     );
     this.#contacts = published.flatMap(({ key, contact }) =>
       contact === undefined || key === own ? [] : [contact]
--- a/packages/banyangrade/gateway/host_updates.ts
+++ b/packages/banyangrade/gateway/host_updates.ts
@@ -192,6 +192,14 @@
   { budget, clock, clocks, dispatch, handover, log, pools }: Parts,
   others: core.HostsSummary,
 ): void {
+  // A host that has just started would take marks at its own wrong time of day for others.
+  const movedMs = clocks.updateTrueTime({ others: others.times });
+  if (movedMs !== 0) {
+    log.warn(
+      { movedMs, hosts: others.times.length },
+      "clock: Time of day corrected by the times of the other hosts.",
+    );
+  }
   const offsetMs = clock.now() - clocks.getTrueTime();
   budget.setHosts(others.hosts + 1);
   pools.setHosts(others.hosts + 1);
@@ -232,13 +240,6 @@
       answered: applyOffsetToTimes(answeredRequests, offsetMs),
     });
   }
-  const movedMs = clocks.updateTrueTime({ others: others.times });
-  if (movedMs !== 0) {
-    log.warn(
-      { movedMs, hosts: others.times.length },
-      "clock: Time of day corrected by the times of the other hosts.",
-    );
-  }
 }
 
 /** Returns a name that is unique to a server's incarnation: a restarted server keeps its identifier but has lost its state. */
