--- a/packages/core/lost_links_test.ts
+++ b/packages/core/lost_links_test.ts
@@ -464,7 +464,9 @@
 });
 
 /** Starts a host with one server, which it loses under a request once every four seconds. */
-function loseOneServer({ isRestarted }: { readonly isRestarted: boolean }) {
+function countPoisonAfterLosses(
+  { isRestarted }: { readonly isRestarted: boolean },
+) {
   const { dispatcher, send, open } = startHost({
     suspects: { poisonLimit: 3, isolateAfter: 9, holdsRemote: false },
   });
@@ -493,8 +495,8 @@
 // connections again and again, and against poison that ends a server several times
 // before its entry changes.
 tap.test("a server counts again only if its process has ended in between", (t) => {
-  t.equal(loseOneServer({ isRestarted: false }), 0);
-  t.equal(loseOneServer({ isRestarted: true }), 1);
+  t.equal(countPoisonAfterLosses({ isRestarted: false }), 0);
+  t.equal(countPoisonAfterLosses({ isRestarted: true }), 1);
   t.end();
 });
 
