Let hosts ask what others know once they reach the store again

Cause: a host that was cut off heard of the marks made meanwhile only in the rounds after a relay had been elected again, which was at 15.16.

Change: the end of an outage of the store, also one of this host alone, makes a host ask as it does at its start. It tells others what it learned, as a follower may have asked its relay before that had asked.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -49,6 +49,8 @@
   readonly leaveMs: number;
   /** Counts the hosts that follow the store directly. */
   readonly countStoreReaders: () => number;
+  /** Called when the store confirms the state again after an outage, also one of this host alone. */
+  readonly onReachable: () => void;
   /** Called once, when the host has all parts of its first state. */
   readonly onFirstState: () => void;
   readonly onConfiguration: (table: core.RouteTable) => void;
@@ -362,5 +364,6 @@
     if (this.#reachable) return;
     this.#reachable = true;
     this.#options.log.info("Store reachable again.");
+    this.#options.onReachable();
   }
 }
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -26,6 +26,7 @@
 import * as linkTelemetry from "./link_telemetry.ts";
 import * as suspectSpreading from "./suspect_spreading.ts";
 import * as suspectTelemetry from "./suspect_telemetry.ts";
+import * as sharedKnowledge from "./shared_knowledge.ts";
 import * as startupWaits from "./startup_waits.ts";
 import * as streamOriginsTask from "./stream_origins_task.ts";
 import * as heldBytes from "./held_bytes.ts";
@@ -344,6 +345,8 @@
     leaveMs: settings.leaveMs,
     feed: draft.feed,
     countStoreReaders: () => draft.presence.countRelays(),
+    // The host may have been cut off, and has not heard what others learned meanwhile.
+    onReachable: () => void sharedKnowledge.updateShared(draft),
     onFirstState: () => draft.startupWaits.release(),
     onConfiguration: ({ configuration }) => {
       draft.ingress?.setLimits(configuration.limits);
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -135,12 +135,16 @@
   }
 
   /**
-   * Asks what other hosts know, before this host takes work: the relay, or if it has
-   * just started as well, the published statuses and the relays that these name.
+   * Asks what other hosts know, before this host takes work or after it was cut off:
+   * the relay, or if it has not asked since either, the published statuses and the
+   * relays that these name.
    */
   async fetchShared(): Promise<RecallSource> {
+    this.#recalled = false;
     this.#recordOwnStatus();
     const source = await this.#askForShared();
+    // Followers that ask at the same time are told what has just arrived.
+    this.#known = this.#options.listKnown();
     this.#recalled = true;
     return source;
   }
--- a/packages/banyangrade/gateway/shared_knowledge.ts
+++ b/packages/banyangrade/gateway/shared_knowledge.ts
@@ -37,6 +37,24 @@
   spreading.sendAll(marks);
 }
 
+/**
+ * Asks what other hosts have learned while this one was cut off, and tells hosts that
+ * were cut off with it.
+ *
+ * @example
+ * void updateShared(parts);
+ */
+export async function updateShared(
+  { dispatch, presence, spreading }: Pick<
+    gatewayParts.GatewayParts,
+    "dispatch" | "presence" | "spreading"
+  >,
+): Promise<void> {
+  await presence.fetchShared();
+  const marks = dispatch.listKnownMarks();
+  if (marks.length > 0) spreading.sendAll(marks);
+}
+
 /**
  * Tells other hosts what this host knows, because it drains.
  *
