--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -36,6 +36,7 @@
 const HELD_BYTES = "packages/banyangrade/held_bytes_test.ts";
 const LINKS = "packages/core/server_links_test.ts";
 const LOST_LINKS = "packages/core/lost_links_test.ts";
+const STOPPED = "packages/core/stopped_requests_test.ts";
 const HANDOVER = "platform/handover_test.ts";
 const BRITTLE = "packages/core/brittle_servers_test.ts";
 const BRITTLE_SENDERS = "packages/core/brittle_senders_test.ts";
@@ -779,8 +780,8 @@
   {
     name: "doubts: hosts do not tell which servers have not ended",
     file: "packages/core/suspect_checks.ts",
-    find: "withdrawLosses(state, { server, at })\n",
-    replace: "void [server, at]\n",
+    find: ").forEach(([server, at]) => withdrawLosses(state, { server, at }));",
+    replace: ").forEach(() => undefined);",
     test: LOST_LINKS,
   },
   {
@@ -1127,7 +1128,7 @@
   {
     name: "brittle senders: relays name none",
     file: "packages/banyangrade/gateway/host_status_task.ts",
-    find: "{ ...core.EMPTY_SUMMARY, senders: this.#chooseSenders() },",
+    find: "senders: this.#chooseSenders(),",
     replace: "",
     also: {
       find: "...(senders.length > 0 && { senders }),",
@@ -1277,4 +1278,46 @@
     replace: "void isSeveral;\n      if (singles.length > 0) {",
     test: VERSIONS,
   },
+  {
+    name: "suspects: an attempt that was stopped makes no mark",
+    file: "packages/core/attempt_end.ts",
+    find: "state.stopped.add(current, state.now);",
+    replace: "void current;",
+    test: STOPPED,
+  },
+  {
+    name: "suspects: an answer does not clear what was stopped before",
+    file: "packages/core/attempt_end.ts",
+    find: "state.stopped.recordAnswer(ended.server, ended.startedAt);",
+    replace: "",
+    test: STOPPED,
+  },
+  {
+    name: "suspects: doubts settle while the list of servers is not current",
+    file: "packages/core/server_doubts.ts",
+    find: "if (!isListCurrent) this.#restartSettling(now);",
+    replace: "void isListCurrent;",
+    test: LOST_LINKS,
+  },
+  {
+    name: "suspects: a wrong loss counts although its server is gone",
+    file: "packages/core/suspect_checks.ts",
+    find: "table.get(server) !== undefined\n  ).forEach(([server, at])",
+    replace: "server !== undefined\n  ).forEach(([server, at])",
+    test: LOST_LINKS,
+  },
+  {
+    name: "shared: a host that reaches the store again asks nobody",
+    file: "packages/banyangrade/gateway/cluster_state_task.ts",
+    find: "this.#options.onReachable();",
+    replace: "",
+    test: "packages/banyangrade/shared_knowledge_test.ts",
+  },
+  {
+    name: "shared: a host that starts asks nobody",
+    file: "packages/banyangrade/gateway/shared_knowledge.ts",
+    find: "    presence.fetchShared(),\n    utils.waitFor",
+    replace: "    utils.waitFor",
+    test: "platform/restarted_hosts_test.ts",
+  },
 ];
