Let only relays look for lost relays each second, and forget stopped attempts less often

What operators would see: a host without a relay reads the published statuses in each round after one relay did not answer it, four times as often as it must. Found by reading the diff. The removal of stopped attempts ran on each tick.

--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -286,11 +286,13 @@
     relay.closeIdle();
   }
 
-  /** Whether the published statuses must be read to find the relays; those of a restart change each second. */
+  /** Whether the published statuses must be read to find the relays; in a restart these change each second. */
   #isReadDue(): boolean {
     const isRecent = this.#options.clock.now() - this.#readAt < ROUND_MS / 2;
     if (isRecent) return false;
-    return this.#hasLostRelay || this.#round % ROUNDS_PER_READ === 1;
+    const isRelay = this.#options.relay.getContact() !== undefined;
+    return (isRelay && this.#hasLostRelay) ||
+      this.#round % ROUNDS_PER_READ === 1;
   }
 
   /** Whether this host must publish now; a relay publishes in each round. */
--- a/packages/core/stopped_attempts.ts
+++ b/packages/core/stopped_attempts.ts
@@ -9,6 +9,8 @@
 const REMEMBER_MS = 1_500;
 /** Largest number of stopped attempts that are remembered for a server. */
 const MAX_PER_SERVER = 64;
+/** Shortest time between two removals of old attempts, in ms. */
+const FORGET_MS = 1_000;
 
 interface Stopped {
   readonly attempt: attempts.Attempt;
@@ -19,6 +21,7 @@
 /** The attempts that were stopped lately, by server. */
 export class StoppedAttempts {
   readonly #stopped = new Map<string, Stopped[]>();
+  #forgottenAt = Number.NEGATIVE_INFINITY;
 
   /** Adds an attempt that was stopped. */
   add(attempt: attempts.Attempt, now: number): void {
@@ -43,6 +46,8 @@
 
   /** Forgets the attempts that were stopped long ago. */
   forget(now: number): void {
+    if (now - this.#forgottenAt < FORGET_MS) return;
+    this.#forgottenAt = now;
     [...this.#stopped.keys()].forEach((server) =>
       this.#set(server, this.#listRecent(server, now))
     );
