Let only hosts without a relay ask once they reach the store again

What callers would see: after an outage of the store all followers of a relay give it up, and hold entries of servers for longer.

Cause: let each host ask at the same moment, so the relay answered late.

Change: a host whose relay answered all the while does not ask; the relay does, and tells the others.

--- a/packages/banyangrade/gateway/shared_knowledge.ts
+++ b/packages/banyangrade/gateway/shared_knowledge.ts
@@ -39,17 +39,19 @@
 
 /**
  * Asks what other hosts have learned while this one was cut off, and tells hosts that
- * were cut off with it.
+ * were cut off with it. A host whose relay answered all the while leaves it to that
+ * one: all followers at once would make the relay late, and they would give it up.
  *
  * @example
  * void updateShared(parts);
  */
 export async function updateShared(
-  { dispatch, presence, spreading }: Pick<
+  { dispatch, presence, relay, spreading }: Pick<
     gatewayParts.GatewayParts,
-    "dispatch" | "presence" | "spreading"
+    "dispatch" | "presence" | "relay" | "spreading"
   >,
 ): Promise<void> {
+  if (relay.getFollowed() !== undefined) return;
   await presence.fetchShared();
   const marks = dispatch.listKnownMarks();
   if (marks.length > 0) spreading.sendAll(marks);
