Take in no entry that a later constructor refuses

Cause: the expression of platform/servers.ts accepts ports above 65535 and octets above 255, which `new URL` and undici's pool refuse. The same kind of value passed elsewhere: identifiers and customers' names that no header holds, cold times and timeouts that no timer holds (a longer one ends at once), limits of zero or below.

An entry that is overwritten by something else names no server any more. Each version of such an entry is logged and counted once (banyangrade_invalid_entries_total). A configuration with such a value is refused as a whole, and the one before stays in force.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -7,6 +7,7 @@
 import * as core from "@banyangrade/core";
 import * as store from "@banyangrade/store";
 import type * as utils from "@banyangrade/utils";
+import * as invalidEntries from "./invalid_entries.ts";
 import type * as platformInterface from "./platform_interface.ts";
 
 /**
@@ -57,6 +58,8 @@
   readonly onServers: (servers: readonly core.ListedServer[]) => void;
   /** Called with the failure domains whose evacuation began or ended. */
   readonly onEvacuations: (changed: readonly string[]) => void;
+  /** Called for each version of an entry that this host cannot use. */
+  readonly onInvalidEntry: (kind: invalidEntries.EntryKind) => void;
 }
 
 /** Follows the store and keeps a copy of the cluster state. */
@@ -65,6 +68,7 @@
   readonly #proof = new core.FreshnessTracker();
   readonly #servers: core.ServerList;
   readonly #evacuations = new core.Evacuations();
+  readonly #invalid: invalidEntries.InvalidEntries;
   readonly #stops: (() => void)[] = [];
   #table: core.RouteTable | undefined;
   #configRevision = 0;
@@ -79,6 +83,10 @@
   constructor(options: ClusterStateOptions) {
     this.#options = options;
     this.#servers = new core.ServerList(options);
+    this.#invalid = new invalidEntries.InvalidEntries({
+      log: options.log,
+      onInvalid: options.onInvalidEntry,
+    });
   }
 
   /** Starts following the operators' entries and the servers' entries. */
@@ -252,11 +260,8 @@
     const parsed = platform.parseConfiguration(entry.value);
     const revision = entry.modRevision;
     if (parsed.err) {
-      log.error(
-        { revision, error: parsed.val },
-        "Configuration is invalid and is ignored.",
-      );
-      return;
+      const error = parsed.val;
+      return this.#invalid.report(entry, { kind: "configuration", error });
     }
     this.#configRevision = revision;
     this.#table = core.buildRouteTable(parsed.val);
@@ -307,9 +312,10 @@
     if (change.kind === "deleted") {
       return this.#servers.remove(this.#getServerId(change.key), now);
     }
-    this.#parseServer(change.entry).forEach((server) =>
-      this.#servers.put(server)
-    );
+    const [server] = this.#parseServer(change.entry);
+    // An entry that was overwritten by something else names no server any more.
+    if (server !== undefined) return this.#servers.put(server);
+    this.#servers.remove(this.#getServerId(change.entry.key), now);
   }
 
   #getServerId(key: string): string {
@@ -319,10 +325,7 @@
   #parseServer(entry: store.StoreEntry): core.ListedServer[] {
     const parsed = this.#options.platform.parseServer(entry);
     if (parsed.ok) return [parsed.val];
-    this.#options.log.warn(
-      { key: entry.key, error: parsed.val },
-      "Server entry is invalid and is ignored.",
-    );
+    this.#invalid.report(entry, { kind: "server", error: parsed.val });
     return [];
   }
 
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -361,6 +361,7 @@
     },
     onServers: (listed) => hostUpdates.applyServers(draft, listed),
     onEvacuations: (changed) => hostUpdates.applyEvacuations(draft, changed),
+    onInvalidEntry: (kind) => draft.metrics.recordInvalidEntry(kind),
   });
 }
 
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -5,6 +5,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import type * as core from "@banyangrade/core";
+import * as utils from "@banyangrade/utils";
 import type * as heldBytesModule from "./held_bytes.ts";
 import type * as platformInterface from "./platform_interface.ts";
 
@@ -125,7 +126,10 @@
   return {
     port: (server.address() as net.AddressInfo).port,
     setLimits: (limits) => {
-      server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+      server.keepAliveTimeout = Math.min(
+        limits.idleTimeoutMs + IDLE_MARGIN_MS,
+        utils.MAX_TIMER_MS,
+      );
       server.headersTimeout = limits.headerTimeoutMs;
     },
     drain: () => {
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -144,6 +144,11 @@
     "Calls to the store by kind and outcome.",
     ["call", "outcome"],
   );
+  readonly #invalidEntries = this.#createCounter(
+    "banyangrade_invalid_entries_total",
+    "Versions of entries in the store that this host cannot use, by what they should have described.",
+    ["kind"],
+  );
   readonly #attemptsMoved = this.#createCounter(
     "banyangrade_attempts_moved_total",
     "Attempts that were stopped in an ejected failure domain and started elsewhere.",
@@ -289,6 +294,10 @@
     this.#suspectMessages.inc({ direction });
   }
 
+  recordInvalidEntry(kind: string): void {
+    this.#invalidEntries.inc({ kind });
+  }
+
   recordAttemptMoved(): void {
     this.#attemptsMoved.inc();
   }
--- a/packages/utils/clock.ts
+++ b/packages/utils/clock.ts
@@ -1,6 +1,9 @@
 /** Clock interface, so that decisions and tests can run on virtual time. */
 import * as timers from "node:timers/promises";
 
+/** Longest delay that a timer of Node.js holds, in ms; a longer one ends at once. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** A clock. All times are in milliseconds. */
 export interface Clock {
   /** Monotonic time: never goes back and keeps running while the process is stopped. */
