--- a/packages/banyangrade/autoscaler_task.ts
+++ b/packages/banyangrade/autoscaler_task.ts
@@ -34,7 +34,10 @@
 
   start(): void {
     this.#stop = utils.startInterval(
-      constants.AUTOSCALER_MS,
+      {
+        ms: constants.AUTOSCALER_MS,
+        onError: utils.createErrorLog(this.#options.log, "orders.round"),
+      },
       () => this.#runRound(),
     );
   }
--- a/packages/banyangrade/call_exchange.ts
+++ b/packages/banyangrade/call_exchange.ts
@@ -2,6 +2,7 @@
 import * as undici from "undici";
 import type * as core from "@banyangrade/core";
 import * as service from "@banyangrade/service";
+import * as utils from "@banyangrade/utils";
 import * as exchange from "./exchange.ts";
 
 /** Options of {@link runCall}. */
@@ -83,6 +84,14 @@
       }
     }
 
+    function fail(thrown: unknown): void {
+      currentController.abort();
+      const ran = record.hasStarted() ? "unknown" : "no";
+      const failed = { requestId, thrown, ran } as const;
+      const refusal = exchange.failRequest(context, failed);
+      resolve({ kind: "refused", refusal });
+    }
+
     // A call that is not idempotent continues when its caller disconnects: stopping
     // it would not undo what it did.
     if (options.request.repeatable) {
@@ -93,7 +102,8 @@
       });
     }
     context.dispatch.open(options.request, {
-      onStart: (effect) => void runAttempt(effect),
+      onStart: (effect) => utils.runDetached(() => runAttempt(effect), fail),
+      onError: fail,
       onStop: () => currentController.abort(),
       onRefuse: (refusal) => resolve({ kind: "refused", refusal }),
     });
--- a/packages/banyangrade/caller_request_handler.ts
+++ b/packages/banyangrade/caller_request_handler.ts
@@ -3,6 +3,7 @@
 import * as core from "@banyangrade/core";
 import type * as peer from "@banyangrade/peer";
 import * as utils from "@banyangrade/utils";
+import * as unexpectedErrors from "./unexpected_errors.ts";
 import * as authenticatedRequest from "./authenticated_request.ts";
 import * as serviceCallHandler from "./service_call_handler.ts";
 import * as generateExchange from "./generate_exchange.ts";
@@ -63,10 +64,28 @@
       case "generate":
         return this.#openGeneration(accepted, route.api);
       case "call":
-        return void this.#serviceCalls.call(accepted, route);
+        return this.#call(accepted, route);
     }
   }
 
+  /** Runs a call; if that throws, the caller is told that it may have run. */
+  #call(
+    accepted: authenticatedRequest.AuthenticatedRequest,
+    route: Extract<caller.Route, { kind: "call" }>,
+  ): void {
+    const { answer } = accepted.incoming;
+    utils.runDetached(
+      () => this.#serviceCalls.call(accepted, route),
+      (thrown) => {
+        const step = "caller.call";
+        const context = this.#options;
+        unexpectedErrors.reportUnexpected(context, { step, thrown });
+        const code = "internal_error";
+        answer.refuse(core.buildRefusal({ code, ran: "unknown", step }));
+      },
+    );
+  }
+
   #verifyKey(
     head: caller.CallerHead,
   ): utils.Result<authenticatedRequest.AuthenticatedHead, core.Refusal> {
--- a/packages/banyangrade/capacity_task.ts
+++ b/packages/banyangrade/capacity_task.ts
@@ -46,7 +46,10 @@
 
   start(): void {
     this.#stop = utils.startInterval(
-      constants.DEMAND_MS,
+      {
+        ms: constants.DEMAND_MS,
+        onError: utils.createErrorLog(this.#options.log, "capacity.round"),
+      },
       () => this.#runRound(),
     );
   }
@@ -66,7 +69,12 @@
    */
   askLeaderNow(): void {
     const age = this.#options.clock.now() - this.#demandSentAt;
-    if (age >= constants.ALLOCATE_MS * this.#getScale()) void this.#askLeader();
+    if (age >= constants.ALLOCATE_MS * this.#getScale()) {
+      utils.runDetached(
+        () => this.#askLeader(),
+        utils.createErrorLog(this.#options.log, "capacity.ask"),
+      );
+    }
   }
 
   /**
@@ -268,10 +276,11 @@
     const address = this.#options.overlay.members.get(host)?.address ??
       this.#remoteHosts.get(host);
     if (address === undefined) return;
-    void this.#options.clients.call(
-      { address, step: "peer.grants" },
-      (client, signal) => client.grants.mutate(message, { signal }),
-    );
+    utils.runDetached(() =>
+      this.#options.clients.call(
+        { address, step: "peer.grants" },
+        (client, signal) => client.grants.mutate(message, { signal }),
+      ), utils.createErrorLog(this.#options.log, "capacity.push"));
   }
 }
 
--- a/packages/banyangrade/certificates.ts
+++ b/packages/banyangrade/certificates.ts
@@ -11,6 +11,8 @@
 export interface CertificateWatchOptions {
   readonly onCaller: (tls: caller.CallerTls) => void;
   readonly onPeer: (tls: peer.PeerTls) => void;
+  /** Receives what a read throws. @default ignored, and the current certificates stay in use */
+  readonly onError?: (thrown: unknown) => void;
   /** Interval at which the files are read, in ms. @default 10 s */
   readonly pollMs?: number;
 }
@@ -37,8 +39,9 @@
 
   /** Reads the files periodically and reports changed certificates. Returns a function that stops it. */
   watch(options: CertificateWatchOptions): () => void {
+    const { pollMs = POLL_MS, onError = () => undefined } = options;
     return utils.startInterval(
-      options.pollMs ?? POLL_MS,
+      { ms: pollMs, onError },
       () => this.#readFiles(options),
     );
   }
--- a/packages/banyangrade/config_task.ts
+++ b/packages/banyangrade/config_task.ts
@@ -52,7 +52,10 @@
     }
     if (this.#configuration.revision === 0) await this.#read();
     this.#stops = [
-      utils.startInterval(constants.CONFIG_READ_MS, () => this.#pollLog()),
+      utils.startInterval({
+        ms: constants.CONFIG_READ_MS,
+        onError: utils.createErrorLog(this.#options.log, "config.poll"),
+      }, () => this.#pollLog()),
     ];
     await this.#pollLog();
   }
@@ -121,10 +124,10 @@
   #handleWatch(event: store.WatchEvent): void {
     switch (event.kind) {
       case "opened":
-        return void this.#read();
+        return this.#readDetached();
       case "put":
         if (!this.#apply(store.parseChange(event.entry.value))) {
-          void this.#read();
+          this.#readDetached();
         }
         return;
       case "deleted":
@@ -136,6 +139,13 @@
     }
   }
 
+  #readDetached(): void {
+    utils.runDetached(
+      () => this.#read(),
+      utils.createErrorLog(this.#options.log, "config.read"),
+    );
+  }
+
   async #read(): Promise<void> {
     if (this.#reading) return;
     this.#reading = true;
--- a/packages/banyangrade/dispatch_task.ts
+++ b/packages/banyangrade/dispatch_task.ts
@@ -17,6 +17,8 @@
   readonly onHandOver?: (
     effect: Extract<core.DispatchEffect, { kind: "hand_over" }>,
   ) => void;
+  /** Called when one of these handlers, or the dispatcher for an event of the request, threw. @default ignored */
+  readonly onError?: (thrown: unknown) => void;
 }
 
 /** Options of {@link DispatchTask}. */
@@ -58,6 +60,10 @@
   readonly onPanicChanged?: (
     effect: Extract<core.DispatchEffect, { kind: "panic_changed" }>,
   ) => void;
+  /** Called with what the dispatcher or a handler of an effect threw; the other effects are applied all the same. */
+  readonly onError: (
+    error: { readonly step: string; readonly thrown: unknown },
+  ) => void;
 }
 
 /** Owns the dispatcher and the effect handlers of the open requests. */
@@ -134,9 +140,7 @@
         next !== undefined;
         next = this.#events.shift()
       ) {
-        const now = this.#options.clock.now();
-        this.#options.dispatcher.handle(next, now)
-          .forEach((effect) => this.#applyEffect(effect));
+        this.#handle(next).forEach((effect) => this.#tryEffect(effect));
       }
     } finally {
       this.#handling = false;
@@ -144,6 +148,39 @@
     }
   }
 
+  #handle(event: core.DispatchEvent): core.DispatchEffect[] {
+    try {
+      return this.#options.dispatcher.handle(event, this.#options.clock.now());
+    } catch (thrown) {
+      this.#reportError(findRequest(event), {
+        step: `dispatch.${event.kind}`,
+        thrown,
+      });
+      return [];
+    }
+  }
+
+  /** Applies an effect; if its handler throws, only its own request fails. */
+  #tryEffect(effect: core.DispatchEffect): void {
+    const requestId = findRequest(effect);
+    const handlers = this.#handlers.get(requestId ?? "");
+    try {
+      this.#applyEffect(effect);
+    } catch (thrown) {
+      const step = `dispatch.effect.${effect.kind}`;
+      this.#reportError(requestId, { step, thrown }, handlers);
+    }
+  }
+
+  #reportError(
+    requestId: string | undefined,
+    error: { readonly step: string; readonly thrown: unknown },
+    handlers = this.#handlers.get(requestId ?? ""),
+  ): void {
+    this.#options.onError(error);
+    handlers?.onError?.(error.thrown);
+  }
+
   /** Returns this host's demand for each model or service. */
   countByTarget(): Record<string, core.PromptDemand> {
     return this.#options.dispatcher.countByTarget();
@@ -356,3 +393,11 @@
     }
   }
 }
+
+/** Returns the request that an event or effect concerns; undefined if it concerns none, or several. */
+function findRequest(
+  one: core.DispatchEvent | core.DispatchEffect,
+): string | undefined {
+  if ("requestId" in one) return one.requestId;
+  return "request" in one ? one.request.id : undefined;
+}
--- a/packages/banyangrade/exchange.ts
+++ b/packages/banyangrade/exchange.ts
@@ -1,10 +1,11 @@
 /** Code that generations and service calls share: timeouts, metrics, usage and refusals. */
 import type * as caller from "@banyangrade/caller";
-import type * as core from "@banyangrade/core";
+import * as core from "@banyangrade/core";
 import type * as utils from "@banyangrade/utils";
 import type * as dispatch from "./dispatch_task.ts";
 import type * as metrics from "./metrics.ts";
 import type * as refusals from "./recent_refusals.ts";
+import * as unexpectedErrors from "./unexpected_errors.ts";
 import type * as usage from "./usage_task.ts";
 
 /** Services of the host that an exchange uses. */
@@ -84,6 +85,11 @@
     if (this.#startedAt === 0) this.#startedAt = this.#context.clock.now();
   }
 
+  /** Whether an attempt was started, so that the request may have run. */
+  hasStarted(): boolean {
+    return this.#startedAt > 0;
+  }
+
   /** Records tokens that were sent to the caller. */
   recordTokens(tokens: number): void {
     if (this.#firstAt === 0) this.#firstAt = this.#context.clock.now();
@@ -160,6 +166,28 @@
   answer.refuse(refusal);
 }
 
+/**
+ * Reports what the handling of a request threw, gives back what it held at the
+ * dispatcher, and returns the refusal for its caller.
+ *
+ * @example
+ * const refusal = failRequest(context, { requestId, thrown, ran: "unknown" });
+ */
+export function failRequest(
+  context: Pick<ExchangeContext, "dispatch" | "log" | "metrics">,
+  { requestId, thrown, ran }: {
+    readonly requestId: string;
+    readonly thrown: unknown;
+    readonly ran: core.Ran;
+  },
+): core.Refusal {
+  const step = "exchange.attempt";
+  unexpectedErrors.reportUnexpected(context, { step, thrown, requestId });
+  context.dispatch.close(requestId);
+  context.dispatch.send({ kind: "cancelled", requestId });
+  return core.buildRefusal({ code: "internal_error", ran, step });
+}
+
 type StartEffect = Extract<core.DispatchEffect, { kind: "start" }>;
 
 /**
--- a/packages/banyangrade/gateway/admission_refusals.ts
+++ b/packages/banyangrade/gateway/admission_refusals.ts
@@ -70,6 +70,19 @@
   });
 }
 
+/**
+ * Builds the refusal of a request whose handling threw before anything was sent.
+ *
+ * @example
+ * buildInternalError().ran; // "no"
+ */
+export function buildInternalError(): core.Refusal {
+  return buildTemporary({
+    code: "internal_error",
+    retryMs: DRAINING_RETRY_MS,
+  });
+}
+
 /**
  * Builds the refusal of a stream that its caller takes up, of which no host knows
  * which software version began it.
--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -6,7 +6,7 @@
  */
 import * as core from "@banyangrade/core";
 import * as store from "@banyangrade/store";
-import type * as utils from "@banyangrade/utils";
+import * as utils from "@banyangrade/utils";
 import * as invalidEntries from "./invalid_entries.ts";
 import type * as platformInterface from "./platform_interface.ts";
 
@@ -91,7 +91,7 @@
 
   /** Starts following the operators' entries and the servers' entries. */
   start(): void {
-    const { platform, feed, clock } = this.#options;
+    const { platform, feed, clock, log } = this.#options;
     this.#stops.push(
       store.watchPrefix({
         feed,
@@ -100,6 +100,7 @@
         waitMs: CONFIG_POLL_WAIT_MS,
         getBatchDelayMs: () => BATCH_DELAY_MS,
         onEvent: (event) => this.#handleConfigEvent(event),
+        onError: utils.createErrorLog(log, "belief.configuration"),
       }),
       store.watchPrefix({
         feed,
@@ -115,6 +116,7 @@
               ),
           ),
         onEvent: (event) => this.#handleServersEvent(event),
+        onError: utils.createErrorLog(log, "belief.servers"),
       }),
       () => clearTimeout(this.#expiry),
     );
@@ -340,8 +342,12 @@
   /** Schedules the next expiry check while entries are missing. */
   #scheduleExpiry(): void {
     if (this.#expiry !== undefined || !this.#servers.hasMissing()) return;
-    this.#expiry = setTimeout(() => this.#expireServers(), EXPIRY_CHECK_MS)
-      .unref();
+    const { log } = this.#options;
+    const onError = utils.createErrorLog(log, "belief.expire");
+    this.#expiry = setTimeout(
+      () => utils.runDetached(() => this.#expireServers(), onError),
+      EXPIRY_CHECK_MS,
+    ).unref();
   }
 
   #notifyServers(reason: string): void {
--- a/packages/banyangrade/gateway/connection_pools.ts
+++ b/packages/banyangrade/gateway/connection_pools.ts
@@ -1,7 +1,7 @@
 /** Connection pools to backend servers, one for each incarnation of a server. */
 import type * as core from "@banyangrade/core";
 import * as service from "@banyangrade/service";
-import type * as utils from "@banyangrade/utils";
+import * as utils from "@banyangrade/utils";
 
 /** Share of a server's connection limit that all hosts together use. */
 const CONNECTION_SHARE = 0.8;
@@ -15,6 +15,8 @@
   readonly maySendTo: (server: string) => boolean;
   /** Called when a connection to a server was opened. */
   readonly onConnected: (server: string) => void;
+  /** Called with what closing a pool threw. */
+  readonly onError: (thrown: unknown) => void;
 }
 
 /** Opens and closes the connection pools. */
@@ -23,12 +25,14 @@
   readonly #clock: utils.Clock;
   readonly #maySendTo: (server: string) => boolean;
   readonly #onConnected: (server: string) => void;
+  readonly #onError: (thrown: unknown) => void;
   #hosts = 1;
 
   constructor(options: ConnectionPoolsOptions) {
     this.#clock = options.clock;
     this.#maySendTo = options.maySendTo;
     this.#onConnected = options.onConnected;
+    this.#onError = options.onError;
   }
 
   /** Sets the number of hosts that share each server's connections. */
@@ -77,7 +81,7 @@
     [...this.#pools].filter(([name]) => !names.has(name))
       .forEach(([name, pool]) => {
         this.#pools.delete(name);
-        void pool.close();
+        utils.runDetached(() => pool.close(), this.#onError);
       });
   }
 
--- a/packages/banyangrade/gateway/control_roles_task.ts
+++ b/packages/banyangrade/gateway/control_roles_task.ts
@@ -76,8 +76,14 @@
     if (this.#options.settings.roles.length === 0) return;
     this.#holder = this.#startHolder();
     this.#stops = [
-      utils.startInterval(REPORT_MS, () => this.#reportUsage()),
-      utils.startInterval(ORDERS_MS, () => this.#sendOrders()),
+      utils.startInterval({
+        ms: REPORT_MS,
+        onError: utils.createErrorLog(this.#options.log, "roles.report"),
+      }, () => this.#reportUsage()),
+      utils.startInterval({
+        ms: ORDERS_MS,
+        onError: utils.createErrorLog(this.#options.log, "roles.orders"),
+      }, () => this.#sendOrders()),
     ];
   }
 
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -2,6 +2,7 @@
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import * as operationsServer from "../operations_server.ts";
+import * as unexpectedErrors from "../unexpected_errors.ts";
 import * as ingressModule from "./ingress.ts";
 import * as readinessModule from "./readiness.ts";
 import * as gatewayParts from "./gateway_parts.ts";
@@ -38,7 +39,10 @@
   addGauges(parts);
   await parts.relay.start();
   parts.belief.start();
-  void sharedKnowledge.fetchShared(parts);
+  unexpectedErrors.runReported(parts, {
+    step: "presence.recall",
+    work: () => sharedKnowledge.fetchShared(parts),
+  });
   parts.presence.start();
   parts.streamOrigins.start();
   parts.roles.start();
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -9,6 +9,7 @@
 import * as utils from "@banyangrade/utils";
 import * as dispatchTask from "../dispatch_task.ts";
 import * as metricsModule from "../metrics.ts";
+import * as unexpectedErrors from "../unexpected_errors.ts";
 import * as clusterStateTask from "./cluster_state_task.ts";
 import * as hostUpdates from "./host_updates.ts";
 import * as hostClocks from "./host_clocks.ts";
@@ -219,7 +220,13 @@
         overdue ? "Response overdue." : "Responding again.",
       ),
     onTryLinks: ({ servers }) =>
-      servers.forEach((server) => void tryLink(draft, server)),
+      servers.forEach((server) =>
+        unexpectedErrors.runReported(draft, {
+          step: "links.try",
+          work: () => tryLink(draft, server),
+        })
+      ),
+    onError: (error) => unexpectedErrors.reportUnexpected(draft, error),
     onLinksChanged: ({ pool, change }) => {
       linkTelemetry.recordLinksChanged(draft, { service: pool, change });
       draft.handover.start();
@@ -241,6 +248,11 @@
         server,
         reachable: true,
       }),
+    onError: (thrown) =>
+      unexpectedErrors.reportUnexpected(draft, {
+        step: "connections.close",
+        thrown,
+      }),
   });
   draft.pools.setHosts(ASSUMED_HOSTS);
 }
@@ -307,7 +319,15 @@
     address: settings.peerAddress,
     linkMbps: settings.linkMbps,
     countDomainHosts: () => draft.presence.countDomainHosts(),
-    onRequest: (request, response) => draft.handover.handle(request, response),
+    onRequest: (request, response) => {
+      try {
+        draft.handover.handle(request, response);
+      } catch (thrown) {
+        const step = "handover.handle";
+        unexpectedErrors.reportUnexpected(draft, { step, thrown });
+        response.destroy();
+      }
+    },
     getHandlers: () => ({
       readAll: (prefix) => draft.feed.answerReadAll(prefix),
       pollChanges: (message) => {
@@ -346,7 +366,11 @@
     feed: draft.feed,
     countStoreReaders: () => draft.presence.countRelays(),
     // The host may have been cut off, and has not heard what others learned meanwhile.
-    onReachable: () => void sharedKnowledge.updateShared(draft),
+    onReachable: () =>
+      unexpectedErrors.runReported(draft, {
+        step: "presence.update",
+        work: () => sharedKnowledge.updateShared(draft),
+      }),
     onFirstState: () => draft.startupWaits.release(),
     onConfiguration: ({ configuration }) => {
       draft.ingress?.setLimits(configuration.limits);
@@ -395,6 +419,7 @@
     clock: clocks.lease,
     metrics,
     versions,
+    log: utils.createPartLogger(draft.log, "origins"),
     isFresh: () => belief.isFresh(),
     relay,
     listRelays: () => presence.listRelays(),
--- a/packages/banyangrade/gateway/handover_task.ts
+++ b/packages/banyangrade/gateway/handover_task.ts
@@ -70,7 +70,8 @@
   /** Connections by the secret of the process at their other end. */
   readonly #connections = new lru.LRUCache<string, service.ServerConnections>({
     max: MAX_CONTACTS,
-    dispose: (connections) => void connections.close(),
+    dispose: (connections) =>
+      this.#runDetached("handover.close", () => connections.close()),
   });
   #peers: readonly core.PeerHost[] = [];
   #timer: NodeJS.Timeout | undefined;
@@ -99,7 +100,11 @@
   /** Looks for hosts with working links until this host runs all its requests itself. */
   start(): void {
     if (this.#timer !== undefined || this.#closed) return;
-    void this.#runRound();
+    this.#runDetached("handover.round", () => this.#runRound());
+  }
+
+  #runDetached(step: string, work: () => unknown): void {
+    utils.runDetached(work, utils.createErrorLog(this.#options.log, step));
   }
 
   /** Returns the connections to a host; undefined if it is not known. */
@@ -144,9 +149,15 @@
         response.writeHead(403, { connection: "close" }).end();
         return;
       case "question":
-        return void this.#answerQuestion(response);
+        return this.#runDetached(
+          "handover.answer",
+          () => this.#answerQuestion(response),
+        );
       case "suspects":
-        return void this.#takeSuspects(request, response);
+        return this.#runDetached(
+          "handover.takeSuspects",
+          () => this.#takeSuspects(request, response),
+        );
       case "request": {
         const { heldBytes, onRequest } = this.#options;
         response.sendDate = false;
@@ -168,7 +179,10 @@
   sendSuspects(text: string, hosts: number): void {
     if (this.#closed) return;
     this.#chooseAsked().slice(0, hosts).forEach((contact) =>
-      void this.#sendSuspectsTo(contact, text)
+      this.#runDetached(
+        "handover.sendSuspects",
+        () => this.#sendSuspectsTo(contact, text),
+      )
     );
   }
 
--- a/packages/banyangrade/gateway/held_bytes.ts
+++ b/packages/banyangrade/gateway/held_bytes.ts
@@ -262,7 +262,11 @@
     size: { readonly bytes: number; readonly maxBodyBytes: number },
   ): (() => void) | undefined {
     if (!this.#budget.addInFlight(server, size)) return undefined;
-    return () => this.#budget.removeInFlight(server, size.bytes);
+    let isOpen = true;
+    return () => {
+      if (isOpen) this.#budget.removeInFlight(server, size.bytes);
+      isOpen = false;
+    };
   }
 
   stop(): void {
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -126,11 +126,19 @@
   }
 
   start(): void {
-    const first = setTimeout(() => this.#runRound(), FIRST_ROUND_MS);
+    const { log } = this.#options;
+    const onError = utils.createErrorLog(log, "presence.round");
+    const first = setTimeout(
+      () => utils.runDetached(() => this.#runRound(), onError),
+      FIRST_ROUND_MS,
+    );
     this.#stops.push(
       () => clearTimeout(first),
-      utils.startInterval(ROUND_MS, () => this.#runRound()),
-      utils.startInterval(RENEW_MS, () => this.#renewLease()),
+      utils.startInterval({ ms: ROUND_MS, onError }, () => this.#runRound()),
+      utils.startInterval(
+        { ms: RENEW_MS, onError: utils.createErrorLog(log, "presence.renew") },
+        () => this.#renewLease(),
+      ),
     );
   }
 
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -59,6 +59,8 @@
   /** Whether the response goes to another host, which must learn whether a refused request ran. @default false */
   readonly isToHost?: boolean;
   readonly isStarted: () => boolean;
+  /** Whether nothing more can be sent: the response is complete, or its connection is closed. */
+  readonly isEnded: () => boolean;
   /** Sends a complete response. */
   readonly send: (
     answer: {
@@ -234,15 +236,17 @@
   const isOpen = () => !response.destroyed && !response.writableEnded;
   return {
     isStarted: () => response.headersSent,
+    isEnded: () => !isOpen(),
     send: ({ status, headers, body }) => {
       if (!isOpen()) return;
       if (!response.req.complete) response.setHeader("connection", "close");
-      response.writeHead(status, headers).end(body);
+      writeHead(response, { status, headers });
+      response.end(body);
       caller.update();
     },
     write: ({ status, headers }, bytes) => {
       if (!isOpen()) return undefined;
-      if (!response.headersSent) response.writeHead(status, headers);
+      if (!response.headersSent) writeHead(response, { status, headers });
       const isAccepted = response.write(bytes, caller.update);
       caller.update();
       if (isAccepted) return undefined;
@@ -259,6 +263,24 @@
   };
 }
 
+/** Writes the head of a response. If a value of it is refused, none of it stays for the refusal that follows. */
+function writeHead(
+  response: http.ServerResponse,
+  { status, headers }: {
+    readonly status: number;
+    readonly headers: http.OutgoingHttpHeaders;
+  },
+): void {
+  const kept = response.getHeaderNames();
+  try {
+    response.writeHead(status, headers);
+  } catch (thrown) {
+    response.getHeaderNames().filter((name) => !kept.includes(name))
+      .forEach((name) => response.removeHeader(name));
+    throw thrown;
+  }
+}
+
 async function readBody(
   request: http.IncomingMessage,
   { maxBytes, onBytes }: {
--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -276,10 +276,17 @@
     this.#former = undefined;
     if (former?.contact === undefined) return;
     if (former.incarnation === relay.incarnation) return;
-    void this.callContact(former.contact, {
-      step: "relay.announceRelay",
-      run: (client, signal) => client.announceRelay.mutate(relay, { signal }),
-    });
+    const { contact } = former;
+    const step = "relay.announceRelay";
+    utils.runDetached(
+      () =>
+        this.callContact(contact, {
+          step,
+          run: (client, signal) =>
+            client.announceRelay.mutate(relay, { signal }),
+        }),
+      utils.createErrorLog(this.#options.log, step),
+    );
   }
 
   #setRelay(record: peer.RelayRecord): void {
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -1,9 +1,10 @@
 /** Runs one request from its arrival to its response, over all attempts. */
 import * as core from "@banyangrade/core";
 import * as service from "@banyangrade/service";
-import type * as utils from "@banyangrade/utils";
+import * as utils from "@banyangrade/utils";
 import type * as dispatchTask from "../dispatch_task.ts";
 import type * as metrics from "../metrics.ts";
+import * as unexpectedErrors from "../unexpected_errors.ts";
 import * as attemptRequest from "./attempt_request.ts";
 import * as exchangeTelemetry from "./exchange_telemetry.ts";
 import * as handoverExchange from "./handover_exchange.ts";
@@ -60,10 +61,19 @@
 type StartEffect = Extract<core.DispatchEffect, { kind: "start" }>;
 type FailedOutcome = Extract<service.ForwardOutcome, { kind: "failed" }>;
 
+/** Options of one attempt. */
+interface AttemptOptions {
+  readonly signal: AbortSignal;
+  /** Time at which it is sent, monotonic ms. */
+  readonly now: number;
+  /** Receives the size of each part of the response that is held. */
+  readonly onHeld: (bytes: number) => void;
+}
+
 /** Shortest retry delay that a refusal gives, in ms; several times the duration of the shortest calls. */
 export const MIN_RETRY_MS = 50;
-/** Number of times that a request is assigned to a server with too many bytes in flight before it is refused. */
-const MAX_WITHHELD = 3;
+/** Number of times that a request is assigned to a server to which it is not sent, with too many bytes in flight or by an error of this host, before it is refused. */
+const MAX_UNSENT = 3;
 /** Retry delay while servers have too many bytes in flight, in ms; the duration of a few calls. */
 const WITHHELD_RETRY_MS = 250;
 
@@ -95,8 +105,8 @@
   #errorResponse: service.ForwardedResponse | undefined;
   /** Account of the bytes of the last error response. */
   #errorAccount: heldBytes.HeldAccount | undefined;
-  /** Number of attempts that were not sent because of the bytes in flight to their server. */
-  #withheld = 0;
+  /** Number of attempts that this host did not send. */
+  #unsent = 0;
 
   constructor(context: ExchangeContext, options: ExchangeOptions) {
     this.#context = context;
@@ -108,22 +118,54 @@
   open(): void {
     const { clock } = this.#context;
     const { incoming, request, deadlineAt } = this.#options;
-    incoming.onDisconnect(() => this.#cancel());
+    incoming.onDisconnect(() =>
+      this.#runStep("exchange.cancel", () => this.#cancel())
+    );
     const remainingMs = Math.max(0, deadlineAt - clock.now());
-    this.#timer = setTimeout(() => this.#expire(), remainingMs);
-    this.#openAtDispatcher(request);
+    this.#timer = setTimeout(
+      () => this.#runStep("exchange.expire", () => this.#expire()),
+      remainingMs,
+    );
+    this.#runStep("exchange.open", () => this.#openAtDispatcher(request));
+  }
+
+  /** Runs a step of the request; if it throws, the request fails and no other. */
+  #runStep(step: string, work: () => unknown): void {
+    utils.runDetached(work, (thrown) => this.#fail(step, thrown));
+  }
+
+  /** Ends a request of which a step threw: the caller is told what is certain, and all that the request held is given back. */
+  #fail(step: string, thrown: unknown): void {
+    const { requestId } = this.#options.head;
+    const { answer } = this.#options.incoming;
+    unexpectedErrors.reportUnexpected(this.#context, {
+      step,
+      thrown,
+      requestId,
+    });
+    this.#close();
+    // First, so that an error of the dispatcher itself does not come back here.
+    this.#context.dispatch.close(this.#options.request.id);
+    this.#cancelAttempt();
+    if (answer.isEnded()) return;
+    const refusal = buildFailure(step, this.#ran);
+    this.#context.metrics.recordRefusal(refusal);
+    refusalResponse.sendRefusal(answer, { refusal, requestId });
   }
 
   #openAtDispatcher(request: core.Request): void {
     this.#context.dispatch.open(request, {
-      onStart: (effect) => void this.#runAttempt(effect),
-      onHandOver: (effect) => void this.#runHandover(effect),
+      onStart: (effect) =>
+        this.#runStep("exchange.attempt", () => this.#runAttempt(effect)),
+      onHandOver: (effect) =>
+        this.#runStep("exchange.handOver", () => this.#runHandover(effect)),
       onStop: ({ reason }) => {
         if (reason === "moved") this.#context.metrics.recordAttemptMoved();
         this.#attemptAbort.abort();
       },
       onRefuse: (refusal) =>
         this.#answerRefusal({ ...refusal, ran: this.#ran }),
+      onError: (thrown) => this.#fail("exchange.dispatch", thrown),
     });
   }
 
@@ -218,32 +260,77 @@
     });
     if (endSend === undefined) return this.#revokeAttempt(effect);
     const { signal } = this.#attemptAbort = new AbortController();
+    const account = this.#context.heldBytes.openAccount(
+      this.#options.incoming.holder,
+      { kind: "response" },
+    );
+    try {
+      const sentAt = this.#context.clock.now();
+      const send = this.#buildSend(effect, {
+        signal,
+        now: sentAt,
+        onHeld: account.add,
+      });
+      if (send === undefined) return;
+      const ranBefore = this.#recordStart(effect);
+      const outcome = await send();
+      endSend();
+      if (isKept(outcome) && !signal.aborted && !this.#ended) {
+        this.#errorAccount?.close();
+        this.#errorAccount = account;
+      }
+      if (signal.aborted) this.#telemetry.recordAttemptStopped(effect);
+      else this.#endAttempt(effect, { outcome, ranBefore, sentAt });
+    } finally {
+      endSend();
+      if (this.#errorAccount !== account) account.close();
+    }
+  }
+
+  /** Records that an attempt is sent, and returns whether the request had run before it. */
+  #recordStart(effect: StartEffect): core.Ran {
     const ranBefore = this.#ran;
     this.#ran = core.mergeRan(ranBefore, "unknown");
     const resumed = this.#telemetry.getEvents() > 0;
     this.#telemetry.recordAttemptStart(effect, {
       resumeAfter: resumed ? this.#lastEventId : undefined,
     });
-    const sentAt = this.#context.clock.now();
-    const account = this.#context.heldBytes.openAccount(
-      this.#options.incoming.holder,
-      { kind: "response" },
-    );
-    const outcome = await this.#forward(effect, {
-      signal,
-      now: sentAt,
-      onHeld: account.add,
-    });
-    endSend();
-    const isKept = outcome.kind === "failed" && outcome.answer !== undefined &&
-      !signal.aborted && !this.#ended;
-    if (isKept) {
-      this.#errorAccount?.close();
-      this.#errorAccount = account;
+    return ranBefore;
+  }
+
+  /**
+   * Prepares an attempt; returns undefined if that threw, when nothing has been sent.
+   * The server may be the cause, so that the request goes to another one.
+   */
+  #buildSend(
+    effect: StartEffect,
+    options: AttemptOptions,
+  ): (() => Promise<service.ForwardOutcome>) | undefined {
+    try {
+      const call = this.#buildCall(effect, options);
+      return () =>
+        service.forwardRequest(call, this.#buildSink(effect, options));
+    } catch (thrown) {
+      const step = "exchange.prepare";
+      this.#unsent += 1;
+      if (this.#unsent >= MAX_UNSENT) {
+        this.#fail(step, thrown);
+        return undefined;
+      }
+      const { requestId } = this.#options.head;
+      unexpectedErrors.reportUnexpected(this.#context, {
+        step,
+        thrown,
+        requestId,
+      });
+      const reason = utils.getErrorMessage(thrown);
+      this.#reportFailure(effect, {
+        kind: "failed",
+        failure: "not_sent",
+        reason,
+      });
+      return undefined;
     }
-    if (signal.aborted) this.#telemetry.recordAttemptStopped(effect);
-    else this.#endAttempt(effect, { outcome, ranBefore, sentAt });
-    if (!isKept) account.close();
   }
 
   /**
@@ -252,8 +339,8 @@
    * that happens repeatedly.
    */
   #revokeAttempt(effect: StartEffect): void {
-    this.#withheld += 1;
-    if (this.#withheld < MAX_WITHHELD) {
+    this.#unsent += 1;
+    if (this.#unsent < MAX_UNSENT) {
       const reason = "Too many bytes are in flight to the server.";
       const failure = "withheld";
       return this.#reportFailure(effect, { kind: "failed", failure, reason });
@@ -275,21 +362,16 @@
     return this.#context.checkKey(request.keyId, request.customer);
   }
 
-  #forward(
+  #buildCall(
     effect: StartEffect,
-    { signal, now, onHeld }: {
-      readonly signal: AbortSignal;
-      readonly now: number;
-      readonly onHeld: (bytes: number) => void;
-    },
-  ): Promise<service.ForwardOutcome> {
-    const { pools, wire, countUsage, applySignals } = this.#context;
+    { signal, now }: AttemptOptions,
+  ): service.ForwardCall {
+    const { pools, wire, heldBytes } = this.#context;
     const { table, request } = this.#options;
     const connectionLimit =
       table.configuration.services.find((one) => one.name === request.target)
         ?.connectionLimit ?? 1;
-    let started = false;
-    return service.forwardRequest({
+    return {
       ...attemptRequest.buildAttemptRequest({
         ...effect,
         exchange: this.#options,
@@ -299,8 +381,18 @@
       }),
       connections: pools.get(effect.server, { connectionLimit }),
       signal,
-      toleratesUnread: this.#context.heldBytes.isEnabled(),
-    }, {
+      toleratesUnread: heldBytes.isEnabled(),
+    };
+  }
+
+  #buildSink(
+    effect: StartEffect,
+    { signal, now, onHeld }: AttemptOptions,
+  ): service.ForwardSink {
+    const { countUsage, applySignals } = this.#context;
+    const { request } = this.#options;
+    let started = false;
+    return {
       onHeld,
       onMetadata: ({ signals, genuine, status }) =>
         applySignals(effect.server.name, {
@@ -315,7 +407,7 @@
         started = true;
         await this.#forwardEvents(effect, batch);
       },
-    });
+    };
   }
 
   async #forwardEvents(
@@ -486,3 +578,19 @@
     return true;
   }
 }
+
+/** Whether the response of a failed attempt is kept, to be forwarded if no further attempt follows. */
+function isKept(outcome: service.ForwardOutcome): boolean {
+  return outcome.kind === "failed" && outcome.answer !== undefined;
+}
+
+/** Builds the refusal of a request of which a step threw. */
+function buildFailure(step: string, ran: core.Ran): core.Refusal {
+  return core.buildRefusal({
+    code: "internal_error",
+    ran,
+    step,
+    waitMs: ran === "no" ? MIN_RETRY_MS : undefined,
+    minRetryAfterMs: MIN_RETRY_MS,
+  });
+}
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -4,6 +4,7 @@
  */
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
+import * as unexpectedErrors from "../unexpected_errors.ts";
 import * as admissionRefusals from "./admission_refusals.ts";
 import type * as clusterStateTask from "./cluster_state_task.ts";
 import type * as heldBytesModule from "./held_bytes.ts";
@@ -67,9 +68,31 @@
 
   /** Admits a request and opens an exchange for it, or refuses it. */
   handle(incoming: ingress.IncomingRequest): void {
-    const { wire, clock } = this.#options;
-    const head = wire.readRequestHead(incoming.headers);
-    const arrival = { incoming, head, arrivedAt: clock.now() };
+    const arrivedAt = this.#options.clock.now();
+    try {
+      const head = this.#options.wire.readRequestHead(incoming.headers);
+      this.#handleArrival({ incoming, head, arrivedAt });
+    } catch (thrown) {
+      this.#fail({ incoming, arrivedAt }, { step: "request.admit", thrown });
+    }
+  }
+
+  /** Refuses a request whose handling threw before an exchange was opened for it, so that it has not run. */
+  #fail(
+    { incoming, head }: Omit<Arrival, "head"> & Partial<Arrival>,
+    { step, thrown }: utils.UnexpectedError,
+  ): void {
+    const requestId = head?.requestId;
+    const error = { step, thrown, requestId };
+    unexpectedErrors.reportUnexpected(this.#options, error);
+    if (incoming.answer.isEnded()) return;
+    const refusal = admissionRefusals.buildInternalError();
+    this.#options.metrics.recordRefusal(refusal);
+    refusalResponse.sendRefusal(incoming.answer, { refusal, requestId });
+  }
+
+  #handleArrival(arrival: Arrival): void {
+    const { incoming } = arrival;
     if (incoming.handover !== undefined) {
       return this.#takeHandover(arrival, incoming.handover);
     }
@@ -103,6 +126,14 @@
   }
 
   #endWait(arrival: Arrival, outcome: startupWaits.WaitOutcome): void {
+    try {
+      this.#applyOutcome(arrival, outcome);
+    } catch (thrown) {
+      this.#fail(arrival, { step: "request.wait", thrown });
+    }
+  }
+
+  #applyOutcome(arrival: Arrival, outcome: startupWaits.WaitOutcome): void {
     switch (outcome) {
       case "served":
         return this.#accept(arrival);
@@ -125,9 +156,13 @@
       return this.#refuse(incoming, { head, refusal: admitted.val });
     }
     this.#pending += 1;
-    void this.#readAndOpen(admitted.val).finally(() => {
-      this.#pending -= 1;
-    });
+    utils.runDetached(
+      () =>
+        this.#readAndOpen(admitted.val).finally(() => {
+          this.#pending -= 1;
+        }),
+      (thrown) => this.#fail(arrival, { step: "request.read", thrown }),
+    );
   }
 
   #admit(arrival: Arrival): utils.Result<AdmittedRequest, core.Refusal> {
--- a/packages/banyangrade/gateway/scaling_orders.ts
+++ b/packages/banyangrade/gateway/scaling_orders.ts
@@ -3,7 +3,7 @@
  * run by the host that holds the control roles.
  */
 import * as core from "@banyangrade/core";
-import type * as utils from "@banyangrade/utils";
+import * as utils from "@banyangrade/utils";
 import type * as platformInterface from "./platform_interface.ts";
 
 /** Time after which an order without effect is sent again, in ms, in addition to the boot time of a server. */
@@ -114,7 +114,10 @@
 
   #sendService(service: core.RoutedService): void {
     this.#planService(service).forEach((planned) =>
-      void this.#sendOrder(planned, service)
+      utils.runDetached(
+        () => this.#sendOrder(planned, service),
+        utils.createErrorLog(this.#options.log, "roles.order"),
+      )
     );
   }
 
@@ -191,8 +194,8 @@
     const record = { order, at: now, mostReady: count, unanswered: false };
     this.#sent.set(key, record);
     this.#inFlight.add(key);
-    const sent = await platform.sendOrder(order);
-    this.#inFlight.delete(key);
+    const sent = await platform.sendOrder(order)
+      .finally(() => this.#inFlight.delete(key));
     const error = sent.err ? sent.val : undefined;
     log.info(
       { ...order, demand: planned.demand, error },
--- a/packages/banyangrade/gateway/stream_origins_task.ts
+++ b/packages/banyangrade/gateway/stream_origins_task.ts
@@ -8,7 +8,7 @@
 import * as core from "@banyangrade/core";
 import type * as peer from "@banyangrade/peer";
 import type * as store from "@banyangrade/store";
-import type * as utils from "@banyangrade/utils";
+import * as utils from "@banyangrade/utils";
 import type * as metrics from "../metrics.ts";
 import type * as relayTask from "./relay_task.ts";
 
@@ -32,6 +32,7 @@
 /** Options of {@link StreamOriginsTask}. */
 export interface StreamOriginsOptions {
   readonly clock: utils.Clock;
+  readonly log: utils.Logger;
   readonly metrics: Pick<metrics.Metrics, "recordOriginLookup">;
   readonly versions: core.SoftwareVersions;
   /** Whether the list of servers is current. */
@@ -72,7 +73,12 @@
   }
 
   start(): void {
-    this.#asking = setInterval(() => void this.#askViews(), ASK_VIEWS_MS);
+    const { log } = this.#options;
+    const onError = utils.createErrorLog(log, "origins.askViews");
+    this.#asking = setInterval(
+      () => utils.runDetached(() => this.#askViews(), onError),
+      ASK_VIEWS_MS,
+    );
   }
 
   stop(): void {
@@ -275,13 +281,19 @@
 
   #scheduleFlush(delayMs = FLUSH_MS): void {
     if (this.#stopped || this.#timer !== undefined) return;
-    this.#timer = setTimeout(() => void this.#runFlush(), delayMs).unref();
+    const { log } = this.#options;
+    const onError = utils.createErrorLog(log, "origins.flush");
+    this.#timer = setTimeout(
+      () => utils.runDetached(() => this.#runFlush(), onError),
+      delayMs,
+    ).unref();
   }
 
   /** Sends what is collected; what arrives meanwhile is sent after it. */
   async #runFlush(): Promise<void> {
-    const isSent = await this.#flush();
-    this.#timer = undefined;
+    const isSent = await this.#flush().finally(() => {
+      this.#timer = undefined;
+    });
     const isEmpty = this.#origins.countPending() + this.#copies.length === 0;
     if (!isEmpty) this.#scheduleFlush(isSent ? FLUSH_MS : RETRY_MS);
   }
--- a/packages/banyangrade/generate_exchange.ts
+++ b/packages/banyangrade/generate_exchange.ts
@@ -3,6 +3,7 @@
 import type * as caller from "@banyangrade/caller";
 import type * as core from "@banyangrade/core";
 import * as engine from "@banyangrade/engine";
+import * as utils from "@banyangrade/utils";
 import * as exchange from "./exchange.ts";
 
 const PATHS = {
@@ -106,13 +107,23 @@
     }
   }
 
+  function fail(thrown: unknown): void {
+    currentController.abort();
+    const ran = record.hasStarted() ? "unknown" : "no";
+    const failed = { requestId, thrown, ran } as const;
+    const refusal = exchange.failRequest(context, failed);
+    exchange.refuseCaller(context, { answer, refusal, requestId });
+    record.abandon();
+  }
+
   answer.watchDisconnect(() => {
     context.dispatch.send({ kind: "cancelled", requestId });
     context.dispatch.close(requestId);
     record.abandon();
   });
   context.dispatch.open(request, {
-    onStart: (effect) => void runAttempt(effect),
+    onStart: (effect) => utils.runDetached(() => runAttempt(effect), fail),
+    onError: fail,
     onStop: () => currentController.abort(),
     onRefuse: (refusal) => {
       exchange.refuseCaller(context, { answer, refusal, requestId });
--- a/packages/banyangrade/host.ts
+++ b/packages/banyangrade/host.ts
@@ -135,13 +135,23 @@
 }
 
 function startPolls(parts: hostParts.HostParts): () => void {
-  const stops = [
-    utils.startInterval(constants.SERVERS_MS, () => pollServers(parts)),
-    utils.startInterval(constants.LOAD_POLL_MS, () => pollLoad(parts)),
-    utils.startInterval(constants.HOSTS_MS, () => pollHosts(parts)),
+  const startPoll = (
+    step: string,
+    ms: number,
+    poll: (parts: hostParts.HostParts) => void | Promise<void>,
+  ) =>
     utils.startInterval(
+      { ms, onError: utils.createErrorLog(parts.log, step) },
+      () => poll(parts),
+    );
+  const stops = [
+    startPoll("host.pollServers", constants.SERVERS_MS, pollServers),
+    startPoll("host.pollLoad", constants.LOAD_POLL_MS, pollLoad),
+    startPoll("host.pollHosts", constants.HOSTS_MS, pollHosts),
+    startPoll(
+      "host.releaseClaims",
       constants.CLAIM_CLEANUP_MS,
-      () => parts.storeGuard.releaseStale(),
+      ({ storeGuard }) => storeGuard.releaseStale(),
     ),
   ];
   return () => stops.forEach((stop) => stop());
--- a/packages/banyangrade/host_parts.ts
+++ b/packages/banyangrade/host_parts.ts
@@ -21,6 +21,7 @@
 import * as autoscalerTask from "./autoscaler_task.ts";
 import * as refusalsModule from "./recent_refusals.ts";
 import * as settingsModule from "./settings.ts";
+import * as unexpectedErrors from "./unexpected_errors.ts";
 import * as usageTask from "./usage_task.ts";
 
 /** Options of {@link buildParts}. */
@@ -138,6 +139,7 @@
         until: draft.clock.wall() + core.constants.QUARANTINE_MS,
       }),
     onAskCapacity: () => draft.capacity.askLeaderNow(),
+    onError: (error) => unexpectedErrors.reportUnexpected(draft, error),
   });
 }
 
@@ -162,7 +164,11 @@
     random: utils.createRandom(utils.hashSeed(draft.host)),
     log: getLog(draft, "peer"),
     getRevision: () => draft.config.get().revision,
-    onNewerRevision: (address) => void draft.config.pull(address),
+    onNewerRevision: (address) =>
+      utils.runDetached(
+        () => draft.config.pull(address),
+        utils.createErrorLog(draft.log, "config.pull"),
+      ),
     onMarks: (marks) => dispatch.send({ kind: "suspected", marks }),
     onMarksExpired: (fingerprints) =>
       dispatch.send({ kind: "cleared", fingerprints }),
@@ -201,6 +207,7 @@
   });
   draft.overflow = new overflowTask.OverflowTask({
     ...draft,
+    log: getLog(draft, "overflow"),
     address: settingsModule.getAdvertisedAddress(draft.settings),
   });
 }
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -149,6 +149,11 @@
     "Versions of entries in the store that this host cannot use, by what they should have described.",
     ["kind"],
   );
+  readonly #unexpectedErrors = this.#createCounter(
+    "banyangrade_unexpected_errors_total",
+    "Exceptions that no step foresees, by the step that threw; each is a fault of this program.",
+    ["step"],
+  );
   readonly #attemptsMoved = this.#createCounter(
     "banyangrade_attempts_moved_total",
     "Attempts that were stopped in an ejected failure domain and started elsewhere.",
@@ -298,6 +303,10 @@
     this.#invalidEntries.inc({ kind });
   }
 
+  recordUnexpectedError(step: string): void {
+    this.#unexpectedErrors.inc({ step });
+  }
+
   recordAttemptMoved(): void {
     this.#attemptsMoved.inc();
   }
--- a/packages/banyangrade/overflow_task.ts
+++ b/packages/banyangrade/overflow_task.ts
@@ -12,6 +12,7 @@
 /** Options of {@link OverflowTask}. */
 export interface OverflowTaskOptions {
   readonly clock: utils.Clock;
+  readonly log: utils.Logger;
   readonly clients: peer.PeerClients;
   readonly overlay: peer.Overlay;
   readonly dispatch: dispatch.DispatchTask;
@@ -34,7 +35,10 @@
 
   start(): void {
     this.#stop = utils.startInterval(
-      constants.DEMAND_MS,
+      {
+        ms: constants.DEMAND_MS,
+        onError: utils.createErrorLog(this.#options.log, "overflow.round"),
+      },
       () => this.#runRound(),
     );
   }
--- a/packages/banyangrade/relay_testing.ts
+++ b/packages/banyangrade/relay_testing.ts
@@ -5,6 +5,7 @@
 import * as utils from "@banyangrade/utils";
 import * as testing from "@banyangrade/utils/testing.ts";
 import * as gatewayParts from "./gateway/gateway_parts.ts";
+import * as unexpectedErrors from "./unexpected_errors.ts";
 import * as sharedKnowledge from "./gateway/shared_knowledge.ts";
 import type * as platformInterface from "./gateway/platform_interface.ts";
 
@@ -195,7 +196,10 @@
   await Promise.all(hosts.map(async ({ parts }) => {
     await parts.relay.start();
     parts.belief.start();
-    void sharedKnowledge.fetchShared(parts);
+    unexpectedErrors.runReported(parts, {
+      step: "presence.recall",
+      work: () => sharedKnowledge.fetchShared(parts),
+    });
     parts.presence.start();
   }));
   return hosts;
--- a/packages/banyangrade/stream_origins_task_test.ts
+++ b/packages/banyangrade/stream_origins_task_test.ts
@@ -29,7 +29,8 @@
   };
   const task = new streamOriginsTask.StreamOriginsTask({
     clock: utils.SYSTEM_CLOCK,
-    metrics: new metrics.Metrics(),
+    log: utils.createLogger({ level: "silent" }),
+      metrics: new metrics.Metrics(),
     versions: new core.SoftwareVersions(),
     isFresh: () => true,
     listRelays: () => [],
--- a/packages/banyangrade/usage_task.ts
+++ b/packages/banyangrade/usage_task.ts
@@ -40,8 +40,14 @@
 
   start(): void {
     this.#stops = [
-      utils.startInterval(constants.FLUSH_MS, () => this.flush()),
-      utils.startInterval(constants.REPORT_MS, () => this.#report()),
+      utils.startInterval({
+        ms: constants.FLUSH_MS,
+        onError: utils.createErrorLog(this.#options.log, "usage.flush"),
+      }, () => this.flush()),
+      utils.startInterval({
+        ms: constants.REPORT_MS,
+        onError: utils.createErrorLog(this.#options.log, "usage.report"),
+      }, () => this.#report()),
     ];
   }
 
--- a/packages/caller/caller_response.ts
+++ b/packages/caller/caller_response.ts
@@ -19,6 +19,7 @@
   suspect_request: 503,
   store_unavailable: 503,
   backend_failed: 502,
+  internal_error: 500,
   cancelled: 499,
 };
 
--- a/packages/core/refusals.ts
+++ b/packages/core/refusals.ts
@@ -30,6 +30,8 @@
     "The operation cannot be claimed because the store is unavailable; retry with the same idempotency key.",
   backend_failed:
     'The backend server failed; retry only if the field ran is "no" or the request is idempotent.',
+  internal_error:
+    'This host failed while it handled the request; retry, preferably on another host, only if the field ran is "no" or the request is idempotent.',
   cancelled: "The caller disconnected or cancelled the request.",
 };
 
--- a/packages/core/request.ts
+++ b/packages/core/request.ts
@@ -21,6 +21,7 @@
   | "origin_unknown"
   | "store_unavailable"
   | "backend_failed"
+  | "internal_error"
   | "cancelled";
 
 /** The error that the caller of a refused request gets. */
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -63,12 +63,13 @@
   ): Promise<utils.Result<Answer, utils.StepError>> {
     const { address: peer, step } = to;
     this.#sent += 1;
-    const connection = this.#connect(peer);
+    let connection: Connection<Router> | undefined;
     try {
+      const { client } = connection = this.#connect(peer);
       return utils.Ok(
         await runWithTimeout(
           timeoutMs,
-          (signal) => run(connection.client, signal),
+          (signal) => run(client, signal),
         ),
       );
     } catch (thrown) {
@@ -81,7 +82,7 @@
       // If this call started while another call dropped the connection, the
       // library reopens it and may try forever to reach a host that no longer
       // exists, so that the process does not exit.
-      if (this.#connections.get(peer) !== connection) connection.close();
+      if (this.#connections.get(peer) !== connection) connection?.close();
     }
   }
 
--- a/packages/peer/overlay.ts
+++ b/packages/peer/overlay.ts
@@ -20,6 +20,9 @@
 /** Maximum number of quarantine marks, and of withdrawn keys, in one heartbeat. */
 const MAX_ENTRIES_PER_HEARTBEAT = 32;
 
+/** A host that gets a heartbeat. */
+type HeartbeatTarget = Pick<protocol.Contact, "name" | "address">;
+
 /** Options of {@link Overlay}. */
 export interface OverlayOptions {
   readonly self: core.Member;
@@ -62,8 +65,11 @@
   /** Starts to send heartbeats, the first ones immediately to all seeds of this failure domain. */
   start(): void {
     const { heartbeatMs = HEARTBEAT_MS } = this.#options;
-    this.#stop = utils.startInterval(heartbeatMs, () => this.#sendHeartbeats());
-    void this.#sendHeartbeatsTo(this.#listLocalContacts());
+    this.#stop = utils.startInterval({
+      ms: heartbeatMs,
+      onError: utils.createErrorLog(this.#options.log, "peer.heartbeats"),
+    }, () => this.#sendHeartbeats());
+    this.#sendDetached(this.#listLocalContacts());
   }
 
   /** Announces to the heartbeat targets that this host leaves, then stops. */
@@ -136,10 +142,14 @@
   /** Sends heartbeats to all targets immediately, for updates that must not wait for the next interval. */
   sendImmediately(): void {
     const remote = this.isRelay() ? this.listRemoteContacts() : [];
-    void this.#sendHeartbeatsTo([
-      ...this.members.listHeartbeatTargets(),
-      ...remote,
-    ]);
+    this.#sendDetached([...this.members.listHeartbeatTargets(), ...remote]);
+  }
+
+  #sendDetached(targets: readonly HeartbeatTarget[]): void {
+    utils.runDetached(
+      () => this.#sendHeartbeatsTo(targets),
+      utils.createErrorLog(this.#options.log, "peer.heartbeats"),
+    );
   }
 
   /** Lists the relays of this failure domain. */
@@ -186,10 +196,7 @@
    * grow with the size of the failure domain. A relay also sends heartbeats to other
    * failure domains. One host that has left the view, if any, is tried as well.
    */
-  #listPeriodicTargets(): {
-    readonly name: string;
-    readonly address: string;
-  }[] {
+  #listPeriodicTargets(): HeartbeatTarget[] {
     const [successor, ...others] = this.members.listHeartbeatTargets();
     this.#targetTurn += 1;
     const nextTarget =
@@ -218,7 +225,7 @@
   }
 
   async #sendHeartbeatsTo(
-    targets: readonly { readonly name: string; readonly address: string }[],
+    targets: readonly HeartbeatTarget[],
   ): Promise<void> {
     const heartbeat = this.#buildHeartbeat();
     await Promise.all(
@@ -227,7 +234,7 @@
   }
 
   async #sendHeartbeat(
-    target: { readonly name: string; readonly address: string },
+    target: HeartbeatTarget,
     heartbeat: protocol.Heartbeat,
   ): Promise<void> {
     const response = await this.#options.clients.call(
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -116,8 +116,10 @@
     }
   }
 
-  const stop = utils.startInterval(options.terms.ttlMs / 4, advance);
-  const first = setTimeout(() => void advance(), 0);
+  const onError = utils.createErrorLog(options.log, "roles.advance");
+  const ms = options.terms.ttlMs / 4;
+  const stop = utils.startInterval({ ms, onError }, advance);
+  const first = setTimeout(() => utils.runDetached(advance, onError), 0);
   return {
     getLease: () => lease,
     firstLookup: looked,
--- a/packages/store/prefix_watch.ts
+++ b/packages/store/prefix_watch.ts
@@ -84,8 +84,12 @@
    */
   readonly getBatchDelayMs: () => number;
   readonly onEvent: (event: FeedEvent) => void;
+  /** Called with what the feed or `onEvent` threw; the prefix is read in full after a pause. */
+  readonly onError: (thrown: unknown) => void;
 }
 
+/** Pause after an unexpected error, in ms; half of the time within which a change must be applied. */
+const ERROR_PAUSE_MS = 1_000;
 /** Delay after the first failed call, in ms; doubles up to {@link MAX_RETRY_DELAY_MS}. */
 const MIN_RETRY_DELAY_MS = 50;
 /** Maximum delay between calls to an unavailable store, in ms: a tenth of the time within which a change must be applied. */
@@ -132,22 +136,32 @@
     return undefined;
   }
 
+  async function runStep(): Promise<void> {
+    const error = after === undefined ? await readAll() : await poll(after);
+    if (error === undefined) {
+      failures = 0;
+      return;
+    }
+    if (stopped) return;
+    onEvent({ kind: "failed", error });
+    const delay = MIN_RETRY_DELAY_MS * 2 ** failures;
+    failures += delay < MAX_RETRY_DELAY_MS ? 1 : 0;
+    await utils.waitFor(Math.min(MAX_RETRY_DELAY_MS, delay));
+  }
+
   async function run(): Promise<void> {
     while (!stopped) {
-      const error = after === undefined ? await readAll() : await poll(after);
-      if (error === undefined) {
-        failures = 0;
-        continue;
+      try {
+        await runStep();
+      } catch (thrown) {
+        options.onError(thrown);
+        after = undefined;
+        await utils.waitFor(ERROR_PAUSE_MS);
       }
-      if (stopped) return;
-      onEvent({ kind: "failed", error });
-      const delay = MIN_RETRY_DELAY_MS * 2 ** failures;
-      failures += delay < MAX_RETRY_DELAY_MS ? 1 : 0;
-      await utils.waitFor(Math.min(MAX_RETRY_DELAY_MS, delay));
     }
   }
 
-  void run();
+  utils.runDetached(run, options.onError);
   return () => {
     stopped = true;
   };
--- a/packages/utils/mod.ts
+++ b/packages/utils/mod.ts
@@ -13,3 +13,4 @@
 export * from "./result.ts";
 export * from "./task.ts";
 export * from "./toml_file.ts";
+export * from "./unexpected_errors.ts";
--- a/packages/utils/task.ts
+++ b/packages/utils/task.ts
@@ -55,26 +55,52 @@
   };
 }
 
+/** Options of {@link startInterval}. */
+export interface IntervalOptions {
+  /** Pause before the first run and between two runs, in ms. */
+  readonly ms: number;
+  /** Receives what a run throws; the next one follows after the pause. */
+  readonly onError: (thrown: unknown) => void;
+}
+
 /**
- * Runs `work` repeatedly, with a pause of `intervalMs` before the first run and
- * between two runs. Returns a function that stops the repetition.
+ * Runs `work` repeatedly. Returns a function that stops the repetition.
  *
  * @example
- * const stop = startInterval(1000, async () => await renew());
+ * const stop = startInterval({ ms: 1000, onError }, async () => await renew());
  */
 export function startInterval(
-  intervalMs: number,
+  { ms, onError }: IntervalOptions,
   work: () => void | Promise<void>,
 ): () => void {
   let timer: NodeJS.Timeout | undefined;
   let stopped = false;
   async function runOnce(): Promise<void> {
-    await work();
-    if (!stopped) timer = setTimeout(runOnce, intervalMs);
+    try {
+      await work();
+    } catch (thrown) {
+      onError(thrown);
+    }
+    if (!stopped) timer = setTimeout(runOnce, ms);
   }
-  timer = setTimeout(runOnce, intervalMs);
+  timer = setTimeout(runOnce, ms);
   return () => {
     stopped = true;
     clearTimeout(timer);
   };
 }
+
+/**
+ * Runs work whose end nobody awaits. What it throws goes to `onError` and not to the
+ * process, which an unhandled rejection would end with all its requests.
+ *
+ * @example
+ * runDetached(() => renew(), (thrown) => log.error({ thrown }, "Renewal failed."));
+ */
+export function runDetached(
+  work: () => unknown,
+  onError: (thrown: unknown) => void,
+): void {
+  const run = async () => await work();
+  run().catch(onError);
+}
