Take in no published statuses that no host writes

One entry under the hosts' own prefix that holds null in place of a status ends every host in the round in which it reads it.

Cause: what hosts publish was taken for what its type says, unchecked, and the round that read it was a promise that nobody handled.

Change: the structure of an entry is checked when it is read (gateway/published_statuses.ts), without a look at each count, since a relay reads all hosts' statuses each second. Contacts of other hosts, also those in lease records and messages, are used only if their address and secret can be sent; role records need a host and an incarnation.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -409,6 +409,7 @@
     getDivisions: () => draft.roles.getDivisions(),
     describeVersions: () => draft.streamOrigins.describeVersions(),
     onVersions: (published) => draft.streamOrigins.acceptPublished(published),
+    onInvalidEntry: (kind) => draft.metrics.recordInvalidEntry(kind),
     onSummary: (summary) => hostUpdates.applyHostsSummary(draft, summary),
   });
 }
--- a/packages/banyangrade/gateway/handover_task.ts
+++ b/packages/banyangrade/gateway/handover_task.ts
@@ -8,6 +8,7 @@
 import * as lru from "lru-cache";
 import * as core from "@banyangrade/core";
 import * as service from "@banyangrade/service";
+import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
 import type * as dispatchTask from "../dispatch_task.ts";
 import * as handoverProtocol from "./handover_protocol.ts";
@@ -93,8 +94,9 @@
 
   /** Records how other hosts are reached. */
   recordContacts(contacts: readonly core.HostContact[]): void {
-    contacts.filter(({ host }) => host !== this.#options.host)
-      .forEach((contact) => this.#contacts.set(contact.host, contact));
+    contacts.filter((contact) =>
+      contact.host !== this.#options.host && store.isContact(contact)
+    ).forEach((contact) => this.#contacts.set(contact.host, contact));
   }
 
   /** Looks for hosts with working links until this host runs all its requests itself. */
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -8,6 +8,8 @@
 import type * as peer from "@banyangrade/peer";
 import type * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
+import * as invalidEntries from "./invalid_entries.ts";
+import * as publishedStatuses from "./published_statuses.ts";
 import type * as relayTask from "./relay_task.ts";
 
 /** Key prefix of the published statuses. */
@@ -30,17 +32,6 @@
 /** Interval between renewals of the entry's lease, in ms. */
 const RENEW_MS = 4_000;
 
-/** Value of an entry under the prefix. */
-interface PublishedStatuses {
-  /** How other relays reach the publishing host; absent if it is no relay. */
-  readonly contact?: store.RoleContact;
-  readonly statuses: readonly core.HostStatus[];
-  /** Software versions of the services as the host sees them; absent from hosts of earlier versions. */
-  readonly versions?: core.PublishedViews;
-  /** Marks of suspects that the publishing host knows, its own and others'; absent from hosts of earlier versions. */
-  readonly known?: readonly core.SuspectMark[];
-}
-
 /** Who told a host that started what other hosts knew. */
 export type RecallSource =
   | "relay"
@@ -78,6 +69,8 @@
   readonly onVersions: (published: readonly core.PublishedViews[]) => void;
   /** Called with the marks of suspects that other hosts published, with Unix times. */
   readonly onPublishedMarks: (marks: readonly core.SuspectMark[]) => void;
+  /** Called for each version of an entry that describes no statuses. */
+  readonly onInvalidEntry: (kind: invalidEntries.EntryKind) => void;
   /** Called with the summary of all other hosts. */
   readonly onSummary: (summary: core.HostsSummary) => void;
 }
@@ -92,6 +85,7 @@
   readonly #options: HostStatusOptions;
   /** Statuses of this host and its followers. */
   readonly #statuses = new core.HostStatuses();
+  readonly #invalid: invalidEntries.InvalidEntries;
   /** The other relays. */
   #contacts: readonly store.RoleContact[] = [];
   /** Last summary of each other relay, by address. */
@@ -123,6 +117,10 @@
   constructor(options: HostStatusOptions) {
     this.#options = options;
     this.#chooser = new core.SenderChooser(options);
+    this.#invalid = new invalidEntries.InvalidEntries({
+      log: options.log,
+      onInvalid: options.onInvalidEntry,
+    });
   }
 
   start(): void {
@@ -442,7 +440,7 @@
       this.#lease = granted.val;
     }
     const contact = relay.getContact();
-    const published: PublishedStatuses = {
+    const published: publishedStatuses.PublishedStatuses = {
       ...(contact && { contact }),
       versions: this.#options.describeVersions(),
       known: this.#known,
@@ -488,10 +486,13 @@
     const listed = await this.#options.store.list(PREFIX);
     if (listed.err) return void this.#recordFailure(listed.val);
     const own = `${PREFIX}${this.#options.host}/${this.#options.incarnation}`;
-    const published = listed.val.map(({ key, value }) => ({
-      key,
-      ...utils.parseJson(value) as PublishedStatuses | undefined,
-    }));
+    const published = listed.val.flatMap((entry) => {
+      const parsed = publishedStatuses.parsePublished(entry.value);
+      if (parsed.ok) return [{ key: entry.key, ...parsed.val }];
+      const error = parsed.val;
+      this.#invalid.report(entry, { kind: "statuses", error });
+      return [];
+    });
     if (this.#readAt === Number.NEGATIVE_INFINITY) {
       this.#options.onVersions(
         published.flatMap(({ key, versions }) =>
@@ -500,12 +501,12 @@
       );
     }
     this.#published = keepNewest(
-      published.flatMap(({ statuses = [] }) => statuses),
+      published.flatMap(({ statuses }) => statuses),
     );
     this.#publishedMarks = published.flatMap((one) =>
       one.key === own ? [] : [
         ...one.known ?? [],
-        ...(one.statuses ?? []).flatMap(({ suspects }) => suspects),
+        ...one.statuses.flatMap(({ suspects }) => suspects),
       ]
     );
     this.#contacts = published.flatMap(({ key, contact }) =>
--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -208,7 +208,7 @@
   ): Promise<Answer | undefined> {
     // A status round may still run after the close and would open a connection
     // that is never closed.
-    if (this.#closed) return undefined;
+    if (this.#closed || !store.isContact(contact)) return undefined;
     const answer = await this.#getClients(contact).call(
       { address: contact.address, step },
       run,
--- a/packages/banyangrade/host_status_test.ts
+++ b/packages/banyangrade/host_status_test.ts
@@ -52,6 +52,7 @@
     getDivisions: () => undefined,
     describeVersions: () => ({}),
     onVersions: () => undefined,
+    onInvalidEntry: () => undefined,
     onSummary: (summary) => void received.push(summary),
   });
   presence.start();
@@ -107,6 +108,7 @@
     getDivisions: () => undefined,
     describeVersions: () => ({ planner: single }),
     onVersions: (versions) => void received.push(versions),
+    onInvalidEntry: () => undefined,
     onSummary: () => undefined,
   });
   presence.start();
--- a/packages/banyangrade/stream_origins_task_test.ts
+++ b/packages/banyangrade/stream_origins_task_test.ts
@@ -30,7 +30,7 @@
   const task = new streamOriginsTask.StreamOriginsTask({
     clock: utils.SYSTEM_CLOCK,
     log: utils.createLogger({ level: "silent" }),
-      metrics: new metrics.Metrics(),
+    metrics: new metrics.Metrics(),
     versions: new core.SoftwareVersions(),
     isFresh: () => true,
     listRelays: () => [],
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -20,6 +20,22 @@
   readonly secret: string;
 }
 
+/** Text of which contacts are made: nothing that a header cannot hold. */
+const CONTACT_TEXT = /^[\x21-\x7e]+$/;
+
+/**
+ * Whether a value that another process wrote says how a host is called. Clients throw
+ * for other addresses and secrets.
+ *
+ * @example
+ * isContact({ address: "10.0.0.1:99999", secret: "s" }); // false
+ */
+export function isContact(value: unknown): value is RoleContact {
+  const { address, secret } = (value ?? {}) as Partial<RoleContact>;
+  return utils.isIpv4Address(address) && typeof secret === "string" &&
+    CONTACT_TEXT.test(secret);
+}
+
 /** Options of {@link startLeaseHolder}. */
 export interface LeaseHolderOptions {
   readonly store: client.KeyValueClient;
@@ -217,7 +233,14 @@
 function parseRole(
   entry: client.StoreEntry | undefined,
 ): RoleRecord | undefined {
-  return entry && utils.parseJson(entry.value) as RoleRecord | undefined;
+  const record = entry && utils.parseJson(entry.value);
+  return isRoleRecord(record) ? record : undefined;
+}
+
+function isRoleRecord(value: unknown): value is RoleRecord {
+  const { host, incarnation, contact } = (value ?? {}) as Partial<RoleRecord>;
+  return typeof host === "string" && typeof incarnation === "string" &&
+    (contact === undefined || isContact(contact));
 }
 
 interface ReadRole {
