--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -164,9 +164,14 @@
   ): Promise<Answer | undefined> {
     const relay = this.#relay;
     if (relay?.contact === undefined) return undefined;
+    const calledAt = this.#options.clock.now();
     const answer = await this.callContact(relay.contact, call);
-    if (answer === undefined) this.#markUnresponsive(relay);
-    else if (this.#relay === relay) this.#applyState(call.readState?.(answer));
+    if (answer === undefined) {
+      this.#markUnresponsive(relay);
+      this.#recordUnanswered(relay, { step: call.step, calledAt });
+    } else if (this.#relay === relay) {
+      this.#applyState(call.readState?.(answer));
+    }
     return answer;
   }
 
@@ -307,6 +312,22 @@
     this.#forgetRelay(relay, "Relay lost; following the store directly.");
   }
 
+  /** Logs how long a call to a relay was pending, and for how long of that the relay had been given up. */
+  #recordUnanswered(
+    { host, incarnation }: peer.RelayRecord,
+    { step, calledAt }: { readonly step: string; readonly calledAt: number },
+  ): void {
+    const now = this.#options.clock.now();
+    const isKnownLost = incarnation === this.#unresponsive.incarnation;
+    const lostAt = this.#unresponsive.until - RELAY_BACKOFF_MS;
+    this.#options.log.info({
+      relay: host,
+      step,
+      waitedMs: Math.round(now - calledAt),
+      lostForMs: isKnownLost ? Math.round(now - lostAt) : undefined,
+    }, "Call to the relay ended without an answer.");
+  }
+
   /** Stops using a relay and does not use it again for some time. */
   #forgetRelay(relay: peer.RelayRecord, message: string): void {
     this.#relay = undefined;
