End the calls that wait at a relay when the relay is given up

Cause: a follower notices the loss after 1.1 s, by the poll for the configuration, and drops the connection. The poll for the list of servers, which may wait for 3 s, was not ended by that: the library closes a connection once its pending calls have ended, and this one ended at its own timeout of 3.3 s.

Change: connections to relays end their pending calls when they are given up; the poll then goes to the store at once. The same where a relay is replaced while it is still reachable, since no later call would notice that the former one falls silent. Calls of the product's other hosts keep waiting: an operation that was handed over must not lose its answer to a missed heartbeat.

--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -233,7 +233,11 @@
     const known = this.#clients.get(secret);
     if (known !== undefined) return known;
     const { clock } = this.#options;
-    const clients: RelayClients = new peer.PeerClients({ secret, clock });
+    const clients: RelayClients = new peer.PeerClients({
+      secret,
+      clock,
+      endsPending: true,
+    });
     this.#clients.set(secret, clients);
     return clients;
   }
@@ -302,11 +306,25 @@
     // An earlier process of this host may still hold the lease.
     const isOwn = host === this.#options.host;
     if (contact === undefined || avoided || isOwn) return;
+    this.#endCalls(this.#relay, { except: record });
     this.#relay = record;
     log.info({ relay: host }, "Relay found.");
     this.#sendRelay(record);
   }
 
+  /**
+   * Ends the calls to a relay that this host no longer follows. Once the other calls
+   * go elsewhere nothing else would show that it is silent.
+   */
+  #endCalls(
+    relay: peer.RelayRecord | undefined,
+    { except }: { readonly except?: peer.RelayRecord } = {},
+  ): void {
+    const secret = relay?.contact?.secret;
+    if (secret === undefined || secret === except?.contact?.secret) return;
+    this.#clients.get(secret)?.close();
+  }
+
   #markUnresponsive(relay: peer.RelayRecord): void {
     if (this.#relay !== relay) return;
     this.#forgetRelay(relay, "Relay lost; following the store directly.");
@@ -331,6 +349,7 @@
   /** Stops using a relay and does not use it again for some time. */
   #forgetRelay(relay: peer.RelayRecord, message: string): void {
     this.#relay = undefined;
+    this.#endCalls(relay);
     this.#readiness.clear();
     this.#unresponsive = {
       incarnation: relay.incarnation,
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -23,6 +23,8 @@
 
 interface Connection<Router extends AnyRouter> {
   readonly client: trpc.TRPCClient<Router>;
+  /** Ends the calls that are pending on the connection, if the clients do that. */
+  readonly abort: AbortController;
   readonly close: () => void;
   usedAt: number;
 }
@@ -37,6 +39,13 @@
 export interface PeerClientsOptions {
   readonly secret: string;
   readonly clock: utils.Clock;
+  /**
+   * Whether the loss of a connection ends the calls that are pending on it. Without
+   * it, a call that may wait for long outlives its host: the library keeps it open
+   * until its own timeout, although another call has found the host silent.
+   * @default false, for calls whose answers must not be lost
+   */
+  readonly endsPending?: boolean;
   /** Returns the certificates; called for each new connection, so that renewed certificates are used. */
   readonly getTls?: () => server.PeerTls | undefined;
 }
@@ -65,10 +74,10 @@
     this.#sent += 1;
     let connection: Connection<Router> | undefined;
     try {
-      const { client } = connection = this.#connect(peer);
+      const { client, abort } = connection = this.#connect(peer);
       return utils.Ok(
         await runWithTimeout(
-          timeoutMs,
+          { ms: timeoutMs, lost: abort.signal },
           (signal) => run(client, signal),
         ),
       );
@@ -111,7 +120,7 @@
       return known;
     }
     const opened = openConnection<Router>(address, this.#options);
-    const connection = { ...opened, usedAt };
+    const connection = { ...opened, abort: new AbortController(), usedAt };
     this.#connections.set(address, connection);
     return connection;
   }
@@ -122,15 +131,17 @@
    * long after their timeouts.
    */
   #drop(address: string): void {
-    this.#connections.get(address)?.close();
+    const connection = this.#connections.get(address);
     this.#connections.delete(address);
+    connection?.close();
+    if (this.#options.endsPending) connection?.abort.abort();
   }
 }
 
 function openConnection<Router extends AnyRouter>(
   address: string,
   options: PeerClientsOptions,
-): Omit<Connection<Router>, "usedAt"> {
+): Omit<Connection<Router>, "abort" | "usedAt"> {
   const tls = options.getTls?.();
   const socket = trpc.createWSClient({
     url: `${tls === undefined ? "ws" : "wss"}://${address}`,
@@ -174,17 +185,26 @@
   return undefined as unknown as boolean;
 }
 
-/** Rejects a call after a timeout. The abort signal alone is not enough, because the library ignores it while the socket is connecting. */
+/** Rejects a call after a timeout, or when its connection is given up. The abort signal alone is not enough, because the library ignores it while the socket is connecting. */
 function runWithTimeout<Answer>(
-  ms: number,
+  { ms, lost }: { readonly ms: number; readonly lost: AbortSignal },
   run: (signal: AbortSignal) => Promise<Answer>,
 ): Promise<Answer> {
   const abort = new AbortController();
   return new Promise<Answer>((resolve, reject) => {
-    const timer = setTimeout(() => {
+    const end = (message: string) => {
       abort.abort();
-      reject(new Error(`The host did not answer within ${ms} ms.`));
-    }, ms);
-    run(abort.signal).then(resolve, reject).finally(() => clearTimeout(timer));
+      reject(new Error(message));
+    };
+    const timer = setTimeout(
+      () => end(`The host did not answer within ${ms} ms.`),
+      ms,
+    );
+    const endLost = () => end("The connection to the host was given up.");
+    lost.addEventListener("abort", endLost);
+    run(abort.signal).then(resolve, reject).finally(() => {
+      clearTimeout(timer);
+      lost.removeEventListener("abort", endLost);
+    });
   });
 }
--- a/packages/peer/client_test.ts
+++ b/packages/peer/client_test.ts
@@ -15,21 +15,7 @@
 // while a follower has several calls on one connection, the follower drops the
 // connection, and the library reopens it five times a second until the process ends.
 tap.test("a dropped connection is not reopened", async (t) => {
-  const waitForever = () => new Promise<never>(() => undefined);
-  const server = await peer.startPeerServer({
-    hostname: "127.0.0.1",
-    port: 0,
-    secrets: ["secret"],
-    router: peer.buildRelayRouter({
-      readAll: () => ({ kind: "unready" }),
-      pollChanges: waitForever,
-      report: () => ({ others: EMPTY, publishes: true }),
-      getSummary: () => EMPTY,
-      acceptRelay: () => undefined,
-      shareOrigins: () => ({ relays: [] }),
-      findOrigin: () => Promise.resolve({ views: [], relays: [] }),
-    }),
-  });
+  const server = await startSilentServer();
   const address = `127.0.0.1:${server.port}`;
   const clients = new peer.PeerClients<peer.RelayRouter>({
     secret: "secret",
@@ -63,6 +49,57 @@
   await new Promise((resolve) => listener.close(resolve));
 });
 
+// Guards against a call that waits for a change at a host long after another call has found that host silent.
+tap.test("a pending call ends when its connection is given up", async (t) => {
+  const server = await startSilentServer();
+  const address = `127.0.0.1:${server.port}`;
+  const startCalls = async (endsPending: boolean) => {
+    const clients = new peer.PeerClients<peer.RelayRouter>({
+      secret: "secret",
+      clock: utils.SYSTEM_CLOCK,
+      endsPending,
+    });
+    const call = async (ms: number) => {
+      const startedAt = performance.now();
+      const answer = await clients.call(
+        { address, step: "test" },
+        (client, signal) =>
+          client.pollChanges.query(
+            { prefix: "a", after: 0, waitMs: ms },
+            { signal },
+          ),
+        ms,
+      );
+      t.notOk(answer.ok);
+      return performance.now() - startedAt;
+    };
+    const [longMs] = await Promise.all([call(1_500), call(150)]);
+    clients.close();
+    return longMs;
+  };
+  t.ok(await startCalls(true) < 1_000, "ends with the short one");
+  t.ok(await startCalls(false) >= 1_400, "calls whose answers count go on");
+  await server.close();
+  await utils.waitFor(CLOSE_WAIT_MS);
+});
+
+function startSilentServer(): Promise<peer.PeerServer> {
+  return peer.startPeerServer({
+    hostname: "127.0.0.1",
+    port: 0,
+    secrets: ["secret"],
+    router: peer.buildRelayRouter({
+      readAll: () => ({ kind: "unready" }),
+      pollChanges: () => new Promise<never>(() => undefined),
+      report: () => ({ others: EMPTY, publishes: true }),
+      getSummary: () => EMPTY,
+      acceptRelay: () => undefined,
+      shareOrigins: () => ({ relays: [] }),
+      findOrigin: () => Promise.resolve({ views: [], relays: [] }),
+    }),
+  });
+}
+
 const EMPTY = {
   hosts: 0,
   demand: {},
