Close connections on which servers send bytes without end

What callers saw: nothing yet; new on the users' pages: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: the HTTP client bounds headers and trailers, and this program bounds the body of a plain response. Nothing bounded a status line, interim responses, blank lines, the size or extension of a chunk, or a stream without the end of an event: they were read at the speed of the link until the request's deadline, blank lines on an idle connection for 4 s. A stream without the end of an event was copied anew with each chunk: pauses of 1.3 s and 172 MB of memory in 10 s. Large plain responses were bounded one by one (8 MiB), not together.

Change: a connection may bring 128 KiB that are no content, and four bytes for each byte of it (overhead_guard.ts); a stream 256 KiB without an event, whose parts are no longer copied. From 64 MiB of all responses on, those over 1 MiB are given up. Such an attempt may have run.

--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -141,7 +141,10 @@
   const outcome = await service.forwardRequest(
     buildCall(context, { ...request, reached }),
     {
-      onHeld: account.add,
+      onHeld: (bytes) => {
+        account.add(bytes);
+        return heldBytes.mayHoldMore(account);
+      },
       onMetadata: ({ signals }) => {
         waitMs = core.findRest(signals);
       },
--- a/packages/banyangrade/gateway/held_bytes.ts
+++ b/packages/banyangrade/gateway/held_bytes.ts
@@ -13,6 +13,11 @@
 /** Time without progress after which a request body no longer delays others, in ms; shorter than the longest wait for a body. */
 const BODY_STALLED_MS = 400;
 
+/** Bytes of all responses from which on large ones are given up, in bytes; a quarter of the memory of a small host. */
+const MAX_RESPONSES_BYTES = 64 * 1024 * 1024;
+/** Size from which a response counts as large, in bytes. */
+const MIN_LARGE_BYTES = 1024 * 1024;
+
 /** The connection of a caller, as the ledger needs it. */
 export interface CallerConnection {
   /** Path of the request, for the log. */
@@ -27,6 +32,7 @@
 /** Bytes of one kind that are held for one request. */
 export interface HeldAccount {
   readonly add: (bytes: number) => void;
+  readonly getHeld: () => number;
   /** Removes all bytes of the account; later additions are ignored. */
   readonly close: () => void;
 }
@@ -106,6 +112,16 @@
       this.#budget.countServersInFlight() === 0;
   }
 
+  /**
+   * Whether more of a response may be held: always, unless all responses together are
+   * large and this one is among the large ones. A server that fails may send a body
+   * without end, and sound responses must not fail for it.
+   */
+  mayHoldMore({ getHeld }: HeldAccount): boolean {
+    return getHeld() <= MIN_LARGE_BYTES ||
+      this.#budget.getTotals().response <= MAX_RESPONSES_BYTES;
+  }
+
   /** Opens an account for bytes of a request. */
   openAccount(
     holder: string,
@@ -114,6 +130,7 @@
     let held = 0;
     let closed = false;
     return {
+      getHeld: () => held,
       add: (bytes) => {
         if (closed) return;
         held += bytes;
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -66,8 +66,8 @@
   readonly signal: AbortSignal;
   /** Time at which it is sent, monotonic ms. */
   readonly now: number;
-  /** Receives the size of each part of the response that is held. */
-  readonly onHeld: (bytes: number) => void;
+  /** Receives the size of each part of the response that is held; returns whether more may be held. */
+  readonly onHeld: (bytes: number) => boolean;
 }
 
 /** Shortest retry delay that a refusal gives, in ms; several times the duration of the shortest calls. */
@@ -269,7 +269,10 @@
       const send = this.#buildSend(effect, {
         signal,
         now: sentAt,
-        onHeld: account.add,
+        onHeld: (bytes) => {
+          account.add(bytes);
+          return this.#context.heldBytes.mayHoldMore(account);
+        },
       });
       if (send === undefined) return;
       const ranBefore = this.#recordStart(effect);
--- a/packages/service/connections.ts
+++ b/packages/service/connections.ts
@@ -2,6 +2,7 @@
 import type * as net from "node:net";
 import * as undici from "undici";
 import * as utils from "@banyangrade/utils";
+import * as overheadGuard from "./overhead_guard.ts";
 import * as sendGate from "./send_gate.ts";
 
 /** Timeout for opening a connection, in ms; about a hundred times the latency between failure domains. */
@@ -73,7 +74,17 @@
         });
         callback(...outcome);
       }),
-    factory: utils.createResettingClient,
+    factory: (origin, options) => {
+      const guard = new overheadGuard.OverheadGuard();
+      const client = utils.createResettingClient(origin, {
+        ...options,
+        onSocket: (socket: net.Socket) => guard.watchSocket(socket),
+      });
+      const { dispatch } = client;
+      client.dispatch = (call, handler) =>
+        dispatch.call(client, call, guard.watchHandler(handler));
+      return client;
+    },
   });
   if (options.onConnected !== undefined) {
     pool.on("connect", options.onConnected);
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -70,8 +70,11 @@
   readonly onMetadata?: (
     metadata: ResponseMetadata & { readonly status: number },
   ) => void;
-  /** Receives the size of each part of a plain response that is held until it is complete. @default ignored */
-  readonly onHeld?: (bytes: number) => void;
+  /**
+   * Receives the size of each part of a plain response that is held until it is
+   * complete; returns whether the host may hold more of it. @default it may
+   */
+  readonly onHeld?: (bytes: number) => boolean;
   /** Receives complete events unchanged; the promise applies backpressure while the caller is slow. */
   readonly onEvents: (
     batch: EventBatch,
@@ -252,7 +255,8 @@
   }
   const body = await readBody(response.body, sink);
   if (body === undefined) {
-    const reason = "The response exceeds the size limit.";
+    const reason =
+      "The response exceeds the size limit, or all responses together do.";
     return { kind: "failed", failure: "server_error", reason };
   }
   const forwarded = { status, headers: forwardedHeaders, body };
@@ -302,7 +306,7 @@
   for await (const chunk of body) {
     size += chunk.length;
     if (size > MAX_RESPONSE_BYTES) return undefined;
-    onHeld?.(chunk.length);
+    if (onHeld?.(chunk.length) === false) return undefined;
     chunks.push(chunk);
   }
   return Buffer.concat(chunks);
@@ -322,10 +326,18 @@
     // The host waited for the server, so it had read all that was sent.
     if (performance.now() - reading.readAt >= MIN_WAIT_MS) reading.unreadMs = 0;
     const complete = splitter.append(chunk);
-    if (complete === undefined) {
-      const reason =
-        "The identifier of an event is not greater than the preceding one.";
-      return { kind: "failed", failure: "crossed", reason };
+    switch (complete.kind) {
+      case "out_of_order": {
+        const reason =
+          "The identifier of an event is not greater than the preceding one.";
+        return { kind: "failed", failure: "crossed", reason };
+      }
+      case "no_event": {
+        const reason = "The stream goes on without events.";
+        return { kind: "failed", failure: "server_error", reason };
+      }
+      case "events":
+        break;
     }
     if (complete.count === 0) {
       reading.readAt = performance.now();
--- a/packages/utils/resetting_client.ts
+++ b/packages/utils/resetting_client.ts
@@ -12,6 +12,8 @@
     undici.Client.Options["connect"],
     (...values: never[]) => unknown
   >;
+  /** Called with each new connection. @default ignored */
+  readonly onSocket?: (socket: net.Socket) => void;
 }
 
 /**
@@ -26,13 +28,14 @@
   origin: URL,
   options: object,
 ): undici.Client {
-  const { connect, ...others } = options as ClientOptions;
+  const { connect, onSocket, ...others } = options as ClientOptions;
   const client = new undici.Client(origin, {
     ...others,
     connect: (target, callback) =>
       connect(target, (...outcome) => {
         if (outcome[0] === null) {
           makeResetting(outcome[1], () => client.stats.running > 0);
+          onSocket?.(outcome[1]);
         }
         callback(...outcome);
       }),
