Believe no response without the identifier of the request

Cause: without an identifier only a 2xx was refused. Another status was forwarded, and "not executed" or 421 counted as proof that nothing ran. And all attempts of a request have one identifier, so that a copy of a server's refusal passed for the answer to the next attempt on the same connection.

Change: a response without the request's identifier has another one's kind (crossed): its connection is closed, it is not forwarded, and the request may have run. An attempt at a server that refused the same request before has a connection of its own. Between hosts, where no second response comes, a refusal still needs none.

Evidence: "a response without the request's identifier is not believed" failed for 6 of 7 responses before, and "a copy of an earlier refusal is not taken for the answer to the next attempt" failed as well; both pass now.

--- a/packages/banyangrade/gateway/connection_pools.ts
+++ b/packages/banyangrade/gateway/connection_pools.ts
@@ -76,12 +76,30 @@
     return pool;
   }
 
+  /**
+   * Opens a connection of its own for one attempt at a server that refused the same
+   * request before. On the earlier connection a second copy of that refusal may still
+   * arrive, with the same identifier, while the server runs the request.
+   */
+  openFresh(server: core.ServerInfo): service.ServerConnections {
+    return service.createServerConnections(server.url, {
+      connections: 1,
+      clock: this.#clock,
+      maySend: () => this.#maySendTo(server.name),
+    });
+  }
+
+  /** Closes a pool; running requests are completed first. */
+  closePool(connections: service.ServerConnections): void {
+    utils.runDetached(() => connections.close(), this.#onError);
+  }
+
   /** Closes the pools of servers that are no longer listed; running requests are completed first. */
   closeUnlisted(names: ReadonlySet<string>): void {
     [...this.#pools].filter(([name]) => !names.has(name))
       .forEach(([name, pool]) => {
         this.#pools.delete(name);
-        utils.runDetached(() => pool.close(), this.#onError);
+        this.closePool(pool);
       });
   }
 
--- a/packages/banyangrade/gateway/handover_exchange.ts
+++ b/packages/banyangrade/gateway/handover_exchange.ts
@@ -202,7 +202,9 @@
       const isRejected = ran === undefined && !metadata.genuine &&
         status >= 400 && status < 500;
       const notRun = metadata.notRun || ran === "no" || isRejected;
-      return { ...metadata, notRun };
+      // What a host refuses itself bears no identifier; hosts send no second responses.
+      const { requestId = head.requestId } = metadata;
+      return { ...metadata, requestId, notRun };
     },
     signal,
     toleratesUnread: true,
--- a/packages/banyangrade/gateway/request_exchange.ts
+++ b/packages/banyangrade/gateway/request_exchange.ts
@@ -105,6 +105,8 @@
   #errorResponse: service.ForwardedResponse | undefined;
   /** Account of the bytes of the last error response. */
   #errorAccount: heldBytes.HeldAccount | undefined;
+  /** Servers that refused the request without running it. */
+  readonly #refusedBy = new Set<string>();
   /** Number of attempts that this host did not send. */
   #unsent = 0;
 
@@ -311,8 +313,7 @@
   ): (() => Promise<service.ForwardOutcome>) | undefined {
     try {
       const call = this.#buildCall(effect, options);
-      return () =>
-        service.forwardRequest(call, this.#buildSink(effect, options));
+      return () => this.#send(effect, { call, options });
     } catch (thrown) {
       const step = "exchange.prepare";
       this.#unsent += 1;
@@ -365,15 +366,41 @@
     return this.#context.checkKey(request.keyId, request.customer);
   }
 
-  #buildCall(
+  async #send(
     effect: StartEffect,
-    { signal, now }: AttemptOptions,
-  ): service.ForwardCall {
-    const { pools, wire, heldBytes } = this.#context;
+    { call, options }: {
+      readonly call: service.ForwardCall;
+      readonly options: AttemptOptions;
+    },
+  ): Promise<service.ForwardOutcome> {
+    const { name } = effect.server;
+    const isFresh = this.#refusedBy.has(name);
+    const sink = this.#buildSink(effect, options);
+    const outcome = await service.forwardRequest(call, sink);
+    if (isFresh) this.#context.pools.closePool(call.connections);
+    const isRefused = outcome.kind === "failed" &&
+      outcome.failure === "refused";
+    if (isRefused) this.#refusedBy.add(name);
+    return outcome;
+  }
+
+  /** Returns the connections for an attempt: one of its own at a server that refused the request before. */
+  #getConnections(server: core.ServerInfo): service.ServerConnections {
+    const { pools } = this.#context;
     const { table, request } = this.#options;
     const connectionLimit =
       table.configuration.services.find((one) => one.name === request.target)
         ?.connectionLimit ?? 1;
+    return this.#refusedBy.has(server.name)
+      ? pools.openFresh(server)
+      : pools.get(server, { connectionLimit });
+  }
+
+  #buildCall(
+    effect: StartEffect,
+    { signal, now }: AttemptOptions,
+  ): service.ForwardCall {
+    const { wire, heldBytes } = this.#context;
     return {
       ...attemptRequest.buildAttemptRequest({
         ...effect,
@@ -382,7 +409,7 @@
         lastEventId: this.#lastEventId,
         now,
       }),
-      connections: pools.get(effect.server, { connectionLimit }),
+      connections: this.#getConnections(effect.server),
       signal,
       toleratesUnread: heldBytes.isEnabled(),
     };
--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -275,8 +275,12 @@
 ):
   | { readonly failure: core.AttemptFailure; readonly reason: string }
   | undefined {
-  if (marks.requestId !== undefined && marks.requestId !== call.requestId) {
-    const reason = "The response carries the identifier of another request.";
+  // A faulty server may send a second response where the next one is expected. Only
+  // the identifier tells it from the response, so without it no status is believed.
+  if (marks.requestId !== call.requestId) {
+    const reason = marks.requestId === undefined
+      ? "The response carries no request's identifier."
+      : "The response carries the identifier of another request.";
     return { failure: "crossed", reason };
   }
   if (marks.misdirected) {
@@ -288,8 +292,7 @@
     return { failure: "refused", reason };
   }
   const encoded = headers["content-encoding"] !== undefined;
-  const fromServer = marks.requestId === call.requestId && marks.genuine;
-  if (statusCode < 300 && (encoded || !fromServer)) {
+  if (statusCode < 300 && (encoded || !marks.genuine)) {
     const reason =
       "The response is content-encoded or does not prove that the server sent it.";
     return { failure: "server_error", reason };
--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -204,7 +204,7 @@
 tap.test("a refusal is distinguished from a server error", async (t) => {
   const refused = await runAgainst((socket) => {
     socket.end(
-      "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+      "HTTP/1.1 503 Busy\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
     );
   });
   t.match(refused.outcome, { kind: "failed", failure: "refused" });
@@ -336,3 +336,29 @@
   const short = { sinkMs: 300, resetMs: 100, toleratesUnread: true };
   t.match(await runUnread(short), { kind: "failed", failure });
 });
+
+/** Responses that a server may send after another one, where the next one is expected; none belongs to the request. */
+const STRAY_RESPONSES = [
+  "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n",
+  "HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+  "HTTP/1.1 429 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+  "HTTP/1.1 421 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+  "HTTP/1.1 500 X\r\nx-stamp: s\r\ncontent-length: 0\r\n\r\n",
+  "HTTP/1.1 200 X\r\nx-stamp: s\r\ncontent-length: 1\r\n\r\na",
+  "HTTP/1.1 503 X\r\nx-id: r0\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+];
+
+// Guards against a request that is refused as not run, or sent again, although its server runs it: a faulty server sent a response of no request.
+tap.test("a response without the request's identifier is not believed", async (t) => {
+  for (const response of STRAY_RESPONSES) {
+    const { outcome } = await runAgainst((socket) => socket.write(response));
+    t.match(outcome, { kind: "failed", failure: "crossed" }, response);
+    t.notOk("answer" in outcome, "not forwarded");
+  }
+  const { outcome } = await runAgainst((socket) =>
+    socket.write(
+      "HTTP/1.1 503 X\r\nx-id: r1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+    )
+  );
+  t.match(outcome, { kind: "failed", failure: "refused" });
+});
