Keep a draining host until slow callers have their responses

The host counted a response as ended once Node.js had taken it; and `close` of Node's HTTP server closes idle connections at once, among which it counts those whose response was taken and not sent.

Change: a draining host stays, within its time, until no caller has unsent bytes, and closes idle connections only while that is so.

Streams, encrypted connections and the operators' interface of the product are not tried.

--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -185,8 +185,13 @@
   const { requestHandler, startupWaits, heldBytes, handover } = parts;
   // A request whose body has not been read is not open at the dispatcher yet, and
   // would be lost without a refusal if the host closed.
+  // A response that Node.js has taken is still on its way to a caller that reads slowly.
   const countUnfinished = () =>
-    dispatch.countOpen() + handover.countOpen() + requestHandler.countPending();
+    Math.max(
+      dispatch.countOpen() + handover.countOpen() +
+        requestHandler.countPending(),
+      heldBytes.countCallers(),
+    );
   const until = clock.now() + DRAIN_SHARE * settings.graceMs;
   state.draining = true;
   startupWaits.refuseAll();
@@ -203,8 +208,13 @@
   state.closed = true;
   heldBytes.refuseWaits();
   ingress.drain();
+  const closeIdle = () => {
+    if (heldBytes.countCallers() === 0) ingress.closeIdle();
+  };
+  closeIdle();
   while (countUnfinished() > 0 && clock.now() < until) {
     await utils.waitFor(DRAIN_POLL_MS);
+    closeIdle();
   }
   log.info({ open: countUnfinished() }, "Host stopped.");
 }
--- a/packages/banyangrade/gateway/held_bytes.ts
+++ b/packages/banyangrade/gateway/held_bytes.ts
@@ -105,6 +105,11 @@
     return this.#budget.getTotals();
   }
 
+  /** Counts the callers whose response is not sent in full. */
+  countCallers(): number {
+    return this.#callers.size;
+  }
+
   /** Whether no request or caller holds anything and nothing is in flight. */
   isEmpty(): boolean {
     const { request, response, caller } = this.#budget.getTotals();
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -3,7 +3,7 @@
  * limits and closes connections without losing a request.
  */
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import type * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import type * as heldBytesModule from "./held_bytes.ts";
@@ -97,8 +97,10 @@
   readonly port: number;
   /** Applies the operators' limits. */
   readonly setLimits: (limits: core.RoutingLimits) => void;
-  /** Stops accepting connections and closes idle ones. */
+  /** Stops accepting connections. */
   readonly drain: () => void;
+  /** Closes idle connections. Node.js counts one as idle whose response it has taken, though the caller has not received it. */
+  readonly closeIdle: () => void;
   readonly close: () => void;
 }
 
@@ -134,10 +136,9 @@
       );
       server.headersTimeout = limits.headerTimeoutMs;
     },
-    drain: () => {
-      server.close();
-      server.closeIdleConnections();
-    },
+    // The method of the HTTP server would close idle connections too.
+    drain: () => void net.Server.prototype.close.call(server),
+    closeIdle: () => server.closeIdleConnections(),
     close: () => {
       server.close();
       server.closeAllConnections();
