--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -831,8 +831,8 @@
   {
     name: "spreading: other hosts are not called",
     file: "packages/banyangrade/gateway/handover_task.ts",
-    find: "void this.#sendSuspectsTo(contact, text)",
-    replace: "void [contact, text]",
+    find: "() => this.#sendSuspectsTo(contact, text),",
+    replace: "() => [contact, text],",
     test: "platform/poison_requests_test.ts",
   },
   {
