Take no delay of a busy host for the silence of a server

What callers saw: a healthy server that ended a stream which the host had not read, as its caller was slow, counted as failed at busy hosts and was avoided.

Cause: a wait of 5 ms for data counted as proof that all that the server had sent was read. A host that gets no processor waits as long for data that has arrived.

--- a/packages/service/forward.ts
+++ b/packages/service/forward.ts
@@ -10,6 +10,7 @@
 import * as eventSplitter from "./event_splitter.ts";
 import * as inactivityWatch from "./inactivity_watch.ts";
 import * as sendGate from "./send_gate.ts";
+import * as unreadWatch from "./unread_watch.ts";
 
 /** Metadata that the platform adds to the response headers. */
 export interface ResponseMetadata {
@@ -112,12 +113,6 @@
 
 /** Maximum size of a buffered response, in bytes. */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-/** Time without reading from which an end of the connection is not the server's failure, in ms; servers end responses that are unread for some seconds. */
-const UNREAD_MS = 1_000;
-/** Shortest wait for the caller or the server that counts, in ms; others are the time that a few callbacks take. */
-const MIN_WAIT_MS = 5;
-/** Time within which the end of a connection is noticed once the host reads again, in ms. */
-const END_NOTICE_MS = 100;
 /** Bytes that are buffered of a stream whose caller is slow; the default of 64 KB is much for a small host with many slow callers. */
 const STREAM_BUFFER_BYTES = 16 * 1024;
 
@@ -132,7 +127,7 @@
   sink: ForwardSink,
 ): Promise<ForwardOutcome> {
   const watch = inactivityWatch.watchInactivity(call);
-  const reading = { unreadMs: 0, readAt: 0 };
+  const unread = new unreadWatch.UnreadWatch();
   // A reset that arrives together with the head is counted before the head is passed on.
   const resetsBefore = call.connections.countResets();
   try {
@@ -152,7 +147,7 @@
       call,
       sink,
       watch,
-      reading,
+      unread,
     });
     const isReset = !isFramed(response.headers) &&
       call.connections.countResets() > resetsBefore;
@@ -169,7 +164,7 @@
     }
     const failure = utils.classifyTransportError(thrown);
     const isUnread = failure === "connection_lost" && call.toleratesUnread &&
-      isEndUnread(reading);
+      unread.isEndUnread();
     return {
       kind: "failed",
       failure: isUnread ? "unread" : failure,
@@ -178,6 +173,7 @@
     };
   } finally {
     watch.stop();
+    unread.stop();
   }
 }
 
@@ -214,25 +210,12 @@
   readonly call: ForwardCall;
   readonly sink: ForwardSink;
   readonly watch: inactivityWatch.InactivityWatch;
-  readonly reading: ReadingState;
-}
-
-/** How far the host is behind with reading a stream. */
-interface ReadingState {
-  /** Time for which the host waited for its caller since it last had read all that the server had sent, in ms. */
-  unreadMs: number;
-  /** When the host last began to wait for data of the server, monotonic ms. */
-  readAt: number;
-}
-
-/** Whether the host itself had not read for so long that the server may have ended the response. */
-function isEndUnread({ unreadMs, readAt }: ReadingState): boolean {
-  return unreadMs >= UNREAD_MS && performance.now() - readAt < END_NOTICE_MS;
+  readonly unread: unreadWatch.UnreadWatch;
 }
 
 async function readResponse(
   response: undici.Dispatcher.ResponseData,
-  { call, sink, watch, reading }: Exchange,
+  { call, sink, watch, unread }: Exchange,
 ): Promise<ForwardOutcome> {
   const { statusCode: status, headers } = response;
   const marks = call.readResponseMetadata(status, headers);
@@ -249,7 +232,7 @@
       call,
       sink,
       watch,
-      reading,
+      unread,
       head: { status, headers: forwardedHeaders },
     });
   }
@@ -317,17 +300,16 @@
 
 async function readStream(
   body: AsyncIterable<Buffer>,
-  { call, sink, watch, reading, head }: Exchange & {
+  { call, sink, watch, unread, head }: Exchange & {
     readonly head: Omit<ForwardedResponse, "body">;
   },
 ): Promise<ForwardOutcome> {
   const splitter = new eventSplitter.EventSplitter(call.lastEventId);
   let events = 0;
-  reading.readAt = performance.now();
+  unread.recordReading(0);
   for await (const chunk of body) {
     watch.recordReceived();
-    // The host waited for the server, so it had read all that was sent.
-    if (performance.now() - reading.readAt >= MIN_WAIT_MS) reading.unreadMs = 0;
+    unread.recordReceived();
     const complete = splitter.append(chunk);
     switch (complete.kind) {
       case "out_of_order": {
@@ -343,7 +325,7 @@
         break;
     }
     if (complete.count === 0) {
-      reading.readAt = performance.now();
+      unread.recordReading(0);
       continue;
     }
     events += complete.count;
@@ -351,9 +333,7 @@
     if (call.toleratesUnread) watch.setUnread(true);
     await sink.onEvents({ ...complete, head });
     if (call.toleratesUnread) watch.setUnread(false);
-    reading.readAt = performance.now();
-    const waitedMs = reading.readAt - writtenAt;
-    if (waitedMs >= MIN_WAIT_MS) reading.unreadMs += waitedMs;
+    unread.recordReading(performance.now() - writtenAt);
     if (call.signal.aborted) return { kind: "aborted" };
   }
   if (!splitter.isComplete()) {
--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -286,27 +286,49 @@
   await server.close();
 });
 
-/** Streams one event to a caller that takes it after `sinkMs`, and resets the connection after `resetMs`. */
+/** Keeps the event loop busy. */
+function keepEventLoopBusy(ms: number): void {
+  const end = performance.now() + ms;
+  while (performance.now() < end);
+}
+
+/**
+ * Streams events to a caller that takes the first one after `sinkMs`, and resets
+ * the connection after `resetMs`. The host is busy for `busyMs` whenever the
+ * caller has taken one.
+ */
 async function runUnread(
-  { sinkMs, resetMs, toleratesUnread }: {
+  { sinkMs, resetMs, events = 1, busyMs = 0, toleratesUnread }: {
     readonly sinkMs: number;
+    readonly events?: number;
     readonly resetMs: number;
+    readonly busyMs?: number;
     readonly toleratesUnread: boolean;
   },
 ): Promise<forward.ForwardOutcome> {
   const server = await startRawServer((socket) => {
     socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\n`);
-    const text = "id: 1\ndata: a\n\n";
-    socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+    Array.from({ length: events }, (_, index) => index + 1).forEach((id) => {
+      const data = id === 1 ? "a" : "x".repeat(50_000);
+      const text = `id: ${id}\ndata: ${data}\n\n`;
+      socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+    });
     setTimeout(() => socket.resetAndDestroy(), resetMs);
   });
+  let batches = 0;
   const outcome = await forward.forwardRequest(
     buildCall(server.pool, {
       stream: true,
       toleratesUnread,
       inactivityLimits: { headMs: 500, betweenMs: 900, sharesServer: false },
     }),
-    { onEvents: () => utils.waitFor(sinkMs) },
+    {
+      onEvents: async () => {
+        batches += 1;
+        if (batches === 1) await utils.waitFor(sinkMs);
+        setImmediate(() => keepEventLoopBusy(busyMs));
+      },
+    },
   );
   await server.close();
   return outcome;
@@ -327,6 +349,15 @@
   });
 });
 
+// Guards against a healthy server that is ejected because it ended a stream that a
+// busy host had not read: the host's own delay passes for the server's silence.
+tap.test("a stream that a busy host did not read ends as unread", async (t) => {
+  const slow = { sinkMs: 1_200, resetMs: 400, toleratesUnread: true };
+  const unread = { kind: "failed", failure: "unread" };
+  t.match(await runUnread({ ...slow, events: 20, busyMs: 20 }), unread);
+  t.match(await runUnread({ ...slow, events: 20, busyMs: 150 }), unread);
+});
+
 // Guards against a failing server that is not ejected because its callers are slow:
 // the host had read everything, or had not waited for long.
 tap.test("a failure while the host reads is the server's", async (t) => {
