Repeat a poll of the store at once if its connection broke

What callers saw: requests that were sent to a server 2.6 and 2.7 s after it had left (DRAIN, bound 2.0), from a host whose relay was cut off from the store and whose own connections were reset once.

Cause: beside a relay that is not ready, one failed poll of the store counted as an outage, and the next poll waited for 1.5 s.

Change: a poll that breaks before its wait is over is repeated at once. A second failure, or a poll without an answer, is an outage as before.

Result: "a poll that is interrupted beside an unready relay is repeated at once" failed before and passes now.

--- a/packages/banyangrade/gateway/relayed_feed.ts
+++ b/packages/banyangrade/gateway/relayed_feed.ts
@@ -59,14 +59,20 @@
   readonly listeners: Set<() => void>;
 }
 
+/** Failure of the store. */
+interface StoreFailure {
+  readonly error: utils.StepError;
+  readonly at: number;
+  /** Whether the connection of a single poll broke during its wait: this host's link may have failed, not the store. */
+  readonly isInterruption: boolean;
+}
+
 /** The store's change feed, read through the relay if possible. */
 export class RelayedFeed implements store.FeedClient {
   readonly #options: RelayedFeedOptions;
   readonly #prefixes = new Map<string, WatchedPrefix>();
   /** Last failure of the store; undefined once the store has answered again. */
-  #storeFailure:
-    | { readonly error: utils.StepError; readonly at: number }
-    | undefined;
+  #storeFailure: StoreFailure | undefined;
 
   constructor(options: RelayedFeedOptions) {
     this.#options = options;
@@ -100,8 +106,9 @@
     // After a failure the poll does not wait for a change, so that the first answer
     // proves at once that the data is current and a relay is ready again.
     const waitMs = this.#storeFailure === undefined ? options.waitMs : 0;
+    const sentAt = this.#options.clock.now();
     const read = await this.#pollStore(prefix, { ...options, waitMs });
-    this.#recordRead(prefix, read);
+    this.#recordRead(prefix, { read, waitEndsAt: sentAt + waitMs });
     return read;
   }
 
@@ -115,19 +122,32 @@
     if (failed === undefined) return undefined;
     if (clock.now() - failed.at >= STORE_BACKOFF_MS[relay]) return undefined;
     // A single interrupted poll is not taken for an outage.
-    const isOutage = relay === "unready" ||
-      this.#getPrefix(prefix).failures > 1;
+    const isOutage = relay === "unready"
+      ? !failed.isInterruption
+      : this.#getPrefix(prefix).failures > 1;
     return isOutage ? failed.error : undefined;
   }
 
-  #recordRead(prefix: string, read: Polled): void {
+  #recordRead(
+    prefix: string,
+    { read, waitEndsAt }: {
+      readonly read: Polled;
+      readonly waitEndsAt: number;
+    },
+  ): void {
+    const now = this.#options.clock.now();
     const watched = this.#getPrefix(prefix);
     // "not_found" means that the store has compacted its history; it is reachable.
     const error = read.err && read.val.code !== "not_found"
       ? read.val
       : undefined;
     watched.failures = error === undefined ? 0 : watched.failures + 1;
-    this.#storeFailure = error && { error, at: this.#options.clock.now() };
+    this.#storeFailure = error && {
+      error,
+      at: now,
+      isInterruption: error.code === "unknown_outcome" &&
+        watched.failures === 1 && now < waitEndsAt,
+    };
   }
 
   /** Answers a follower's call with a snapshot of the whole prefix. */
--- a/packages/banyangrade/relayed_feed_test.ts
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -23,6 +23,8 @@
   readonly storeCalls: string[];
   /** Longest waits of the polls that reached the store, in ms. */
   readonly waits: number[];
+  /** Time after which the store's polls end, in ms. */
+  delayMs: number;
 }
 
 function buildFixture(): Fixture {
@@ -32,6 +34,7 @@
     relayed: undefined,
     storeCalls: [],
     waits: [],
+    delayMs: 0,
   };
 }
 
@@ -45,6 +48,7 @@
       pollChanges: (_, { waitMs }) => {
         fixture.storeCalls.push("poll");
         fixture.waits.push(waitMs);
+        fixture.clock.advance(fixture.delayMs);
         return Promise.resolve(fixture.changes);
       },
     },
@@ -132,6 +136,33 @@
   t.equal(fixture.storeCalls.length, 3);
 });
 
+// Guards against a server that gets requests after it left: the host's own connection broke once while its relay had lost the store, and the host took both for an outage of the store.
+tap.test("a poll that is interrupted beside an unready relay is repeated at once", async (t) => {
+  const fixture = buildFixture();
+  const feed = buildFeed(fixture);
+  const longPoll = () => feed.pollChanges(PREFIX, { after: 5, waitMs: 1_000 });
+  fixture.relayed = { kind: "unready" };
+  fixture.changes = utils.Err({ ...LOST, code: "unknown_outcome" });
+  t.ok((await longPoll()).err);
+  fixture.changes = utils.Ok({ changes: [], revision: 5 });
+  t.ok((await longPoll()).ok);
+  t.same(fixture.waits, [1_000, 0]);
+  // A second failure is an outage, and so is a poll that the store did not answer.
+  fixture.changes = utils.Err({ ...LOST, code: "unknown_outcome" });
+  t.ok((await longPoll()).err);
+  t.ok((await longPoll()).err);
+  t.ok((await longPoll()).err);
+  t.equal(fixture.storeCalls.length, 4);
+  fixture.clock.advance(1_600);
+  fixture.changes = utils.Ok({ changes: [], revision: 5 });
+  t.ok((await longPoll()).ok);
+  fixture.delayMs = 1_000;
+  fixture.changes = utils.Err({ ...LOST, code: "unknown_outcome" });
+  t.ok((await longPoll()).err);
+  t.ok((await longPoll()).err);
+  t.equal(fixture.storeCalls.length, 6);
+});
+
 // A relay silently loses the store during the long polls of its followers. If they
 // kept waiting, a change in the meantime would not be applied in time.
 tap.test("a long poll ends when the relay's own data becomes stale", async (t) => {
