Hold no missing entry beyond the time that a host has to recover

Cause: after a failed call, an entry that is missing is held for 1.5 s, as it may have expired in an outage of the store. The time ran from the moment at which the host learned of the removal, which may be 1.5 s after its last failed call, and was checked each 200 ms: 3.2 s after the host's own trouble, where it has 3.0.

Change: while the service has other servers, an entry is held until 2.7 s after the last failed call at most, checked each 50 ms.

Evidence: "a missing entry is not held beyond the time in which the store counts as unstable" failed before and passes now.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -36,7 +36,7 @@
 /** Share of the withdrawal time for which the host reports itself ready; above the age that the last confirmation reaches between two polls. */
 const READY_SHARE = 0.7;
 /** Interval between checks for servers whose missing entries have expired, in ms. */
-const EXPIRY_CHECK_MS = 200;
+const EXPIRY_CHECK_MS = 50;
 
 /** Options of {@link ClusterStateTask}. */
 export interface ClusterStateOptions {
--- a/packages/core/server_list.ts
+++ b/packages/core/server_list.ts
@@ -41,6 +41,12 @@
 const HOLD_SHARE = 0.75;
 /** Time after a failed call for which the store counts as unstable, in ms. */
 export const STORE_UNSTABLE_MS = 3_000;
+/**
+ * Share of that time after which a missing entry is held no longer while its
+ * service has other servers. The host that failed may have been cut off from a
+ * store that was sound, and has to know by the end of that time who has left.
+ */
+const HOLD_UNTIL_SHARE = 0.9;
 
 interface KnownServer {
   readonly server: ListedServer;
@@ -104,10 +110,11 @@
       if (missingSince === undefined) return false;
       // All entries of a service are missing only after a store outage. Its
       // servers stay in use for the full time, as the service has no others.
-      const holdMs = listed.has(server.service)
-        ? this.#holdMs
-        : REREGISTRATION_MS;
-      return now - missingSince >= holdMs;
+      if (!listed.has(server.service)) {
+        return now - missingSince >= REREGISTRATION_MS;
+      }
+      return now - missingSince >= this.#holdMs ||
+        now - this.#lastFailure >= HOLD_UNTIL_SHARE * STORE_UNSTABLE_MS;
     });
     gone.forEach(([id]) => this.#known.delete(id));
     return gone.length > 0;
--- a/packages/core/server_list_test.ts
+++ b/packages/core/server_list_test.ts
@@ -69,6 +69,18 @@
   t.end();
 });
 
+// Guards against work for a server that left, at a host that reads the store for the first time long after its last failed call.
+tap.test("a missing entry is not held beyond the time in which the store counts as unstable", (t) => {
+  const list = buildList("s1", "s2");
+  list.recordOutage(10_000);
+  list.setAll([buildServer("s2")], 11_600);
+  t.same(listIds(list), ["s1", "s2"]);
+  t.equal(list.expire(12_500), false);
+  t.equal(list.expire(12_700), true);
+  t.same(listIds(list), ["s2"]);
+  t.end();
+});
+
 // Guards against work for a server that announced its departure before a store
 // outage: after the outage, its missing entry is not an expired one.
 tap.test("a draining server with a missing entry is dropped immediately", (t) => {
