Let no exception in two timers end the host

What callers would see: all open requests of a host lost, if the check of one slow caller or one message about lost servers threw. No value from outside is known to cause it.

Cause: the checks of held bytes and the sending of suspects ran in timers without a handler.

Evidence: "a caller whose check throws does not end the host" and "a message that throws does not end the host, and later ones are sent" ended the test process before.

Change: what they throw is logged with its step, and the next one follows.

--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -292,6 +292,7 @@
     },
   });
   draft.spreading = new suspectSpreading.SuspectSpreading({
+    log: utils.createPartLogger(log, "server"),
     clock,
     clocks: draft.clocks,
     isDoubted: (server) => dispatch.isDoubted(server),
--- a/packages/banyangrade/gateway/held_bytes.ts
+++ b/packages/banyangrade/gateway/held_bytes.ts
@@ -89,7 +89,11 @@
     this.#options = options;
     this.#budget = new core.ByteBudget(options);
     if (!this.isEnabled()) return;
-    this.#timer = setInterval(() => this.#check(), CHECK_MS).unref();
+    const onError = utils.createErrorLog(options.log, "held.check");
+    this.#timer = setInterval(
+      () => utils.runDetached(() => this.#check(), onError),
+      CHECK_MS,
+    ).unref();
   }
 
   /** Whether the level of the ledger has effects. */
--- a/packages/banyangrade/gateway/suspect_spreading.ts
+++ b/packages/banyangrade/gateway/suspect_spreading.ts
@@ -46,6 +46,7 @@
 
 /** Options of {@link SuspectSpreading}. */
 export interface SuspectSpreadingOptions {
+  readonly log: utils.Logger;
   readonly clock: utils.Clock;
   readonly clocks: Pick<hostClocks.HostClocks, "getTrueTime">;
   readonly isDoubted: (server: string) => boolean;
@@ -151,8 +152,9 @@
   #schedule(): void {
     if (this.#timer !== undefined) return;
     const pauseMs = this.#sentAt + PAUSE_MS - this.#options.clock.now();
+    const onError = utils.createErrorLog(this.#options.log, "suspects.send");
     this.#timer = setTimeout(
-      () => this.#send(),
+      () => utils.runDetached(() => this.#send(), onError),
       Math.max(COLLECT_MS, pauseMs),
     );
   }
--- a/packages/banyangrade/gateway/suspect_spreading_test.ts
+++ b/packages/banyangrade/gateway/suspect_spreading_test.ts
@@ -16,16 +16,21 @@
   const sent: string[] = [];
   const news: suspectSpreading.SpreadSuspects[] = [];
   const doubted = new Set<string>();
+  const failure = { isDue: false };
   const spreading = new suspectSpreading.SuspectSpreading({
+    log: utils.createLogger({ level: "silent" }),
     clock: utils.SYSTEM_CLOCK,
     clocks: { getTrueTime: () => utils.SYSTEM_CLOCK.now() + offsetMs },
     isDoubted: (server) => doubted.has(server),
     getContact: () => undefined,
     onContact: () => undefined,
-    onSend: (text) => void sent.push(text),
+    onSend: (text) => {
+      if (failure.isDue) throw new Error("No message can be sent.");
+      sent.push(text);
+    },
     onNews: (one) => void news.push(one),
   });
-  return { spreading, sent, news, doubted };
+  return { spreading, sent, news, doubted, failure };
 }
 
 const MARK: core.SuspectMark = { fingerprint: "f", server: "s1@1", at: 40 };
@@ -55,6 +60,19 @@
   other.spreading.stop();
 });
 
+// Guards against a host that ends with all its requests because a message to other hosts throws.
+tap.test("a message that throws does not end the host, and later ones are sent", async (t) => {
+  const { spreading, sent, failure } = startSpreading(0);
+  failure.isDue = true;
+  spreading.add([MARK]);
+  await utils.waitFor(SENT_MS);
+  failure.isDue = false;
+  spreading.add([{ ...MARK, server: "s2@1" }]);
+  await utils.waitFor(SENT_MS);
+  t.equal(sent.length, 1);
+  spreading.stop();
+});
+
 // Guards against hosts that do not try a server which may only be out of reach of
 // the host that lost it, or that go on refusing its requests.
 tap.test("hosts are told of doubts and of wrong losses", async (t) => {
--- a/packages/banyangrade/held_bytes_test.ts
+++ b/packages/banyangrade/held_bytes_test.ts
@@ -68,6 +68,26 @@
   t.equal(held.isEmpty(), true);
 });
 
+// Guards against a host that ends with all its requests because a check of one caller throws.
+tap.test("a caller whose check throws does not end the host", async (t) => {
+  const held = createHeldBytes(t, 1_000);
+  let checks = 0;
+  const account = held.openCaller({
+    path: "/",
+    getUnsentBytes: () => 2_000,
+    readProgress: () => {
+      checks += 1;
+      if (checks > 1) throw new Error("The connection has no address.");
+      return "0";
+    },
+    disconnect: () => undefined,
+  });
+  account.update();
+  await utils.waitFor(600);
+  t.ok(checks > 2, "checks go on");
+  account.close();
+});
+
 // Guards against a body that blocks all others until its caller's deadline
 // because its caller stops sending it.
 tap.test("at pressed, a body without progress delays others only shortly", async (t) => {
