--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -268,11 +268,13 @@
 
 function startWatch(pool: undici.Pool, options: WatchOptions): () => void {
   const abort = new AbortController();
-  runWatch(pool, { ...options, signal: abort.signal })
-    .then(() => "The stream ended.", utils.getErrorMessage)
-    .then((reason) => {
-      if (!abort.signal.aborted) options.onEvent({ kind: "ended", reason });
-    });
+  const end = (reason: string) => {
+    if (!abort.signal.aborted) options.onEvent({ kind: "ended", reason });
+  };
+  runWatch(pool, { ...options, signal: abort.signal }).then(
+    () => end("The stream ended."),
+    (thrown) => end(utils.getErrorMessage(thrown)),
+  );
   return () => abort.abort();
 }
 
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -488,7 +488,7 @@
   {
     name: "held bytes: a server that ends an unread stream has failed",
     file: "packages/service/forward.ts",
-    find: "      isEndUnread(reading);",
+    find: "      unread.isEndUnread();",
     replace: "      false;",
     test: "packages/service/forward_test.ts",
   },
