Log failed calls of the store and the steps of a start

Adds 'store: Call failed.' with these and 'start: First state complete.' with the time and the source of each step.

--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -38,6 +38,8 @@
   const servers = await startServers(parts);
   addGauges(parts);
   await parts.relay.start();
+  const followed = parts.relay.getFollowed()?.host ?? "none";
+  parts.startLog.record("relay", { source: followed });
   parts.belief.start();
   unexpectedErrors.runReported(parts, {
     step: "presence.recall",
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -29,6 +29,7 @@
 import * as suspectSpreading from "./suspect_spreading.ts";
 import * as suspectTelemetry from "./suspect_telemetry.ts";
 import * as sharedKnowledge from "./shared_knowledge.ts";
+import * as startLog from "./start_log.ts";
 import * as startupWaits from "./startup_waits.ts";
 import * as streamOriginsTask from "./stream_origins_task.ts";
 import * as heldBytes from "./held_bytes.ts";
@@ -67,6 +68,7 @@
   readonly roles: controlRolesTask.RolesTask;
   readonly heldBytes: heldBytes.HeldBytes;
   readonly handover: handoverTask.HandoverTask;
+  readonly startLog: startLog.StartLog;
   readonly startupWaits: startupWaits.StartupWaits;
   readonly requestHandler: requestHandler.RequestHandler;
   /** Set when the server for callers has started. */
@@ -101,10 +103,11 @@
  * const parts = buildGatewayParts({ settings, platform, log, clock });
  */
 export function buildGatewayParts(options: GatewayHostOptions): GatewayParts {
-  const draft: Draft = buildBase(
-    options,
-    (ended) => draft.relay.recordStoreCall(ended),
-  ) as Draft;
+  const draft: Draft = buildBase(options, (ended) => {
+    draft.metrics.recordStoreCall(ended);
+    draft.relay.recordStoreCall(ended);
+    recordFailedCall(draft, ended);
+  }) as Draft;
   addDispatch(draft);
   addHandover(draft);
   addRelay(draft);
@@ -128,6 +131,20 @@
   return !state.draining && belief.isReady();
 }
 
+/** Logs a call that the store did not process, and whether this process was late itself. */
+function recordFailedCall(
+  { log, dispatch }: Draft,
+  { call, ms, error }: store.EndedStoreCall,
+): void {
+  if (error === undefined) return;
+  utils.createPartLogger(log, "store").info({
+    call,
+    error,
+    ms: Math.round(ms),
+    loopDelayMs: Math.round(dispatch.getLoopDelay()),
+  }, "Call failed.");
+}
+
 /** Builds the components that refer to no other one. */
 function buildBase(
   options: GatewayHostOptions,
@@ -140,13 +157,10 @@
     ...options,
     platform: {
       ...options.platform,
-      store: store.countCalls(
-        options.platform.store,
-        (ended) => {
-          metrics.recordStoreCall(ended);
-          onStoreCall(ended);
-        },
-      ),
+      store: store.countCalls(options.platform.store, {
+        clock,
+        onCall: onStoreCall,
+      }),
     },
     incarnation,
     clocks: hostClocks.createHostClocks(clock),
@@ -163,6 +177,10 @@
       log: utils.createPartLogger(options.log, "held"),
       limitBytes: settings.heldBytesLimit,
     }),
+    startLog: new startLog.StartLog({
+      clock,
+      log: utils.createPartLogger(options.log, "start"),
+    }),
     startupWaits: new startupWaits.StartupWaits({
       clock,
       metrics,
@@ -355,6 +373,12 @@
     feed: platform.store,
     relay: draft.relay,
     clock: clocks.lease,
+    onReadAll: ({ prefix, source }) => {
+      const step = prefix === platform.serversPrefix
+        ? "servers"
+        : "configuration";
+      draft.startLog.record(step, { source });
+    },
   });
 }
 
@@ -374,7 +398,10 @@
         step: "presence.update",
         work: () => sharedKnowledge.updateShared(draft),
       }),
-    onFirstState: () => draft.startupWaits.release(),
+    onFirstState: () => {
+      draft.startLog.finish();
+      draft.startupWaits.release();
+    },
     onConfiguration: ({ configuration }) => {
       draft.ingress?.setLimits(configuration.limits);
       draft.dispatch.send({
--- a/packages/banyangrade/gateway/relayed_feed.ts
+++ b/packages/banyangrade/gateway/relayed_feed.ts
@@ -36,6 +36,14 @@
   readonly relay: Pick<relayTask.RelayTask, "callRelay">;
   /** Includes the time for which the process was suspended, so that data ages meanwhile. */
   readonly clock: utils.Clock;
+  /** Called with the source of each full read of a prefix. */
+  readonly onReadAll?: (read: SourcedRead) => void;
+}
+
+/** A full read of a prefix, and who answered it. */
+export interface SourcedRead {
+  readonly prefix: string;
+  readonly source: "relay" | "store";
 }
 
 type Polled = utils.Result<store.Changes, utils.StepError>;
@@ -90,11 +98,15 @@
     });
     if (relayed?.kind === "snapshot") {
       this.#setAll(prefix, { snapshot: relayed, sentAt });
+      this.#options.onReadAll?.({ prefix, source: "relay" });
       return utils.Ok(relayed);
     }
     const askedAt = clock.now();
     const read = await feed.readAll(prefix);
-    if (read.ok) this.#setAll(prefix, { snapshot: read.val, sentAt: askedAt });
+    if (read.ok) {
+      this.#setAll(prefix, { snapshot: read.val, sentAt: askedAt });
+      this.#options.onReadAll?.({ prefix, source: "store" });
+    }
     return read;
   }
 
--- a/packages/banyangrade/gateway/shared_knowledge.ts
+++ b/packages/banyangrade/gateway/shared_knowledge.ts
@@ -17,7 +17,7 @@
  * void fetchShared(parts);
  */
 export async function fetchShared(
-  { belief, clock, dispatch, log, metrics, presence, spreading }:
+  { belief, clock, dispatch, log, metrics, presence, spreading, startLog }:
     gatewayParts.GatewayParts,
 ): Promise<void> {
   const startedAt = clock.now();
@@ -33,6 +33,7 @@
     poison: dispatch.countPoisonRequests(),
     ms: Math.round(clock.now() - startedAt),
   }, "Asked what other hosts know.");
+  startLog.record("recall", { source });
   belief.recordRecall();
   spreading.sendAll(marks);
 }
--- a/packages/store/counted_client.ts
+++ b/packages/store/counted_client.ts
@@ -28,26 +28,40 @@
 export interface EndedStoreCall {
   readonly call: StoreCallKind;
   readonly outcome: StoreCallOutcome;
+  /** Time from the sending of the call to its end, in ms. */
+  readonly ms: number;
+  /** Absent if the store processed the call. */
+  readonly error?: utils.StepError;
+}
+
+/** Options of {@link countCalls}. */
+export interface CountedClientOptions {
+  readonly clock: Pick<utils.Clock, "now">;
+  /** Called at the end of each call. */
+  readonly onCall: (ended: EndedStoreCall) => void;
 }
 
 /**
  * Wraps a client so that `onCall` is called at the end of each call.
  *
  * @example
- * const counted = countCalls(client, ({ call, outcome }) => counter.inc({ call, outcome }));
+ * const counted = countCalls(client, { clock, onCall: ({ call, outcome }) => counter.inc({ call, outcome }) });
  */
 export function countCalls(
   counted: PolledStoreClient,
-  onCall: (ended: EndedStoreCall) => void,
+  { clock, onCall }: CountedClientOptions,
 ): PolledStoreClient {
   const wrap = <Args extends readonly unknown[], Value>(
     call: StoreCallKind,
     send: (...args: Args) => Promise<utils.Result<Value, utils.StepError>>,
   ) =>
   async (...args: Args) => {
+    const sentAt = clock.now();
     const answer = await send(...args);
     const outcome = answer.ok ? "ok" : classifyError(answer.val.code);
-    onCall({ call, outcome });
+    const ms = clock.now() - sentAt;
+    const isProcessed = answer.ok || outcome === "ok";
+    onCall({ call, outcome, ms, ...(!isProcessed && { error: answer.val }) });
     return answer;
   };
   return {
--- a/packages/store/counted_client_test.ts
+++ b/packages/store/counted_client_test.ts
@@ -27,7 +27,10 @@
   const counted: string[] = [];
   const client = countedClient.countCalls(
     buildClient(utils.Ok("answer")),
-    ({ call, outcome }) => void counted.push(`${call} ${outcome}`),
+    {
+      clock: utils.createVirtualClock(),
+      onCall: ({ call, outcome }) => void counted.push(`${call} ${outcome}`),
+    },
   );
   t.same(await client.get("a"), utils.Ok("answer"));
   await client.list("a");
@@ -61,7 +64,10 @@
         peer: "store",
         message: "Failed.",
       }))),
-      ({ outcome }) => void counted.push(outcome),
+      {
+        clock: utils.createVirtualClock(),
+        onCall: ({ outcome }) => void counted.push(outcome),
+      },
     );
     t.ok((await client.get("a")).err);
     t.same(counted, [expected], code);
