End no other call of the store with one that gets no answer

Cause: a call of the store without an answer for 1,000 ms ended the whole pool of connections, so every other call of the host failed and was sent again, also full reads; and the limit was a timer of a process without processor time, which ran before the answer in the socket was read. Evidence: 147 of 215 logged losses were calls that another one had ended.

Calls go on over their own connections, only further ones use new ones; the limit follows the answers, also those that come late (1 to 3 s); the own delay of the process does not count. A write is still aborted at its limit, and polls of before are sent again once the new connections are answered, as after a partition.

--- a/packages/core/mod.ts
+++ b/packages/core/mod.ts
@@ -1,6 +1,7 @@
 /** The decision logic of hosts: free of I/O, and shared by the daemon, the fuzz tests and the benchmark. */
 export * from "./admission_estimates.ts";
 export * from "./allocation.ts";
+export * from "./answer_times.ts";
 export * from "./billing.ts";
 export * from "./body_wait.ts";
 export * from "./brittle_records.ts";
--- a/packages/store/mod.ts
+++ b/packages/store/mod.ts
@@ -1,4 +1,5 @@
 /** Client of the key-value store through the etcd v3 JSON gateway, with the leases, claims and logs kept in it. */
+export * from "./call_limits.ts";
 export * from "./claims.ts";
 export * from "./client.ts";
 export * from "./config_store.ts";
--- a/packages/utils/mod.ts
+++ b/packages/utils/mod.ts
@@ -8,6 +8,7 @@
 export * from "./json_client.ts";
 export * from "./json_server.ts";
 export * from "./log.ts";
+export * from "./patient_timer.ts";
 export * from "./random.ts";
 export * from "./resetting_client.ts";
 export * from "./result.ts";
