Replace a relay whose process has ended before its lease ends

After the loss of all hosts followers found the relay of before the kill in the store, called it in vain and read everything by themselves until its lease had run out, up to 3 s, and until their next look, up to 2.6 s later. A relay that was only late was given up after 300 ms with all calls that were pending on it.

A relay whose address refuses connections or does not know the secret has ended: its role is taken over at once (two relays do no harm). A call is waited for as long as the relay's answers take, 1 s for the first one, and one that is late while others are answered ends alone.

--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -12,6 +12,7 @@
 import * as peer from "@banyangrade/peer";
 import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
+import * as relayNetwork from "./relay_network.ts";
 
 /** Duration of the relay's lease, in ms; after a relay is lost its followers have no relay for about as long. */
 const LEASE_MS = 3_000;
@@ -23,8 +24,12 @@
 const INITIAL_LOOKUP_MS = 200;
 /** Time for which a relay that did not answer is not called again, in ms; the lease of a crashed relay ends within it. */
 const RELAY_BACKOFF_MS = 2_500;
-/** Timeout of a call to a relay beyond the wait that the call asks for, in ms; hundreds of times the network latency. */
-const RESPONSE_TIMEOUT_MS = 300;
+/** Shortest and longest time that an answer of a relay is waited for beyond the wait that the call asks for, in ms. */
+const ANSWER_LIMITS = { minMs: 300, maxMs: 1_500 };
+/** The same before its first answer, in ms: it may be starting, and so may be all its followers. */
+const FIRST_ANSWER_MS = 1_000;
+/** Longest time until a host looks for the relay again after it has found that the relay's process has ended, in ms. */
+const ENDED_LOOK_MS = 300;
 
 /** Options of {@link RelayTask}. */
 export interface RelayOptions {
@@ -45,9 +50,23 @@
   readonly getHandlers: () => peer.RelayHandlers;
   /** Handles the plain HTTP requests of other hosts. */
   readonly onRequest: http.RequestListener;
+  /** @default {@link relayNetwork.SOCKET_NETWORK} */
+  readonly network?: relayNetwork.RelayNetwork;
 }
 
-type RelayClients = peer.PeerClients<peer.RelayRouter>;
+/** The connections to a relay. */
+interface RelayConnections {
+  readonly clients: relayNetwork.RelayClients;
+  readonly times: core.AnswerTimes;
+}
+
+/** How a call to a relay ended without an answer. */
+type RelayFailure =
+  /** The relay has answered other calls meanwhile. */
+  | "late"
+  | "lost"
+  /** Another process answered: that of the relay has ended. */
+  | "replaced";
 
 /** What an answer says about the relay that gave it. */
 export interface RelayState {
@@ -71,7 +90,8 @@
 export class RelayTask {
   readonly #options: RelayOptions;
   readonly #secret = utils.createId();
-  readonly #clients = new Map<string, RelayClients>();
+  readonly #network: relayNetwork.RelayNetwork;
+  readonly #connections = new Map<string, RelayConnections>();
   #holder: store.LeaseHolder | undefined;
   #server: peer.PeerServer | undefined;
   #closed = false;
@@ -87,16 +107,19 @@
   #lookFrom = Number.NEGATIVE_INFINITY;
   /** Incarnation of a relay that did not answer, and the time until which it is not called. */
   #unresponsive = { incarnation: "", until: 0 };
+  /** Incarnation of the last relay that is known to have ended; its lease keeps nobody from the role. */
+  #ended: string | undefined;
 
   constructor(options: RelayOptions) {
     this.#options = options;
+    this.#network = options.network ?? relayNetwork.SOCKET_NETWORK;
   }
 
   async start(): Promise<void> {
     const { address, clock, host, incarnation, log } = this.#options;
     const { linkMbps, random } = this.#options;
     if (address === undefined) return;
-    this.#server = await peer.startPeerServer({
+    this.#server = await this.#network.startServer({
       ...utils.splitAddress(address),
       secrets: [this.#secret],
       router: peer.buildRelayRouter(this.#options.getHandlers()),
@@ -116,6 +139,7 @@
       flightMs: 0,
       contact: { address, secret: this.#secret },
       isCandidate: () => this.#relay === undefined && this.#mayLook(),
+      hasEnded: (record) => record.incarnation === this.#ended,
       onOtherHolder: (record) => this.#setRelay(record),
       onChange: ({ kind }) => {
         const contact = { address, secret: this.#secret };
@@ -140,7 +164,7 @@
 
   async close(): Promise<void> {
     this.#closed = true;
-    this.#clients.forEach((clients) => clients.close());
+    this.#connections.forEach(({ clients }) => clients.close());
     await this.#server?.close();
   }
 
@@ -165,14 +189,15 @@
     const relay = this.#relay;
     if (relay?.contact === undefined) return undefined;
     const calledAt = this.#options.clock.now();
-    const answer = await this.callContact(relay.contact, call);
-    if (answer === undefined) {
-      this.#markUnresponsive(relay);
-      this.#recordUnanswered(relay, { step: call.step, calledAt });
-    } else if (this.#relay === relay) {
-      this.#applyState(call.readState?.(answer));
+    const answer = await this.#sendCall(relay.contact, call);
+    if (answer.ok) {
+      if (this.#relay === relay) this.#applyState(call.readState?.(answer.val));
+      return answer.val;
     }
-    return answer;
+    const failure = answer.val;
+    if (failure !== "late") this.#markUnresponsive(relay, failure);
+    this.#recordUnanswered(relay, { step: call.step, failure, calledAt });
+    return undefined;
   }
 
   /** Records the outcome of a call of this host to the store. */
@@ -209,37 +234,58 @@
   /** Calls a given relay; returns undefined if it does not answer. */
   async callContact<Answer>(
     contact: store.RoleContact,
-    { step, run, waitMs = 0 }: RelayCall<Answer>,
+    call: RelayCall<Answer>,
   ): Promise<Answer | undefined> {
+    const answer = await this.#sendCall(contact, call);
+    return answer.ok ? answer.val : undefined;
+  }
+
+  async #sendCall<Answer>(
+    contact: store.RoleContact,
+    { step, run, waitMs = 0 }: RelayCall<Answer>,
+  ): Promise<utils.Result<Answer, RelayFailure>> {
     // A status round may still run after the close and would open a connection
     // that is never closed.
-    if (this.#closed || !store.isContact(contact)) return undefined;
-    const answer = await this.#getClients(contact).call(
-      { address: contact.address, step },
+    if (this.#closed || !store.isContact(contact)) return utils.Err("lost");
+    const { clock, log } = this.#options;
+    const { clients, times } = this.#getConnections(contact);
+    const sentAt = clock.now();
+    const answer = await clients.call(
+      { address: contact.address, step, waitMs },
       run,
-      waitMs + RESPONSE_TIMEOUT_MS,
+      times.getLimitMs(),
     );
-    if (answer.ok) return answer.val;
-    this.#options.log.debug({ error: answer.val }, "Relay did not answer.");
-    return undefined;
+    if (answer.ok) {
+      const ms = clock.now() - sentAt - waitMs;
+      if (ms >= 0) times.record(ms);
+      return utils.Ok(answer.val);
+    }
+    log.debug({ error: answer.val }, "Relay did not answer.");
+    return utils.Err(classifyFailure(answer.val.code));
   }
 
   /** Closes idle connections to relays. */
   closeIdle(): void {
-    this.#clients.forEach((clients) => clients.closeIdle());
+    this.#connections.forEach(({ clients }) => clients.closeIdle());
   }
 
-  #getClients({ secret }: store.RoleContact): RelayClients {
-    const known = this.#clients.get(secret);
+  #getConnections({ secret }: store.RoleContact): RelayConnections {
+    const known = this.#connections.get(secret);
     if (known !== undefined) return known;
     const { clock } = this.#options;
-    const clients: RelayClients = new peer.PeerClients({
-      secret,
-      clock,
-      endsPending: true,
-    });
-    this.#clients.set(secret, clients);
-    return clients;
+    const connections: RelayConnections = {
+      clients: this.#network.createClients({
+        secret,
+        clock,
+        endsPending: true,
+      }),
+      times: new core.AnswerTimes({
+        ...ANSWER_LIMITS,
+        firstMs: FIRST_ANSWER_MS,
+      }),
+    };
+    this.#connections.set(secret, connections);
+    return connections;
   }
 
   /** Whether this host may look for the role now; schedules the next look if it may. */
@@ -322,18 +368,49 @@
   ): void {
     const secret = relay?.contact?.secret;
     if (secret === undefined || secret === except?.contact?.secret) return;
-    this.#clients.get(secret)?.close();
+    this.#connections.get(secret)?.clients.close();
   }
 
-  #markUnresponsive(relay: peer.RelayRecord): void {
+  #markUnresponsive(
+    relay: peer.RelayRecord,
+    failure: Exclude<RelayFailure, "late">,
+  ): void {
     if (this.#relay !== relay) return;
     this.#forgetRelay(relay, "Relay lost; following the store directly.");
+    if (failure === "replaced") return this.#recordEnded(relay);
+    const step = "relay.checkEnded";
+    utils.runDetached(
+      () => this.#checkEnded(relay),
+      utils.createErrorLog(this.#options.log, step),
+    );
+  }
+
+  async #checkEnded(relay: peer.RelayRecord): Promise<void> {
+    if (relay.contact === undefined) return;
+    const isEnded = await this.#network.isRefused(relay.contact.address);
+    if (isEnded) this.#recordEnded(relay);
+  }
+
+  /** Records that a relay's process has ended, and looks for the role before its lease ends. */
+  #recordEnded({ host, incarnation }: peer.RelayRecord): void {
+    const { clock, log, random } = this.#options;
+    if (this.#ended === incarnation) return;
+    this.#ended = incarnation;
+    this.#lookFrom = Math.min(
+      this.#lookFrom,
+      clock.now() + random.next() * ENDED_LOOK_MS,
+    );
+    log.info({ relay: host }, "The process of the relay has ended.");
   }
 
   /** Logs how long a call to a relay was pending, and for how long of that the relay had been given up. */
   #recordUnanswered(
     { host, incarnation }: peer.RelayRecord,
-    { step, calledAt }: { readonly step: string; readonly calledAt: number },
+    { step, failure, calledAt }: {
+      readonly step: string;
+      readonly failure: RelayFailure;
+      readonly calledAt: number;
+    },
   ): void {
     const now = this.#options.clock.now();
     const isKnownLost = incarnation === this.#unresponsive.incarnation;
@@ -341,6 +418,7 @@
     this.#options.log.info({
       relay: host,
       step,
+      failure,
       waitedMs: Math.round(now - calledAt),
       lostForMs: isKnownLost ? Math.round(now - lostAt) : undefined,
     }, "Call to the relay ended without an answer.");
@@ -361,3 +439,14 @@
     this.#options.log.warn({ relay: relay.host }, message);
   }
 }
+
+function classifyFailure(code: utils.FailureCode): RelayFailure {
+  switch (code) {
+    case "timeout":
+      return "late";
+    case "rejected":
+      return "replaced";
+    default:
+      return "lost";
+  }
+}
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -27,6 +27,16 @@
   readonly abort: AbortController;
   readonly close: () => void;
   usedAt: number;
+  /** Time of the last answer. */
+  answeredAt: number;
+}
+
+/** A call of a host. */
+export interface PeerCallTarget {
+  readonly address: string;
+  readonly step: string;
+  /** Time for which the other host may hold the call open, in ms; the timeout follows it. @default 0 */
+  readonly waitMs?: number;
 }
 
 /** Runs a call with the client of a connection. */
@@ -63,30 +73,38 @@
   /**
    * Calls a host and returns the result; the promise never rejects. A call that
    * fails or times out ends with `unknown_outcome`, because the other host may have
-   * processed it.
+   * processed it; with `timeout` if the host has answered another call meanwhile, and
+   * with `rejected` if it does not know the secret.
    */
   async call<Answer>(
-    to: { readonly address: string; readonly step: string },
+    to: PeerCallTarget,
     run: PeerCall<Router, Answer>,
     timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<utils.Result<Answer, utils.StepError>> {
-    const { address: peer, step } = to;
+    const { address: peer, step, waitMs } = to;
+    const { clock } = this.#options;
     this.#sent += 1;
+    const sentAt = clock.now();
     let connection: Connection<Router> | undefined;
+    let isLate = false;
+    const onLate = () => {
+      isLate = connection !== undefined && connection.answeredAt > sentAt;
+    };
     try {
       const { client, abort } = connection = this.#connect(peer);
-      return utils.Ok(
-        await runWithTimeout(
-          { ms: timeoutMs, lost: abort.signal },
-          (signal) => run(client, signal),
-        ),
+      const answer = await runLimited(
+        { clock, waitMs, limitMs: timeoutMs, lost: abort.signal, onLate },
+        (signal) => run(client, signal),
       );
+      connection.answeredAt = clock.now();
+      return utils.Ok(answer);
     } catch (thrown) {
-      if (this.#connections.get(peer) === connection) this.#drop(peer);
+      if (!isLate && this.#connections.get(peer) === connection) {
+        this.#drop(peer);
+      }
+      const code = isLate ? "timeout" : classifyError(thrown);
       const message = utils.getErrorMessage(thrown);
-      return utils.Err(
-        utils.createStepError("unknown_outcome", { step, peer, message }),
-      );
+      return utils.Err(utils.createStepError(code, { step, peer, message }));
     } finally {
       // If this call started while another call dropped the connection, the
       // library reopens it and may try forever to reach a host that no longer
@@ -120,7 +138,12 @@
       return known;
     }
     const opened = openConnection<Router>(address, this.#options);
-    const connection = { ...opened, abort: new AbortController(), usedAt };
+    const connection = {
+      ...opened,
+      abort: new AbortController(),
+      usedAt,
+      answeredAt: Number.NEGATIVE_INFINITY,
+    };
     this.#connections.set(address, connection);
     return connection;
   }
@@ -141,7 +164,7 @@
 function openConnection<Router extends AnyRouter>(
   address: string,
   options: PeerClientsOptions,
-): Omit<Connection<Router>, "abort" | "usedAt"> {
+): Pick<Connection<Router>, "client" | "close"> {
   const tls = options.getTls?.();
   const socket = trpc.createWSClient({
     url: `${tls === undefined ? "ws" : "wss"}://${address}`,
@@ -185,25 +208,56 @@
   return undefined as unknown as boolean;
 }
 
-/** Rejects a call after a timeout, or when its connection is given up. The abort signal alone is not enough, because the library ignores it while the socket is connecting. */
-function runWithTimeout<Answer>(
-  { ms, lost }: { readonly ms: number; readonly lost: AbortSignal },
+/** Whether the other host rejected the secret; any other failure may have been processed. */
+function classifyError(thrown: unknown): "rejected" | "unknown_outcome" {
+  const { data } = thrown as { readonly data?: { readonly code?: string } };
+  return data?.code === "UNAUTHORIZED" ? "rejected" : "unknown_outcome";
+}
+
+/** Limits of a call. */
+export interface LimitedPeerCall {
+  readonly clock: Pick<utils.Clock, "now">;
+  /** Time for which the other host may hold the call open, in ms. @default 0 */
+  readonly waitMs?: number;
+  /** Time after that within which it must answer, in ms. */
+  readonly limitMs: number;
+  /** Aborted when the connection is given up. */
+  readonly lost: AbortSignal;
+  /** Called before the call ends at its limit. @default ignored */
+  readonly onLate?: () => void;
+}
+
+/**
+ * Rejects a call after its limit, or when its connection is given up. The abort signal
+ * alone is not enough, because the library ignores it while the socket is connecting.
+ *
+ * @example
+ * await runLimited({ clock, limitMs: 300, lost }, (signal) => client.summary.query(undefined, { signal }));
+ */
+export function runLimited<Answer>(
+  { clock, waitMs, limitMs, lost, onLate }: LimitedPeerCall,
   run: (signal: AbortSignal) => Promise<Answer>,
 ): Promise<Answer> {
   const abort = new AbortController();
   return new Promise<Answer>((resolve, reject) => {
-    const end = (message: string) => {
+    const end = (error: Error) => {
       abort.abort();
-      reject(new Error(message));
+      reject(error);
     };
-    const timer = setTimeout(
-      () => end(`The host did not answer within ${ms} ms.`),
-      ms,
-    );
-    const endLost = () => end("The connection to the host was given up.");
+    const stop = utils.startPatientTimer({
+      clock,
+      quietMs: waitMs,
+      getLimitMs: () => limitMs,
+      onEnd: () => {
+        onLate?.();
+        end(new Error(`The host did not answer within ${limitMs} ms.`));
+      },
+    });
+    const endLost = () =>
+      end(new Error("The connection to the host was given up."));
     lost.addEventListener("abort", endLost);
     run(abort.signal).then(resolve, reject).finally(() => {
-      clearTimeout(timer);
+      stop();
       lost.removeEventListener("abort", endLost);
     });
   });
--- a/packages/peer/client_test.ts
+++ b/packages/peer/client_test.ts
@@ -83,6 +83,60 @@
   await utils.waitFor(CLOSE_WAIT_MS);
 });
 
+// Guards against a relay that is given up for one late answer while it answers other calls.
+tap.test("a late answer does not end the calls beside it", async (t) => {
+  const server = await startSilentServer();
+  const address = `127.0.0.1:${server.port}`;
+  const clients = new peer.PeerClients<peer.RelayRouter>({
+    secret: "secret",
+    clock: utils.SYSTEM_CLOCK,
+    endsPending: true,
+  });
+  const poll = (ms: number) =>
+    clients.call(
+      { address, step: "test" },
+      (client, signal) =>
+        client.pollChanges.query(
+          { prefix: "a", after: 0, waitMs: 0 },
+          { signal },
+        ),
+      ms,
+    );
+  const pending = [poll(600), poll(1_200)];
+  await utils.waitFor(100);
+  const answered = await clients.call(
+    { address, step: "test" },
+    (client, signal) => client.readAll.query("a", { signal }),
+    600,
+  );
+  t.ok(answered.ok);
+  const startedAt = performance.now();
+  t.match(await pending[0], { val: { code: "timeout" } });
+  await pending[1];
+  t.ok(performance.now() - startedAt > 800, "the other call has its own time");
+  clients.close();
+  await server.close();
+  await utils.waitFor(CLOSE_WAIT_MS);
+});
+
+// Guards against followers that wait for the lease of a relay whose address another process serves.
+tap.test("a call with an unknown secret is rejected", async (t) => {
+  const server = await startSilentServer();
+  const clients = new peer.PeerClients<peer.RelayRouter>({
+    secret: "secret of an earlier process",
+    clock: utils.SYSTEM_CLOCK,
+    endsPending: true,
+  });
+  const answer = await clients.call(
+    { address: `127.0.0.1:${server.port}`, step: "test" },
+    (client, signal) => client.readAll.query("a", { signal }),
+  );
+  t.match(answer, { val: { code: "rejected" } });
+  clients.close();
+  await server.close();
+  await utils.waitFor(CLOSE_WAIT_MS);
+});
+
 function startSilentServer(): Promise<peer.PeerServer> {
   return peer.startPeerServer({
     hostname: "127.0.0.1",
--- a/packages/store/lease_holder.ts
+++ b/packages/store/lease_holder.ts
@@ -59,6 +59,12 @@
   readonly getAttemptDelayMs?: () => number;
   /** Called when this host acquires or loses the role. */
   readonly onChange: (lease: core.LeaseState) => void;
+  /**
+   * Whether the process that holds the role is known to have ended, so that its lease
+   * need not be waited for. Only for roles that two hosts may hold for a time.
+   * @default never
+   */
+  readonly hasEnded?: (record: RoleRecord) => boolean;
   /** How other hosts reach this host while it holds the role. */
   readonly contact?: RoleContact;
   /** Called with the holder if another host holds the role. */
@@ -195,7 +201,7 @@
   const { sentAt, current } = await readRole(key, options);
   if (current.err) return { kind: "none" };
   const holder = parseRole(current.val);
-  if (current.val !== undefined && !isOwnPreviousProcess(holder, options)) {
+  if (current.val !== undefined && !mayReplace(holder, options)) {
     if (holder !== undefined) options.onOtherHolder?.(holder);
     return { kind: "none" };
   }
@@ -262,7 +268,9 @@
     current: await options.store.get(key),
   });
   const first = await read();
-  const isFree = first.current.ok && first.current.val === undefined;
+  const isFree = first.current.ok &&
+    (first.current.val === undefined ||
+      hasHolderEnded(parseRole(first.current.val), options));
   const delayMs = isFree ? options.getAttemptDelayMs?.() ?? 0 : 0;
   if (delayMs === 0) return first;
   options.onAttemptDelay?.();
@@ -270,6 +278,22 @@
   return await read();
 }
 
+/** Whether a role that is held may be taken over. */
+function mayReplace(
+  holder: RoleRecord | undefined,
+  options: AdvanceOptions,
+): boolean {
+  return isOwnPreviousProcess(holder, options) ||
+    hasHolderEnded(holder, options);
+}
+
+function hasHolderEnded(
+  holder: RoleRecord | undefined,
+  { hasEnded }: AdvanceOptions,
+): boolean {
+  return holder !== undefined && hasEnded?.(holder) === true;
+}
+
 /**
  * Whether the role is held by an earlier process of this host. That process has
  * ended, and its lease would leave the role without an active holder until it
