Poll a slow store with shorter waits, and refused reads with drawn delays

While the store was slow, relays said 'unready' to all followers: two polls of 0.8 s with answers of 0.2 s take longer than the 1.9 s that a relay's data may be old. So each follower called the slow store by itself. Full reads that the store refused were repeated every 200 ms by every host that started.

Polls that prove freshness wait less by the time of an answer; a refused full read is repeated after a drawn delay of up to a second.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -44,6 +44,7 @@
   readonly feed: store.FeedClient;
   /** Includes the time for which the process was suspended, so that a confirmation ages meanwhile. */
   readonly clock: utils.Clock;
+  readonly random: utils.Random;
   readonly log: utils.Logger;
   readonly withdrawMs: number;
   /** Time within which a leaving server must get no more work, in ms. */
@@ -91,11 +92,12 @@
 
   /** Starts following the operators' entries and the servers' entries. */
   start(): void {
-    const { platform, feed, clock, log } = this.#options;
+    const { platform, feed, clock, random, log } = this.#options;
     this.#stops.push(
       store.watchPrefix({
         feed,
         clock,
+        random,
         prefix: platform.operatorPrefix,
         waitMs: CONFIG_POLL_WAIT_MS,
         getBatchDelayMs: () => BATCH_DELAY_MS,
@@ -105,6 +107,7 @@
       store.watchPrefix({
         feed,
         clock,
+        random,
         prefix: platform.serversPrefix,
         waitMs: SERVERS_POLL_WAIT_MS,
         getBatchDelayMs: () =>
--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -2,11 +2,11 @@
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import * as operationsServer from "../operations_server.ts";
-import * as unexpectedErrors from "../unexpected_errors.ts";
 import * as ingressModule from "./ingress.ts";
 import * as readinessModule from "./readiness.ts";
 import * as gatewayParts from "./gateway_parts.ts";
 import * as sharedKnowledge from "./shared_knowledge.ts";
+import * as startTasks from "./start_tasks.ts";
 
 /** A running host. */
 export interface GatewayHost {
@@ -37,17 +37,7 @@
   const parts = gatewayParts.buildGatewayParts(options);
   const servers = await startServers(parts);
   addGauges(parts);
-  await parts.relay.start();
-  const followed = parts.relay.getFollowed()?.host ?? "none";
-  parts.startLog.record("relay", { source: followed });
-  parts.belief.start();
-  unexpectedErrors.runReported(parts, {
-    step: "presence.recall",
-    work: () => sharedKnowledge.fetchShared(parts),
-  });
-  parts.presence.start();
-  parts.streamOrigins.start();
-  parts.roles.start();
+  await startTasks.startTasks(parts);
   options.log.info({ host: options.settings.host }, "Host started.");
   return {
     close: () => closeHost(parts, servers),
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -16,6 +16,7 @@
 import type * as ingressModule from "./ingress.ts";
 import type * as platformInterface from "./platform_interface.ts";
 import * as hostStatusTask from "./host_status_task.ts";
+import type * as relayNetwork from "./relay_network.ts";
 import * as relayTask from "./relay_task.ts";
 import * as relayedFeed from "./relayed_feed.ts";
 import * as controlRolesTask from "./control_roles_task.ts";
@@ -40,6 +41,10 @@
   readonly platform: platformInterface.Platform;
   readonly log: utils.Logger;
   readonly clock: utils.Clock;
+  /** Identifies this run of the process. @default drawn */
+  readonly incarnation?: string;
+  /** Network between hosts. @default that of the operating system */
+  readonly network?: relayNetwork.RelayNetwork;
 }
 
 /** The components of a host, except its network servers. */
@@ -151,7 +156,7 @@
   onStoreCall: (ended: store.EndedStoreCall) => void,
 ): Partial<Draft> {
   const { settings, clock } = options;
-  const incarnation = utils.createId();
+  const incarnation = options.incarnation ?? utils.createId();
   const metrics = new metricsModule.Metrics();
   return {
     ...options,
@@ -339,6 +344,7 @@
     failureDomain: settings.failureDomain,
     address: settings.peerAddress,
     linkMbps: settings.linkMbps,
+    network: draft.network,
     countDomainHosts: () => draft.presence.countDomainHosts(),
     onRequest: (request, response) => {
       try {
@@ -383,10 +389,11 @@
 }
 
 function addClusterState(draft: Draft): void {
-  const { settings, platform, clocks, log } = draft;
+  const { settings, platform, clocks, log, random } = draft;
   draft.belief = new clusterStateTask.ClusterStateTask({
     platform,
     clock: clocks.lease,
+    random,
     log: utils.createPartLogger(log, "belief"),
     withdrawMs: settings.withdrawMs,
     leaveMs: settings.leaveMs,
--- a/packages/banyangrade/gateway/relayed_feed.ts
+++ b/packages/banyangrade/gateway/relayed_feed.ts
@@ -5,6 +5,7 @@
  * of the store was sent, so that a chain of relays cannot present old data as
  * new.
  */
+import * as core from "@banyangrade/core";
 import type * as peer from "@banyangrade/peer";
 import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
@@ -27,6 +28,13 @@
  */
 const STORE_BACKOFF_MS = { unready: 1_500, none: 600 };
 
+/** Shortest wait of a poll of the store that proves that the data is current, in ms. */
+const MIN_PROOF_WAIT_MS = 100;
+/** Time of an answer from which the store is slow, in ms; the wait of polls is then shortened. */
+const SLOW_ANSWER_MS = 50;
+/** Part of {@link MAX_RELAY_AGE_MS} that is left for the delay of this process, in ms. */
+const PROOF_MARGIN_MS = 100;
+
 /** Shortest interval between two polls of the relay that do not wait for a change, in ms. */
 const PROMPT_POLL_MS = 50;
 
@@ -79,6 +87,8 @@
 export class RelayedFeed implements store.FeedClient {
   readonly #options: RelayedFeedOptions;
   readonly #prefixes = new Map<string, WatchedPrefix>();
+  /** Times that the store takes to answer a poll once its wait is over. */
+  readonly #answerTimes = new core.AnswerTimes({ minMs: 0, maxMs: 3_000 });
   /** Last failure of the store; undefined once the store has answered again. */
   #storeFailure: StoreFailure | undefined;
 
@@ -117,13 +127,30 @@
     if (backoffError !== undefined) return utils.Err(backoffError);
     // After a failure the poll does not wait for a change, so that the first answer
     // proves at once that the data is current and a relay is ready again.
-    const waitMs = this.#storeFailure === undefined ? options.waitMs : 0;
+    const waitMs = this.#storeFailure === undefined
+      ? this.#computeWait(options.waitMs)
+      : 0;
     const sentAt = this.#options.clock.now();
     const read = await this.#pollStore(prefix, { ...options, waitMs });
     this.#recordRead(prefix, { read, waitEndsAt: sentAt + waitMs });
     return read;
   }
 
+  /**
+   * Shortens the wait of polls whose answers prove that the data is current, as far as
+   * the store is slow: the proof is as old as two polls before the next one arrives,
+   * and a relay that is older than {@link MAX_RELAY_AGE_MS} sends all followers to the
+   * store that is slow.
+   */
+  #computeWait(longestMs: number): number {
+    const answerMs = this.#answerTimes.getMeanMs();
+    const bringsProof = longestMs < MAX_RELAY_AGE_MS;
+    if (!bringsProof || answerMs < SLOW_ANSWER_MS) return longestMs;
+    const pollMs = (MAX_RELAY_AGE_MS - PROOF_MARGIN_MS) / 2;
+    const waitMs = Math.round(pollMs - answerMs);
+    return Math.min(longestMs, Math.max(MIN_PROOF_WAIT_MS, waitMs));
+  }
+
   /** Returns the failure during whose backoff the store must not be polled; undefined if it may be. */
   #findBackoff(
     prefix: string,
@@ -237,6 +264,8 @@
   async #pollStore(prefix: string, options: PollOptions): Promise<Polled> {
     const sentAt = this.#options.clock.now();
     const polled = await this.#options.feed.pollChanges(prefix, options);
+    const answerMs = this.#options.clock.now() - sentAt - options.waitMs;
+    if (polled.ok && answerMs >= 0) this.#answerTimes.record(answerMs);
     if (polled.ok) this.#apply(prefix, { changes: polled.val, sentAt });
     return polled;
   }
--- a/packages/banyangrade/relayed_feed_test.ts
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -163,6 +163,25 @@
   t.equal(fixture.storeCalls.length, 6);
 });
 
+// Guards against followers that all go to a slow store: its answers let the relay's data grow older than it may be.
+tap.test("polls of a slow store wait less for a change", async (t) => {
+  const fixture = buildFixture();
+  const feed = buildFeed(fixture);
+  const pollFor = (waitMs: number) =>
+    feed.pollChanges(PREFIX, { after: 5, waitMs });
+  await pollFor(800);
+  fixture.delayMs = 1_200;
+  await pollFor(800);
+  for (let poll = 0; poll < 30; poll += 1) {
+    fixture.delayMs = (fixture.waits.at(-1) ?? 0) + 400;
+    await pollFor(800);
+  }
+  const waitMs = fixture.waits.at(-1) ?? 0;
+  t.ok(2 * (waitMs + 400) <= 1_900, `two polls with a wait of ${waitMs} ms`);
+  await pollFor(3_000);
+  t.equal(fixture.waits.at(-1), 3_000, "but those that prove nothing else");
+});
+
 // A relay silently loses the store during the long polls of its followers. If they
 // kept waiting, a change in the meantime would not be applied in time.
 tap.test("a long poll ends when the relay's own data becomes stale", async (t) => {
--- a/packages/store/prefix_watch.ts
+++ b/packages/store/prefix_watch.ts
@@ -4,6 +4,7 @@
  * current when the call was sent. A call without a response proves nothing, so a
  * watch that is lost silently cannot be mistaken for one without changes.
  */
+import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import type * as client from "./client.ts";
 
@@ -74,6 +75,7 @@
 export interface WatchPrefixOptions {
   readonly feed: FeedClient;
   readonly clock: utils.Clock;
+  readonly random: utils.Random;
   readonly prefix: string;
   /** Maximum time that one poll waits for a change, in ms. */
   readonly waitMs: number;
@@ -95,17 +97,21 @@
 /** Maximum delay between calls to an unavailable store, in ms: a tenth of the time within which a change must be applied. */
 const MAX_RETRY_DELAY_MS = 200;
 
+/** Maximum delay before a full read that the store refused is repeated, in ms. All hosts may be starting, so it is drawn. */
+const MAX_REFUSED_DELAY_MS = 1_000;
+
 /**
  * Starts to follow a prefix; returns a function that stops it.
  *
  * @example
- * const stop = watchPrefix({ feed, clock, prefix: "servers/", waitMs: 1000, getBatchDelayMs: () => 100, onEvent });
+ * const stop = watchPrefix({ feed, clock, prefix: "servers/", waitMs: 1000, random, getBatchDelayMs: () => 100, onEvent });
  */
 export function watchPrefix(options: WatchPrefixOptions): () => void {
   const { clock, feed, prefix, onEvent } = options;
   let stopped = false;
   let after: number | undefined;
   let failures = 0;
+  let refusals = 0;
 
   async function readAll(): Promise<utils.StepError | undefined> {
     const sentAt = clock.now();
@@ -140,10 +146,17 @@
     const error = after === undefined ? await readAll() : await poll(after);
     if (error === undefined) {
       failures = 0;
+      refusals = 0;
       return;
     }
     if (stopped) return;
     onEvent({ kind: "failed", error });
+    if (after === undefined && isRefusal(error)) {
+      refusals += 1;
+      const drawn = options.random.next();
+      const delayMs = core.computeRetryDelay({ failures: refusals, drawn });
+      return await utils.waitFor(Math.min(MAX_REFUSED_DELAY_MS, delayMs));
+    }
     const delay = MIN_RETRY_DELAY_MS * 2 ** failures;
     failures += delay < MAX_RETRY_DELAY_MS ? 1 : 0;
     await utils.waitFor(Math.min(MAX_RETRY_DELAY_MS, delay));
@@ -166,3 +179,8 @@
     stopped = true;
   };
 }
+
+/** Whether the store answered that it takes no call now; another one at once would only add to its load. */
+function isRefusal({ code }: utils.StepError): boolean {
+  return code === "rejected" || code === "rate_limited";
+}
