--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -57,7 +57,7 @@
 /** The connections to a relay. */
 interface RelayConnections {
   readonly clients: relayNetwork.RelayClients;
-  readonly times: core.AnswerTimes;
+  times: core.AnswerTimes;
 }
 
 /** How a call to a relay ended without an answer. */
@@ -248,7 +248,8 @@
     // that is never closed.
     if (this.#closed || !store.isContact(contact)) return utils.Err("lost");
     const { clock, log } = this.#options;
-    const { clients, times } = this.#getConnections(contact);
+    const connections = this.#getConnections(contact);
+    const { clients, times } = connections;
     const sentAt = clock.now();
     const answer = await clients.call(
       { address: contact.address, step, waitMs },
@@ -261,7 +262,12 @@
       return utils.Ok(answer.val);
     }
     log.debug({ error: answer.val }, "Relay did not answer.");
-    return utils.Err(classifyFailure(answer.val.code));
+    const failure = classifyFailure(answer.val.code);
+    // It may have ended with its host, and is asked in each round all the same.
+    if (failure === "lost") {
+      connections.times = new core.AnswerTimes(ANSWER_LIMITS);
+    }
+    return utils.Err(failure);
   }
 
   /** Closes idle connections to relays. */
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -1,4 +1,5 @@
 /** Client connections to other hosts: one persistent connection per host, opened on first use. */
+import * as events from "node:events";
 import * as trpc from "@trpc/client";
 import type * as trpcServer from "@trpc/server";
 import * as websocket from "ws";
@@ -21,11 +22,9 @@
  */
 const REPEATED_CLOSE_DELAYS_MS = [250, 1_000];
 
-interface Connection<Router extends AnyRouter> {
-  readonly client: trpc.TRPCClient<Router>;
+interface Connection<Router extends AnyRouter> extends PeerConnection<Router> {
   /** Ends the calls that are pending on the connection, if the clients do that. */
   readonly abort: AbortController;
-  readonly close: () => void;
   usedAt: number;
   /** Time of the last answer. */
   answeredAt: number;
@@ -60,14 +59,31 @@
   readonly getTls?: () => server.PeerTls | undefined;
 }
 
+/** A connection to another host. */
+export interface PeerConnection<Router extends AnyRouter> {
+  readonly client: trpc.TRPCClient<Router>;
+  readonly close: () => void;
+}
+
+/** Opens a connection to an address. */
+export type ConnectionOpener<Router extends AnyRouter> = (
+  address: string,
+  options: PeerClientsOptions,
+) => PeerConnection<Router>;
+
 /** Calls other hosts by address. `Router` is the router of the protocol that they serve. */
 export class PeerClients<Router extends AnyRouter = protocol.PeerRouter> {
   readonly #options: PeerClientsOptions;
+  readonly #open: ConnectionOpener<Router>;
   readonly #connections = new Map<string, Connection<Router>>();
   #sent = 0;
 
-  constructor(options: PeerClientsOptions) {
+  constructor(
+    options: PeerClientsOptions,
+    open: ConnectionOpener<Router> = openConnection,
+  ) {
     this.#options = options;
+    this.#open = open;
   }
 
   /**
@@ -137,10 +153,13 @@
       known.usedAt = usedAt;
       return known;
     }
-    const opened = openConnection<Router>(address, this.#options);
+    const opened = this.#open(address, this.#options);
+    const abort = new AbortController();
+    // Each pending call listens.
+    events.EventEmitter.setMaxListeners(0, abort.signal);
     const connection = {
       ...opened,
-      abort: new AbortController(),
+      abort,
       usedAt,
       answeredAt: Number.NEGATIVE_INFINITY,
     };
@@ -164,7 +183,7 @@
 function openConnection<Router extends AnyRouter>(
   address: string,
   options: PeerClientsOptions,
-): Pick<Connection<Router>, "client" | "close"> {
+): PeerConnection<Router> {
   const tls = options.getTls?.();
   const socket = trpc.createWSClient({
     url: `${tls === undefined ? "ws" : "wss"}://${address}`,
@@ -239,7 +258,8 @@
   run: (signal: AbortSignal) => Promise<Answer>,
 ): Promise<Answer> {
   const abort = new AbortController();
-  return new Promise<Answer>((resolve, reject) => {
+  let clear = () => {};
+  const ended = new Promise<Answer>((resolve, reject) => {
     const end = (error: Error) => {
       abort.abort();
       reject(error);
@@ -256,9 +276,12 @@
     const endLost = () =>
       end(new Error("The connection to the host was given up."));
     lost.addEventListener("abort", endLost);
-    run(abort.signal).then(resolve, reject).finally(() => {
+    clear = () => {
       stop();
       lost.removeEventListener("abort", endLost);
-    });
+    };
+    run(abort.signal).then(resolve, reject);
   });
+  // A call that never settles must not keep its listener.
+  return ended.finally(() => clear());
 }
