--- a/packages/banyangrade/return_store_testing.ts
+++ b/packages/banyangrade/return_store_testing.ts
@@ -21,6 +21,20 @@
   /** Executes a share of the calls without an answer. */
   | { readonly kind: "answers_lost"; readonly share: number };
 
+/** Connections of a host to the store. */
+interface SimulatedConnections extends store.Connections {
+  readonly destroyed: AbortSignal;
+}
+
+function openConnections(): SimulatedConnections {
+  const abort = new AbortController();
+  return {
+    destroyed: abort.signal,
+    close: () => Promise.resolve(),
+    destroy: () => Promise.resolve(abort.abort()),
+  };
+}
+
 /** Options of {@link SimulatedStore}. */
 export interface SimulatedStoreOptions {
   readonly time: virtualProcesses.VirtualTime;
@@ -72,12 +86,9 @@
     process: virtualProcesses.VirtualProcess,
     isCut: () => boolean,
   ): store.KeyValueClient & store.FeedClient {
-    const limits = new store.CallLimits<store.Connections>({
+    const limits = new store.CallLimits({
       clock: { now: () => process.getNow() },
-      open: () => ({
-        close: () => Promise.resolve(),
-        destroy: () => Promise.resolve(),
-      }),
+      open: openConnections,
     });
     const run = async <Answer>(
       call: store.CallKind,
--- a/packages/banyangrade/return_testing.ts
+++ b/packages/banyangrade/return_testing.ts
@@ -15,6 +15,8 @@
 const SPREAD_MS = 500;
 /** Time from the last start until the end, in ms. */
 const OBSERVED_MS = 17_500;
+/** Time for which hosts serve without a break before the service counts as back, in ms. */
+const STEADY_MS = 3_000;
 /** Time of a processor that a process takes until its code runs, in ms. */
 const LOAD_MS = 250;
 /** Time of a processor that a request takes, and how many a host gets in a second, in ms. */
@@ -47,7 +49,7 @@
 
 /** What was seen of a return. Times in ms from the last host's return, or the end of the fault if later. */
 export interface SeenReturn {
-  /** Time from which half of the hosts that are not cut off serve until the end; undefined if never. */
+  /** Time from which half of the hosts that are not cut off serve, for three seconds at least; undefined if never. */
   readonly halfMs: number | undefined;
   /** Smallest share of the hosts that served at a moment later than 15 s after the last start. */
   readonly leastLater: number;
@@ -375,7 +377,7 @@
   const faultUntil = time.now + options.faultMs;
   const isOver = () => time.now >= faultUntil;
   const endAt = Math.max(startedAt, faultUntil) + OBSERVED_MS;
-  const seen: { at: number; share: number }[] = [];
+  const seen: SeenShare[] = [];
   while (time.now < endAt) {
     await time.run(time.now + TICK_MS);
     if (isOver() && isTemporary(options.fault)) store.fault = { kind: "none" };
@@ -387,15 +389,10 @@
   const from = isTemporary(options.fault)
     ? Math.max(startedAt, faultUntil)
     : startedAt;
-  const lastBad = seen.findLast(({ share }) => share < 0.5);
   const later = seen.filter(({ at }) => at > from + 15_000);
   const counts = [...store.calls].filter(([second]) => second >= callsFrom);
   return {
-    halfMs: lastBad === undefined
-      ? 0
-      : lastBad.at >= endAt
-      ? undefined
-      : Math.max(0, lastBad.at + TICK_MS - from),
+    halfMs: findHalf(seen, from),
     leastLater: Math.min(...later.map(({ share }) => share)),
     mostReads: Math.max(...counts.map(([, { reads }]) => reads)),
     mostWrites: Math.max(...counts.map(([, { writes }]) => writes)),
@@ -404,6 +401,28 @@
   };
 }
 
+/** Share of the hosts that served at a moment. */
+interface SeenShare {
+  readonly at: number;
+  readonly share: number;
+}
+
+/** Finds how long after `from` half of the hosts have begun to serve and gone on for some time; undefined if they never do. */
+function findHalf(
+  seen: readonly SeenShare[],
+  from: number,
+): number | undefined {
+  let servedFrom: number | undefined;
+  for (const { at, share } of seen) {
+    if (share < 0.5) servedFrom = undefined;
+    else servedFrom ??= at;
+    if (servedFrom !== undefined && at - servedFrom >= STEADY_MS) {
+      return Math.max(0, servedFrom - from);
+    }
+  }
+  return undefined;
+}
+
 /** Whether the store answers properly only after the fault; the others last. */
 function isTemporary({ kind }: returnStore.StoreFault): boolean {
   switch (kind) {
--- a/packages/banyangrade/virtual_processes_testing.ts
+++ b/packages/banyangrade/virtual_processes_testing.ts
@@ -10,6 +10,9 @@
 
 /** Time of a processor that a callback takes, in ms. */
 const CALLBACK_MS = 0.3;
+/** Share of the rounds after which a process that shares its processor is suspended, and for how long on average, in ms of a whole processor. */
+const SUSPENDED_SHARE = 0.05;
+const SUSPENDED_MS = 25;
 
 interface Due {
   readonly at: number;
@@ -152,8 +155,8 @@
     const startedAt = this.#now;
     // A process that shares its processor is suspended at times.
     const { random, share } = this.#options;
-    if (share < 1 && random.next() < 0.05) {
-      this.#now -= Math.log(1 - random.next()) * 100 * (1 - share);
+    if (share < 1 && random.next() < SUSPENDED_SHARE) {
+      this.#now -= Math.log(1 - random.next()) * SUSPENDED_MS / share;
     }
     await this.#runDue(this.#timers, this.#now);
     await this.#runDue(this.#arrived, Math.max(startedAt, this.#now));
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -13,6 +13,9 @@
   readonly also?: { readonly find: string; readonly replace: string };
 }
 
+const STORE_CLIENT = "platform/store_test.ts";
+const CALL_LIMITS = "packages/store/call_limits_test.ts";
+const RELAY_REPLACEMENT = "packages/banyangrade/relay_replacement_test.ts";
 const ORDERS = "packages/fleet/orders_fuzz_test.ts";
 const USAGE = "packages/usage/reporter_fuzz_test.ts";
 const CONFIG = "packages/store/config_store_fuzz_test.ts";
@@ -1400,4 +1403,74 @@
     replace: "",
     test: RESTARTED_STREAMS,
   },
+  {
+    name: "return: a call without an answer ends the others",
+    file: "packages/store/call_limits.ts",
+    find: "closeDetached(() => used.connections.close());",
+    replace: "closeDetached(() => used.connections.destroy());",
+    test: STORE_CLIENT,
+  },
+  {
+    name: "return: the own delay counts as the store's",
+    file: "packages/utils/patient_timer.ts",
+    find: "Math.min(clock.now() - startedAt, stepMs + LATE_MS)",
+    replace: "clock.now() - startedAt",
+    test: STORE_CLIENT,
+  },
+  {
+    name: "return: the limit of calls does not follow the answers",
+    file: "packages/core/answer_times.ts",
+    find: "return Math.min(maxMs, Math.max(minMs, expectedMs));",
+    replace: "return expectedMs < 0 ? maxMs : minMs;",
+    test: CALL_LIMITS,
+  },
+  {
+    name: "return: late answers are not read",
+    file: "packages/store/call_limits.ts",
+    find: "reading = setTimeout(() => abort.abort(), LATE_READ_MS);",
+    replace: "abort.abort();",
+    test: CALL_LIMITS,
+  },
+  {
+    name: "return: polls wait on connections of before",
+    file: "packages/store/call_limits.ts",
+    find: "this.#former.forEach(({ polls }) => polls.forEach((end) => end()));",
+    replace: "",
+    test: CALL_LIMITS,
+  },
+  {
+    name: "return: the lease of a relay that has ended is waited for",
+    file: "packages/banyangrade/gateway/relay_task.ts",
+    find: "hasEnded: (record) => record.incarnation === this.#ended,",
+    replace: "hasEnded: () => false,",
+    test: RELAY_REPLACEMENT,
+  },
+  {
+    name: "return: a late answer of a relay ends the calls beside it",
+    file: "packages/peer/client.ts",
+    find: "connection !== undefined && connection.answeredAt > sentAt;",
+    replace: "false;",
+    test: "packages/peer/client_test.ts",
+  },
+  {
+    name: "return: the own delay counts as a server's silence",
+    file: "packages/service/inactivity_watch.ts",
+    find: "if (mayWaitForLateness(inactiveMs)) {",
+    replace: "if (inactiveMs < 0 && mayWaitForLateness(inactiveMs)) {",
+    test: "packages/service/forward_test.ts",
+  },
+  {
+    name: "return: polls of a slow store wait as long",
+    file: "packages/banyangrade/gateway/relayed_feed.ts",
+    find: "const waitMs = Math.round(pollMs - answerMs);",
+    replace: "const waitMs = longestMs;",
+    test: "packages/banyangrade/relayed_feed_test.ts",
+  },
+  {
+    name: "return: hosts need answers sooner than a slow store gives them",
+    file: "packages/core/answer_times.ts",
+    find: "return Math.min(maxMs, Math.max(minMs, expectedMs));",
+    replace: "return expectedMs < 0 ? maxMs : minMs;",
+    test: "packages/banyangrade/return_fuzz_test.ts",
+  },
 ];
