--- a/packages/service/forward_test.ts
+++ b/packages/service/forward_test.ts
@@ -306,6 +306,23 @@
   await server.close();
 });
 
+// Guards against the same where the answer comes right after the delay.
+tap.test("a busy host gives a server time after its own delay", async (t) => {
+  const server = await startRawServer((socket) => {
+    const answer = () => socket.end(`${HEAD}content-length: 4\r\n\r\ndone`);
+    setTimeout(() => setTimeout(answer, 8), 30);
+    setTimeout(() => keepEventLoopBusy(340), 10);
+  });
+  const outcome = await forward.forwardRequest(
+    buildCall(server.pool, {
+      inactivityLimits: { ...SHORT_LIMITS, headMs: 200 },
+    }),
+    { onEvents: () => undefined },
+  );
+  t.match(outcome, { kind: "whole" });
+  await server.close();
+});
+
 /**
  * Streams events to a caller that takes the first one after `sinkMs`, and resets
  * the connection after `resetMs`. The host is busy for `busyMs` whenever the
