--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -89,8 +89,9 @@
   /**
    * Calls a host and returns the result; the promise never rejects. A call that
    * fails or times out ends with `unknown_outcome`, because the other host may have
-   * processed it; with `timeout` if the host has answered another call meanwhile, and
-   * with `rejected` if it does not know the secret.
+   * processed it. Clients whose pending calls end with their connection distinguish
+   * `timeout`, if the host has answered another call meanwhile, and `rejected`, if it
+   * does not know the secret.
    */
   async call<Answer>(
     to: PeerCallTarget,
@@ -104,7 +105,8 @@
     let connection: Connection<Router> | undefined;
     let isLate = false;
     const onLate = () => {
-      isLate = connection !== undefined && connection.answeredAt > sentAt;
+      isLate = this.#options.endsPending === true &&
+        connection !== undefined && connection.answeredAt > sentAt;
     };
     try {
       const { client, abort } = connection = this.#connect(peer);
@@ -118,7 +120,7 @@
       if (!isLate && this.#connections.get(peer) === connection) {
         this.#drop(peer);
       }
-      const code = isLate ? "timeout" : classifyError(thrown);
+      const code = isLate ? "timeout" : this.#classify(thrown);
       const message = utils.getErrorMessage(thrown);
       return utils.Err(utils.createStepError(code, { step, peer, message }));
     } finally {
@@ -129,6 +131,12 @@
     }
   }
 
+  #classify(thrown: unknown): "rejected" | "unknown_outcome" {
+    return this.#options.endsPending && isUnknownSecret(thrown)
+      ? "rejected"
+      : "unknown_outcome";
+  }
+
   /** Returns the number of calls sent so far. */
   countSent(): number {
     return this.#sent;
@@ -227,10 +235,10 @@
   return undefined as unknown as boolean;
 }
 
-/** Whether the other host rejected the secret; any other failure may have been processed. */
-function classifyError(thrown: unknown): "rejected" | "unknown_outcome" {
+/** Whether the other host does not know the secret. */
+function isUnknownSecret(thrown: unknown): boolean {
   const { data } = thrown as { readonly data?: { readonly code?: string } };
-  return data?.code === "UNAUTHORIZED" ? "rejected" : "unknown_outcome";
+  return data?.code === "UNAUTHORIZED";
 }
 
 /** Limits of a call. */
