--- a/packages/banyangrade/gateway/relay_task.ts
+++ b/packages/banyangrade/gateway/relay_task.ts
@@ -26,8 +26,6 @@
 const RELAY_BACKOFF_MS = 2_500;
 /** Shortest and longest time that an answer of a relay is waited for beyond the wait that the call asks for, in ms. */
 const ANSWER_LIMITS = { minMs: 300, maxMs: 1_500 };
-/** The same before its first answer, in ms: it may be starting, and so may be all its followers. */
-const FIRST_ANSWER_MS = 1_000;
 /** Longest time until a host looks for the relay again after it has found that the relay's process has ended, in ms. */
 const ENDED_LOOK_MS = 300;
 
@@ -57,7 +55,7 @@
 /** The connections to a relay. */
 interface RelayConnections {
   readonly clients: relayNetwork.RelayClients;
-  times: core.AnswerTimes;
+  readonly times: core.AnswerTimes;
 }
 
 /** How a call to a relay ended without an answer. */
@@ -248,8 +246,7 @@
     // that is never closed.
     if (this.#closed || !store.isContact(contact)) return utils.Err("lost");
     const { clock, log } = this.#options;
-    const connections = this.#getConnections(contact);
-    const { clients, times } = connections;
+    const { clients, times } = this.#getConnections(contact);
     const sentAt = clock.now();
     const answer = await clients.call(
       { address: contact.address, step, waitMs },
@@ -262,12 +259,7 @@
       return utils.Ok(answer.val);
     }
     log.debug({ error: answer.val }, "Relay did not answer.");
-    const failure = classifyFailure(answer.val.code);
-    // It may have ended with its host, and is asked in each round all the same.
-    if (failure === "lost") {
-      connections.times = new core.AnswerTimes(ANSWER_LIMITS);
-    }
-    return utils.Err(failure);
+    return utils.Err(classifyFailure(answer.val.code));
   }
 
   /** Closes idle connections to relays. */
@@ -285,10 +277,7 @@
         clock,
         endsPending: true,
       }),
-      times: new core.AnswerTimes({
-        ...ANSWER_LIMITS,
-        firstMs: FIRST_ANSWER_MS,
-      }),
+      times: new core.AnswerTimes(ANSWER_LIMITS),
     };
     this.#connections.set(secret, connections);
     return connections;
--- a/packages/core/answer_times.ts
+++ b/packages/core/answer_times.ts
@@ -14,10 +14,9 @@
 
 /** Bounds of {@link AnswerTimes}, in ms. */
 export interface AnswerTimeBounds {
+  /** Shortest limit, also before the first answer. */
   readonly minMs: number;
   readonly maxMs: number;
-  /** Limit before the first answer. @default minMs */
-  readonly firstMs?: number;
 }
 
 /** The times that another process takes to answer. */
@@ -50,9 +49,8 @@
 
   /** Returns how long an answer is waited for, in ms. */
   getLimitMs(): number {
-    const { minMs, maxMs, firstMs = minMs } = this.#bounds;
-    if (this.#mean === undefined) return firstMs;
-    const expectedMs = this.#mean + DEVIATIONS * this.#deviation;
+    const { minMs, maxMs } = this.#bounds;
+    const expectedMs = this.getMeanMs() + DEVIATIONS * this.#deviation;
     return Math.min(maxMs, Math.max(minMs, expectedMs));
   }
 }
