--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -72,7 +72,8 @@
     heldBytes: parts.heldBytes,
     guard: clientGuard,
     limits: clients,
-    closesConnections: () => state.draining || !belief.isReady(),
+    closesConnections: () =>
+      state.draining || !belief.isReady() || clientGuard.isFull(),
   });
   parts.ingress = ingress;
   const readiness = await readinessModule.startReadiness({
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -3,6 +3,7 @@
  * picks a service and opens an exchange for the request.
  */
 import * as core from "@banyangrade/core";
+import type * as listener from "@banyangrade/listener";
 import * as utils from "@banyangrade/utils";
 import * as unexpectedErrors from "../unexpected_errors.ts";
 import * as admissionRefusals from "./admission_refusals.ts";
@@ -27,6 +28,7 @@
   /** Whether the host takes requests of other hosts. */
   readonly takesHandovers: () => boolean;
   readonly startupWaits: startupWaits.StartupWaits;
+  readonly clientGuard: Pick<listener.ClientGuard, "isFull">;
   readonly random: utils.Random;
   /** Region of each failure domain. */
   readonly regions: ReadonlyMap<string, string>;
@@ -172,6 +174,9 @@
     if (this.#options.isClosed()) {
       return utils.Err(admissionRefusals.buildDraining());
     }
+    if (this.#options.clientGuard.isFull()) {
+      return utils.Err(admissionRefusals.buildPressed());
+    }
     const table = belief.getTable();
     if (table === undefined) {
       return utils.Err(admissionRefusals.buildStale("configuration"));
--- a/packages/caller/server.ts
+++ b/packages/caller/server.ts
@@ -112,18 +112,19 @@
   options: CallerServerOptions,
 ): Promise<CallerServer> {
   let draining = false;
+  const guard = options.guard ?? listener.createDefaultGuard();
   const budget = { used: 0, limit: options.limits.maxBufferedBytes };
   const handle: http.RequestListener = (request, response) => {
     // Makes callers open their next connection to another host while this one drains.
     if (draining) response.setHeader("connection", "close");
-    handleRequest({ request, response }, { ...options, budget }).catch(() =>
-      response.destroy()
+    handleRequest({ request, response }, { ...options, guard, budget }).catch(
+      () => response.destroy(),
     );
   };
   const server = createServer(options, handle);
   listener.applyLimits(server, {
     listener: "callers",
-    guard: options.guard ?? listener.createDefaultGuard(),
+    guard,
     maxConnections: options.limits.maxConnections,
     maxRequestsAhead: options.limits.maxRequestsAhead,
     countsUnsent: true,
@@ -209,7 +210,10 @@
 
 async function handleRequest(
   { request, response }: Exchange,
-  options: CallerServerOptions & { readonly budget: bodies.BodyBudget },
+  options: CallerServerOptions & {
+    readonly guard: listener.ClientGuard;
+    readonly budget: bodies.BodyBudget;
+  },
 ): Promise<void> {
   const { maxBodyBytes } = options.limits;
   const answer = new callerResponse.CallerResponse(response);
@@ -217,6 +221,10 @@
   answer.setRequestId(requestId);
   const dropRest = () =>
     bodies.dropBody(request, DISCARD_FACTOR * maxBodyBytes);
+  if (options.guard.isFull()) {
+    response.setHeader("connection", "close");
+    return answer.refuse(buildParseRefusal("overloaded"));
+  }
   const route = findRoute(request);
   if (route === undefined) {
     answer.refuse(buildParseRefusal("not_found"));
--- a/packages/core/client_ledger.ts
+++ b/packages/core/client_ledger.ts
@@ -4,6 +4,8 @@
 const PRESSED_SHARE = 0.5;
 /** Share of the limit down to which connections are closed once it is exceeded. */
 const RELIEVED_SHARE = 0.75;
+/** What a connection with one request of usual headers holds at most, in bytes. */
+const ONE_REQUEST_BYTES = 32 * 1024;
 
 /** Options of {@link ClientLedger}. */
 export interface ClientLedgerOptions {
@@ -11,10 +13,17 @@
   readonly maxRequestsAhead: number;
 }
 
+/** What one connection holds. */
+interface Holding {
+  bytes: number;
+  /** Requests that are not answered. */
+  requests: number;
+}
+
 /** The bytes that all connections of a process hold. */
 export class ClientLedger {
   readonly #options: ClientLedgerOptions;
-  readonly #held = new Map<number, number>();
+  readonly #held = new Map<number, Holding>();
   #total = 0;
 
   constructor(options: ClientLedgerOptions) {
@@ -23,15 +32,26 @@
 
   /** Adds bytes to what a connection holds, or removes them if negative. */
   add(id: number, bytes: number): void {
-    const held = (this.#held.get(id) ?? 0) + bytes;
     this.#total += bytes;
-    if (held === 0) this.#held.delete(id);
-    else this.#held.set(id, held);
+    this.#getHolding(id).bytes += bytes;
+  }
+
+  /** Adds a number of unanswered requests of a connection, or removes them if negative. */
+  addRequests(id: number, requests: number): void {
+    this.#getHolding(id).requests += requests;
+  }
+
+  #getHolding(id: number): Holding {
+    const known = this.#held.get(id);
+    if (known !== undefined) return known;
+    const holding = { bytes: 0, requests: 0 };
+    this.#held.set(id, holding);
+    return holding;
   }
 
   /** Removes all bytes of a connection. */
   remove(id: number): void {
-    this.#total -= this.#held.get(id) ?? 0;
+    this.#total -= this.#held.get(id)?.bytes ?? 0;
     this.#held.delete(id);
   }
 
@@ -45,15 +65,27 @@
     return requests < (isPressed ? 1 : this.#options.maxRequestsAhead);
   }
 
-  /** Lists the connections to close: those that hold most, if all hold more than the limit. */
+  /** Whether all hold so much that a new request must be refused. */
+  isFull(): boolean {
+    return this.#total > this.#options.maxHeldBytes;
+  }
+
+  /**
+   * Lists the connections to close if all hold more than the limit: those that hold
+   * most, but none that has one usual request, as it may be served.
+   */
   listExcess(): number[] {
     const { maxHeldBytes } = this.#options;
-    if (this.#total <= maxHeldBytes) return [];
+    if (!this.isFull()) return [];
     let total = this.#total;
-    return [...this.#held].toSorted(([, a], [, b]) => b - a)
-      .filter(([, held]) => {
+    return [...this.#held]
+      .filter(([, { bytes, requests }]) =>
+        requests === 0 || bytes > ONE_REQUEST_BYTES
+      )
+      .toSorted(([, a], [, b]) => b.bytes - a.bytes)
+      .filter(([, { bytes }]) => {
         if (total <= RELIEVED_SHARE * maxHeldBytes) return false;
-        total -= held;
+        total -= bytes;
         return true;
       })
       .map(([id]) => id);
--- a/packages/core/client_ledger_test.ts
+++ b/packages/core/client_ledger_test.ts
@@ -4,6 +4,26 @@
 
 const tap = tapModule.default;
 
+// Guards against callers that are cut off because others hold much.
+tap.test("a connection with one usual request is not closed", (t) => {
+  const ledger = new core.ClientLedger({
+    maxHeldBytes: 90_000,
+    maxRequestsAhead: 4,
+  });
+  [1, 2, 3].forEach((id) => {
+    ledger.addRequests(id, 1);
+    ledger.add(id, 32_000);
+  });
+  t.ok(ledger.isFull());
+  t.same(ledger.listExcess(), []);
+  ledger.add(2, 10_000);
+  t.same(ledger.listExcess(), [2], "it holds more than one request does");
+  ledger.add(2, -10_000);
+  ledger.addRequests(3, -1);
+  t.same(ledger.listExcess(), [3], "it has no request");
+  t.end();
+});
+
 // Guards against a crowd that holds the memory of all: the connections that hold most are closed, and no other.
 tap.test("the connections that hold most are closed", (t) => {
   const ledger = new core.ClientLedger({
--- a/packages/listener/client_guard.ts
+++ b/packages/listener/client_guard.ts
@@ -73,6 +73,16 @@
     );
   }
 
+  /** Adds a number of unanswered requests of a connection, or removes them if negative. */
+  addRequests(id: number, requests: number): void {
+    if (this.#connections.has(id)) this.#ledger.addRequests(id, requests);
+  }
+
+  /** Whether all connections hold so much that a new request must be refused. */
+  isFull(): boolean {
+    return this.#ledger.isFull();
+  }
+
   /** Closes a connection. */
   close(id: number, reason: ClosedReason): void {
     const connection = this.#connections.get(id);
@@ -108,9 +118,9 @@
     return false;
   }
 
-  /** Counts bytes of a body that were read. */
-  recordBody(bytes: number): void {
-    this.#bodyTokens -= bytes;
+  /** Counts bytes of a body that were read, of which `readBytes` were before. */
+  recordBody(bytes: number, readBytes: number): void {
+    if (readBytes >= FREE_BODY_BYTES) this.#bodyTokens -= bytes;
   }
 
   #resumeBodies(): void {
--- a/packages/listener/guarded_connection.ts
+++ b/packages/listener/guarded_connection.ts
@@ -81,6 +81,7 @@
     this.#bodyBytes = 0;
     this.#requests += 1;
     if (this.#requests === 1) onIdleChanged(false);
+    guard.addRequests(this.id, 1);
     guard.hold(this.id, REQUEST_BYTES);
     const endBody = isChunked(request)
       ? this.#openChunkedBody(request)
@@ -89,6 +90,7 @@
       endBody?.();
       this.#requests -= 1;
       if (this.#requests === 0) onIdleChanged(true);
+      guard.addRequests(this.id, -1);
       guard.hold(this.id, -bytes);
       this.#pushPieces();
     });
@@ -171,8 +173,8 @@
   readonly #resume = () => this.#pushPieces();
 
   #recordBody(bytes: number): void {
+    this.#options.guard.recordBody(bytes, this.#bodyBytes);
     this.#bodyBytes += bytes;
-    this.#options.guard.recordBody(bytes);
     this.#options.guard.hold(this.id, -bytes);
   }
 
