--- a/packages/listener/client_guard.ts
+++ b/packages/listener/client_guard.ts
@@ -6,6 +6,8 @@
 const FREE_BODY_BYTES = 64 * 1024;
 /** Time until bodies are read on after too many bytes were, in ms. */
 const BODY_PAUSE_MS = 5;
+/** Pause after none of the connections that hold too much could be closed, in ms. */
+const EXCESS_PAUSE_MS = 20;
 /** Shortest interval between two log lines about refused clients, in ms. */
 const LOG_MS = 10_000;
 
@@ -44,6 +46,8 @@
   #bodyTokensAt = Number.NEGATIVE_INFINITY;
   #closedSinceLog: Record<string, number> = {};
   #loggedAt = Number.NEGATIVE_INFINITY;
+  /** Time before which no connection is looked for that holds too much. */
+  #nextExcessAt = Number.NEGATIVE_INFINITY;
   #nextId = 0;
 
   constructor(options: ClientGuardOptions) {
@@ -67,10 +71,16 @@
   hold(id: number, bytes: number): void {
     if (bytes === 0 || !this.#connections.has(id)) return;
     this.#ledger.add(id, bytes);
-    if (bytes < 0) return;
-    this.#ledger.listExcess().forEach((excess) =>
-      this.close(excess, "held_bytes")
-    );
+    if (bytes > 0 && this.#ledger.isFull()) this.#closeExcess();
+  }
+
+  #closeExcess(): void {
+    const now = this.#options.clock.now();
+    if (now < this.#nextExcessAt) return;
+    const excess = this.#ledger.listExcess();
+    // A search that finds nothing would take the time of every read.
+    if (excess.length === 0) this.#nextExcessAt = now + EXCESS_PAUSE_MS;
+    excess.forEach((id) => this.close(id, "held_bytes"));
   }
 
   /** Adds a number of unanswered requests of a connection, or removes them if negative. */
