Let an upgraded connection keep its place

What would be seen: silent connections at the port for hosts close the connections between hosts, as these have no request once they are upgraded and count as silent. Found by reading; the test failed before (the upgraded connection was closed). An upgraded connection counts as in use.

--- a/packages/listener/guarded_connection.ts
+++ b/packages/listener/guarded_connection.ts
@@ -111,9 +111,10 @@
     return end;
   }
 
-  /** Hands the socket over to another protocol; returns it with the bytes that were read from it. */
+  /** Hands the socket over to another protocol, for which it is in use; returns it with the bytes that were read from it. */
   release(): { readonly raw: net.Socket; readonly unread: Buffer } {
     this.#isDetached = true;
+    this.#options.onIdleChanged(false);
     this.#raw.off("data", this.#onData).off("end", this.#onEnd)
       .off("error", this.#onError).off("timeout", this.#onTimeout);
     const unread = this.#unread;
--- a/packages/listener/guarded_server_test.ts
+++ b/packages/listener/guarded_server_test.ts
@@ -19,6 +19,7 @@
   readonly closed: string[];
   /** Requests that were handled, by path. */
   readonly paths: string[];
+  readonly onUpgrade: (handle: (request: http.IncomingMessage) => void) => void;
 }
 
 async function startServer(
@@ -55,7 +56,13 @@
     server.close();
   });
   const { port } = server.address() as net.AddressInfo;
-  return { port, guard, closed, paths };
+  return {
+    port,
+    guard,
+    closed,
+    paths,
+    onUpgrade: (handle) => void server.on("upgrade", handle),
+  };
 }
 
 /** Opens a connection and collects what it receives. */
@@ -184,6 +191,29 @@
   crowd.forEach((one) => one.socket.destroy());
 });
 
+// Guards against connections between hosts that yield to silent ones: they have no request once they are upgraded.
+tap.test("an upgraded connection keeps its place", async (t) => {
+  const server = await startServer(t, (_, response) => response.end());
+  server.onUpgrade((request) => {
+    const released = listener.getGuardedConnection(request.socket)?.release();
+    released?.raw.on("data", (bytes) => released.raw.write(bytes));
+    released?.raw.once("end", () => released.raw.end());
+    released?.raw.write(`upgraded ${released.unread.toString()}`);
+  });
+  const { socket, received } = openClient(t, server);
+  socket.write(
+    "GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+  );
+  await waitUntil(() => received.text.startsWith("upgraded"));
+  const crowd = Array.from({ length: 30 }, () => openClient(t, server));
+  await waitUntil(() => server.closed.length >= 14);
+  socket.write("echo");
+  await waitUntil(() => received.text.endsWith("echo"));
+  crowd.forEach((one) => one.socket.destroy());
+  socket.destroy();
+  await waitUntil(() => server.guard.countConnections() === 0);
+});
+
 // Guards against an expectation that is neither met nor refused.
 tap.test("an unknown expectation is refused", async (t) => {
   const server = await startServer(t, (_, response) => response.end());
