--- a/review/lib-2/hosts.mjs
+++ b/review/lib-2/hosts.mjs
@@ -44,7 +44,7 @@
 discovery = "platform"
 entry = "virtual_ip"
 heartbeat_interval_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","leader","platform"]
+contracts = ${JSON.stringify(["base","drain","config","cost","retry","recover","engine","stream","tenants","leader",...options.contracts ?? [],"platform"])}
 [zones]
 ${zones.map((one) => `${one} = "region"`).join("\n")}
 [listen_addresses]
@@ -53,7 +53,7 @@
 [limits]
 cpu_share = 0.675
 cores = 1
-memory_mb = 350
+memory_mb = ${options.memoryMb ?? 350}
 file_descriptors = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -77,7 +77,7 @@
 usage_window_s = 5
 usage_delay_s = 10
 recovery_s = 12
-[platform_settings]
+${Object.entries(options.bounds ?? {}).map(([name, value]) => `${name} = ${value}\n`).join("")}[platform_settings]
 address = "${storeAddress}"
 form = "kv"
 writes_per_s = 400
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -1,7 +1,9 @@
 /** Stand-in of the platform: the key-value store and the API for duties, as PROTOCOL.md describes them. */
 import * as http from "node:http";
 
+/** Most items of a page, and most bytes of their values. */
 const PAGE_ITEMS = 500;
+const PAGE_BYTES = 1_000_000;
 
 /** Starts a store and an API on loopback. `onStoreCall` may delay, lose or refuse a call. */
 export async function startPlatform({ onStoreCall = () => "serve" } = {}) {
@@ -61,9 +63,15 @@
         const all = [...items.values()]
           .filter(({ key }) => key.startsWith(prefix) && key > after)
           .sort((a, b) => a.key < b.key ? -1 : 1);
+        let bytes = 0;
+        const page = all.slice(0, PAGE_ITEMS).filter(({ value }, index) => {
+          const fits = index === 0 || bytes + value.length <= PAGE_BYTES;
+          bytes = fits ? bytes + value.length : Infinity;
+          return fits;
+        });
         return [200, {
-          items: all.slice(0, PAGE_ITEMS).map(encode),
-          has_more: all.length > PAGE_ITEMS,
+          items: page.map(encode),
+          has_more: all.length > page.length,
           store_revision: revision,
         }];
       }
@@ -175,7 +183,8 @@
     duties,
     items,
     put: (key, value) => put(key, JSON.stringify(value)),
-    putText: (key, value) => put(key, value),
+    /** Writes a value of any text or bytes. */
+    putRaw: (key, value) => put(key, value),
     remove,
     close: () => {
       clearInterval(expiry);
