Bound what a host takes in of the store's entries before it is decoded

Cause: each value was decoded and kept in PrefixCache at any size, whether or not it was of use; bytes that are no UTF-8 are mostly text of two bytes a character.

EntryIntake measures a value before it is decoded, asks the reader whether the entry is of use, and counts what is kept (16 MiB a prefix); an entry that is not kept is the removal of its key. The same for statuses and origins of hosts, op/ and the logged error.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -35,6 +35,8 @@
 const KEYS_VALID_SHARE = 0.9;
 /** Share of the withdrawal time for which the host reports itself ready; above the age that the last confirmation reaches between two polls. */
 const READY_SHARE = 0.7;
+/** Largest configuration that is read, in bytes. */
+const MAX_CONFIG_BYTES = 2 * 1024 * 1024;
 /** Interval between checks for servers whose missing entries have expired, in ms. */
 const EXPIRY_CHECK_MS = 50;
 
@@ -70,6 +72,8 @@
   readonly #servers: core.ServerList;
   readonly #evacuations = new core.Evacuations();
   readonly #invalid: invalidEntries.InvalidEntries;
+  /** Servers of entries that were taken in and are still to be applied. */
+  readonly #parsed = new WeakMap<store.StoreEntry, core.ListedServer>();
   readonly #stops: (() => void)[] = [];
   #table: core.RouteTable | undefined;
   #configRevision = 0;
@@ -99,6 +103,10 @@
         clock,
         random,
         prefix: platform.operatorPrefix,
+        bounds: {
+          getMaxValueBytes: (key) => this.#isConfig(key) ? MAX_CONFIG_BYTES : 0,
+          isUsable: (entry) => this.#isOperatorEntry(entry),
+        },
         waitMs: CONFIG_POLL_WAIT_MS,
         getBatchDelayMs: () => BATCH_DELAY_MS,
         onEvent: (event) => this.#handleConfigEvent(event),
@@ -109,6 +117,14 @@
         clock,
         random,
         prefix: platform.serversPrefix,
+        bounds: {
+          isUsable: (entry) => this.#parseServer(entry).length > 0,
+          onNoRoom: (entry) =>
+            this.#invalid.report(entry, {
+              kind: "server",
+              error: "there is no room for more entries",
+            }),
+        },
         waitMs: SERVERS_POLL_WAIT_MS,
         getBatchDelayMs: () =>
           Math.min(
@@ -203,8 +219,24 @@
   }
 
   #handleConfigEntry(entry: store.StoreEntry): void {
-    const isConfig = entry.key === this.#options.platform.configurationKey;
-    if (isConfig) this.#applyConfig(entry);
+    if (this.#isConfig(entry.key)) this.#applyConfig(entry);
+  }
+
+  #isConfig(key: string): boolean {
+    return key === this.#options.platform.configurationKey;
+  }
+
+  /** Whether an entry of the operators is kept: the configuration, or an evacuation. */
+  #isOperatorEntry(entry: store.StoreEntry): boolean {
+    if (!this.#isConfig(entry.key)) {
+      return this.#parseEvacuationKey(entry.key) !== undefined;
+    }
+    if (entry.omittedBytes === undefined) return true;
+    this.#invalid.report(entry, {
+      kind: "configuration",
+      error: invalidEntries.describeOmitted(entry.omittedBytes),
+    });
+    return false;
   }
 
   #setEvacuations(
@@ -328,8 +360,15 @@
   }
 
   #parseServer(entry: store.StoreEntry): core.ListedServer[] {
-    const parsed = this.#options.platform.parseServer(entry);
-    if (parsed.ok) return [parsed.val];
+    const known = this.#parsed.get(entry);
+    if (known !== undefined) return [known];
+    const parsed = entry.omittedBytes === undefined
+      ? this.#options.platform.parseServer(entry)
+      : utils.Err(invalidEntries.describeOmitted(entry.omittedBytes));
+    if (parsed.ok) {
+      this.#parsed.set(entry, parsed.val);
+      return [parsed.val];
+    }
     this.#invalid.report(entry, { kind: "server", error: parsed.val });
     return [];
   }
--- a/packages/banyangrade/gateway/host_status_task.ts
+++ b/packages/banyangrade/gateway/host_status_task.ts
@@ -6,7 +6,7 @@
  */
 import * as core from "@banyangrade/core";
 import type * as peer from "@banyangrade/peer";
-import type * as store from "@banyangrade/store";
+import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
 import * as invalidEntries from "./invalid_entries.ts";
 import * as publishedStatuses from "./published_statuses.ts";
@@ -14,6 +14,8 @@
 
 /** Key prefix of the published statuses. */
 const PREFIX = "banyangrade/hosts/";
+/** Largest entry that is read, in bytes; a relay publishes the statuses of all hosts of its failure domain. */
+const MAX_PUBLISHED_BYTES = 1024 * 1024;
 /** Interval between rounds, in ms; a host that is killed loses the usage counts of at most one round, without a relay those since its last publication. */
 const ROUND_MS = 1_000;
 /**
@@ -485,16 +487,22 @@
 
   async #readPublished(): Promise<void> {
     const sentAt = this.#options.clock.now();
-    const listed = await this.#options.store.list(PREFIX);
+    const parsed = new Map<string, publishedStatuses.PublishedStatuses>();
+    const { take } = new store.EntryIntake({
+      getMaxValueBytes: () => MAX_PUBLISHED_BYTES,
+      isUsable: (entry) => {
+        const one = this.#parsePublished(entry);
+        if (one !== undefined) parsed.set(entry.key, one);
+        return one !== undefined;
+      },
+    });
+    const listed = await this.#options.store.list(PREFIX, { take });
     if (listed.err) return void this.#recordFailure(listed.val);
-    const own = `${PREFIX}${this.#options.host}/${this.#options.incarnation}`;
-    const published = listed.val.flatMap((entry) => {
-      const parsed = publishedStatuses.parsePublished(entry.value);
-      if (parsed.ok) return [{ key: entry.key, ...parsed.val }];
-      const error = parsed.val;
-      this.#invalid.report(entry, { kind: "statuses", error });
-      return [];
+    const published = listed.val.flatMap(({ key }) => {
+      const one = parsed.get(key);
+      return one === undefined ? [] : [{ key, ...one }];
     });
+    const own = `${PREFIX}${this.#options.host}/${this.#options.incarnation}`;
     if (this.#readAt === Number.NEGATIVE_INFINITY) {
       this.#options.onVersions(
         published.flatMap(({ key, versions }) =>
@@ -517,6 +525,19 @@
     this.#readAt = sentAt;
   }
 
+  /** Decodes an entry of another host; reports one that no host writes so. */
+  #parsePublished(
+    entry: store.StoreEntry,
+  ): publishedStatuses.PublishedStatuses | undefined {
+    const parsed = publishedStatuses.parsePublished(entry.value);
+    if (parsed.ok) return parsed.val;
+    const error = entry.omittedBytes === undefined
+      ? parsed.val
+      : invalidEntries.describeOmitted(entry.omittedBytes);
+    this.#invalid.report(entry, { kind: "statuses", error });
+    return undefined;
+  }
+
   /**
    * Records a failed call of the store; returns false if the lease had ended. The
    * log level is low because the next round makes up for one failure, and a
--- a/packages/banyangrade/gateway/invalid_entries.ts
+++ b/packages/banyangrade/gateway/invalid_entries.ts
@@ -11,6 +11,8 @@
 
 /** Maximum number of entries whose reported version is remembered. */
 const MAX_ENTRIES = 1_000;
+/** Longest description of what is wrong, in characters; it may quote the entry. */
+const MAX_ERROR_LENGTH = 200;
 
 /** Options of {@link InvalidEntries}. */
 export interface InvalidEntriesOptions {
@@ -36,9 +38,19 @@
     if (this.#reported.get(key) === modRevision) return;
     this.#reported.set(key, modRevision);
     this.#options.log.error(
-      { key, revision: modRevision, error },
+      { key, revision: modRevision, error: error.slice(0, MAX_ERROR_LENGTH) },
       `Entry describes no ${kind} and is ignored.`,
     );
     this.#options.onInvalid(kind);
   }
 }
+
+/**
+ * Describes a value that was too long to be decoded.
+ *
+ * @example
+ * describeOmitted(1_048_576); // "1048576 bytes are too long"
+ */
+export function describeOmitted(bytes: number): string {
+  return `${bytes} bytes are too long`;
+}
--- a/packages/banyangrade/gateway/relayed_feed.ts
+++ b/packages/banyangrade/gateway/relayed_feed.ts
@@ -55,7 +55,7 @@
 }
 
 type Polled = utils.Result<store.Changes, utils.StepError>;
-type PollOptions = Parameters<store.FeedClient["pollChanges"]>[1];
+type PollOptions = store.PollOptions;
 
 /** Result of polling the relay. */
 type RelayPoll =
@@ -98,6 +98,7 @@
 
   async readAll(
     prefix: string,
+    options: store.ReadOptions = {},
   ): Promise<utils.Result<store.PrefixSnapshot, utils.StepError>> {
     const { clock, feed, relay } = this.#options;
     const sentAt = clock.now();
@@ -107,12 +108,15 @@
       readState: ({ kind }) => ({ ready: kind !== "unready" }),
     });
     if (relayed?.kind === "snapshot") {
-      this.#setAll(prefix, { snapshot: relayed, sentAt });
+      // A relay of another version may keep more than this host does.
+      const entries = store.takeAll(relayed.entries, options);
+      const snapshot = { ...relayed, entries };
+      this.#setAll(prefix, { snapshot, sentAt });
       this.#options.onReadAll?.({ prefix, source: "relay" });
-      return utils.Ok(relayed);
+      return utils.Ok(snapshot);
     }
     const askedAt = clock.now();
-    const read = await feed.readAll(prefix);
+    const read = await feed.readAll(prefix, options);
     if (read.ok) {
       this.#setAll(prefix, { snapshot: read.val, sentAt: askedAt });
       this.#options.onReadAll?.({ prefix, source: "store" });
@@ -225,7 +229,7 @@
 
   async #pollRelay(
     prefix: string,
-    { after, waitMs: longestWaitMs }: PollOptions,
+    { after, waitMs: longestWaitMs, take }: PollOptions,
   ): Promise<RelayPoll> {
     await this.#waitForPromptPoll(prefix);
     const sentAt = this.#options.clock.now();
@@ -247,9 +251,12 @@
         return { kind: "unready" };
       case "gone":
         return { kind: "answered", polled: utils.Err(buildHistoryError()) };
-      case "changes":
-        this.#apply(prefix, { changes: relayed, sentAt });
-        return { kind: "answered", polled: utils.Ok(relayed) };
+      case "changes": {
+        const kept = store.takeAllChanges(relayed.changes, { take });
+        const changes = { ...relayed, changes: kept };
+        this.#apply(prefix, { changes, sentAt });
+        return { kind: "answered", polled: utils.Ok(changes) };
+      }
     }
   }
 
--- a/packages/banyangrade/gateway/saved_origins.ts
+++ b/packages/banyangrade/gateway/saved_origins.ts
@@ -4,7 +4,7 @@
  * refuse the streams that their callers take up.
  */
 import * as core from "@banyangrade/core";
-import type * as store from "@banyangrade/store";
+import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
 import * as invalidEntries from "./invalid_entries.ts";
 
@@ -114,16 +114,21 @@
   /** Reads the batches of all relays; returns whether the store answered. */
   async #read(): Promise<boolean> {
     const { log, onRead, store: client } = this.#options;
-    const listed = await client.list(PREFIX);
+    const read = new Map<string, readonly core.OriginRecord[]>();
+    const { take } = new store.EntryIntake({
+      isUsable: (entry) => {
+        const origins = core.decodeOrigins(entry.value);
+        if (origins !== undefined) read.set(entry.key, origins);
+        else {this.#invalid.report(entry, {
+            kind: "origins",
+            error: "malformed",
+          });}
+        return origins !== undefined;
+      },
+    });
+    const listed = await client.list(PREFIX, { take });
     if (listed.err) return false;
-    const read = listed.val.map((entry) => ({
-      entry,
-      origins: core.decodeOrigins(entry.value),
-    }));
-    read.filter(({ origins }) => origins === undefined).forEach(({ entry }) =>
-      this.#invalid.report(entry, { kind: "origins", error: "malformed" })
-    );
-    const origins = read.flatMap((one) => one.origins ?? []);
+    const origins = listed.val.flatMap(({ key }) => read.get(key) ?? []);
     onRead(origins);
     log.info(
       { batches: listed.val.length, streams: origins.length },
--- a/packages/banyangrade/relay_testing.ts
+++ b/packages/banyangrade/relay_testing.ts
@@ -91,10 +91,11 @@
     const list = (prefix: string) => this.#kv.list(prefix, `${prefix}\uffff`);
     return {
       get: (key) => run("get", () => this.#kv.get(key)),
-      list: (prefix) => run("list", () => list(prefix)),
-      readAll: (prefix) =>
+      list: (prefix, options) =>
+        run("list", () => [...store.takeAll(list(prefix), options)]),
+      readAll: (prefix, options) =>
         run("list", () => ({
-          entries: list(prefix),
+          entries: store.takeAll(list(prefix), options),
           revision: this.#kv.revision,
         })),
       pollChanges: (prefix, options) =>
@@ -122,7 +123,7 @@
 
   async #poll(
     prefix: string,
-    { after, waitMs }: { readonly after: number; readonly waitMs: number },
+    { after, waitMs, take }: store.PollOptions,
   ): Promise<store.Changes> {
     const list = () =>
       this.#log.flatMap(({ key, change }) => {
@@ -143,7 +144,8 @@
         this.#waiting.add(wake);
       });
     }
-    return { changes: list(), revision: this.#kv.revision };
+    const changes = store.takeAllChanges(list(), { take });
+    return { changes, revision: this.#kv.revision };
   }
 }
 
--- a/packages/banyangrade/relayed_feed_test.ts
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -113,6 +113,35 @@
   t.equal(fixture.storeCalls.length, 4);
 });
 
+// Guards against a follower that runs out of memory because its relay, of an earlier version, keeps entries of any size.
+tap.test("what a relay sends is bounded like what the store sends", async (t) => {
+  const fixture = buildFixture();
+  const feed = buildFeed(fixture);
+  const long = { key: "servers/long", modRevision: 4, value: "x".repeat(1e6) };
+  const sound = { key: "servers/sound", modRevision: 3, value: "{}" };
+  const { take } = new store.EntryIntake();
+  fixture.relayed = {
+    kind: "snapshot",
+    entries: [sound, long],
+    revision: 5,
+    ageMs: 0,
+  };
+  t.match(await feed.readAll(PREFIX, { take }), {
+    ok: true,
+    val: { entries: [sound] },
+  });
+  t.match(feed.answerReadAll(PREFIX), { entries: { length: 1 } });
+  fixture.relayed = {
+    kind: "changes",
+    changes: [{ kind: "put", entry: { ...long, key: "servers/sound" } }],
+    revision: 6,
+    ageMs: 0,
+  };
+  const polled = await feed.pollChanges(PREFIX, { after: 5, waitMs: 0, take });
+  t.match(polled, { val: { changes: [{ kind: "deleted" }] } });
+  t.match(feed.answerReadAll(PREFIX), { entries: { length: 0 } });
+});
+
 // Only the relay is cut off from the store, so it may miss that a key was
 // withdrawn or a route removed: its followers poll the store at once.
 tap.test("a relay whose data is stale is bypassed", async (t) => {
--- a/packages/banyangrade/return_store_testing.ts
+++ b/packages/banyangrade/return_store_testing.ts
@@ -119,16 +119,17 @@
     const list = (prefix: string) => this.#kv.list(prefix, `${prefix}\uffff`);
     return {
       get: (key) => run(READ, () => this.#kv.get(key)),
-      list: (prefix) => run(READ, () => list(prefix)),
-      readAll: (prefix) =>
+      list: (prefix, options) =>
+        run(READ, () => [...store.takeAll(list(prefix), options)]),
+      readAll: (prefix, options) =>
         run(READ, () => ({
-          entries: list(prefix),
+          entries: store.takeAll(list(prefix), options),
           revision: this.#kv.revision,
         })),
-      pollChanges: (prefix, { after, waitMs: longest }) =>
+      pollChanges: (prefix, { after, waitMs: longest, take }) =>
         run(
           { kind: "poll", waitMs: longest },
-          (waitMs) => this.#poll(prefix, { after, waitMs }),
+          (waitMs) => this.#poll(prefix, { after, waitMs, take }),
         ),
       swap: (swap) => run(WRITE, () => this.#swap(swap)),
       grantLease: (seconds) =>
@@ -232,7 +233,7 @@
 
   #poll(
     prefix: string,
-    { after, waitMs }: { readonly after: number; readonly waitMs: number },
+    { after, waitMs, take }: store.PollOptions,
   ): Promise<store.Changes> {
     const { time } = this.#options;
     const list = () => {
@@ -245,7 +246,8 @@
     return new Promise((resolve) => {
       const end = () => {
         this.#waiting.delete(wake);
-        resolve({ changes: list(), revision: this.#kv.revision });
+        const changes = store.takeAllChanges(list(), { take });
+        resolve({ changes, revision: this.#kv.revision });
       };
       const wake = () => {
         if (this.#waiting.has(wake)) end();
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -5,6 +5,7 @@
  */
 import * as undici from "undici";
 import * as utils from "@banyangrade/utils";
+import * as entryIntake from "./entry_intake.ts";
 import * as etcdMessages from "./etcd_messages.ts";
 
 const PEER = "store";
@@ -14,6 +15,8 @@
   readonly key: string;
   readonly value: string;
   readonly modRevision: number;
+  /** Size in bytes of a value that was too long to be decoded; `value` is empty then. */
+  readonly omittedBytes?: number;
 }
 
 /** Result of a compare-and-swap: the new revision, or the entry that made it fail. */
@@ -44,6 +47,15 @@
   readonly timeoutMs?: number;
 }
 
+/** Which entries of a prefix are listed. */
+export interface ListOptions {
+  /** Key after which the list begins. @default the first one */
+  readonly after?: string;
+  readonly limit?: number;
+  /** Takes in the entries. @default all of them are returned */
+  readonly take?: entryIntake.TakeEntry;
+}
+
 /** Reads, compare-and-swap writes and leases: the calls that a lease holder needs. */
 export interface KeyValueClient {
   readonly get: (
@@ -51,7 +63,7 @@
   ) => Promise<utils.Result<StoreEntry | undefined, utils.StepError>>;
   readonly list: (
     prefix: string,
-    options?: { readonly after?: string; readonly limit?: number },
+    options?: ListOptions,
   ) => Promise<utils.Result<StoreEntry[], utils.StepError>>;
   readonly swap: (
     swap: Swap,
@@ -100,7 +112,7 @@
       });
       return response.map((range) => range.kvs?.map(toEntry)[0]);
     },
-    list: async (prefix, { after, limit } = {}) => {
+    list: async (prefix, { after, limit, take } = {}) => {
       const response = await call<etcdMessages.RangeResponse>("range", {
         key: etcdMessages.encodeText(
           after === undefined ? prefix : `${after}\0`,
@@ -108,7 +120,9 @@
         range_end: etcdMessages.encodeText(etcdMessages.getRangeEnd(prefix)),
         limit: String(limit ?? 0),
       });
-      return response.map((range) => (range.kvs ?? []).map(toEntry));
+      return response.map((range) => [
+        ...entryIntake.takeAll((range.kvs ?? []).map(toEntry), { take }),
+      ]);
     },
     swap: async (swap) => {
       const response = await call<etcdMessages.TxnResponse>(
--- a/packages/store/mod.ts
+++ b/packages/store/mod.ts
@@ -4,6 +4,7 @@
 export * from "./client.ts";
 export * from "./config_store.ts";
 export * from "./counted_client.ts";
+export * from "./entry_intake.ts";
 export * from "./prefix_watch.ts";
 export * from "./lease_holder.ts";
 export * from "./prefix_cache.ts";
--- a/packages/store/prefix_watch.ts
+++ b/packages/store/prefix_watch.ts
@@ -7,6 +7,7 @@
 import * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import type * as client from "./client.ts";
+import * as entryIntake from "./entry_intake.ts";
 
 /** All entries of a prefix at one revision. */
 export interface PrefixSnapshot {
@@ -43,17 +44,33 @@
   /** Reads a prefix in full, never from a stale copy. */
   readonly readAll: (
     prefix: string,
+    options?: ReadOptions,
   ) => Promise<utils.Result<PrefixSnapshot, utils.StepError>>;
   /**
    * Waits for changes after a revision. The error `not_found` means that the
-   * history since then has been deleted, so the prefix must be read in full.
+   * history since then has been deleted, or is too long to be taken at once, so the
+   * prefix must be read in full, which is done in pages.
    */
   readonly pollChanges: (
     prefix: string,
-    options: { readonly after: number; readonly waitMs: number },
+    options: PollOptions,
   ) => Promise<utils.Result<Changes, utils.StepError>>;
 }
 
+/** Options of a full read. */
+export interface ReadOptions {
+  /** Takes in the entries. @default all of them are returned */
+  readonly take?: entryIntake.TakeEntry;
+}
+
+/** Options of a poll for changes. */
+export interface PollOptions extends ReadOptions {
+  /** Revision after which changes are asked for. */
+  readonly after: number;
+  /** Longest wait for a change, in ms. */
+  readonly waitMs: number;
+}
+
 /** An event of {@link watchPrefix}. */
 export type FeedEvent =
   | {
@@ -77,6 +94,8 @@
   readonly clock: utils.Clock;
   readonly random: utils.Random;
   readonly prefix: string;
+  /** What is taken in of the entries of the prefix. @default all of them, up to the usual bounds */
+  readonly bounds?: entryIntake.EntryBounds;
   /** Maximum time that one poll waits for a change, in ms. */
   readonly waitMs: number;
   /**
@@ -112,11 +131,14 @@
   let after: number | undefined;
   let failures = 0;
   let refusals = 0;
+  let intake = new entryIntake.EntryIntake(options.bounds);
 
   async function readAll(): Promise<utils.StepError | undefined> {
     const sentAt = clock.now();
-    const read = await feed.readAll(prefix);
+    const next = new entryIntake.EntryIntake(options.bounds);
+    const read = await feed.readAll(prefix, { take: next.take });
     if (read.err) return read.val;
+    intake = next;
     const { entries, revision, ageMs = 0 } = read.val;
     after = revision;
     onEvent({ kind: "replaced", entries, revision, sentAt: sentAt - ageMs });
@@ -125,8 +147,13 @@
 
   async function poll(since: number): Promise<utils.StepError | undefined> {
     const sentAt = clock.now();
-    const waitMs = options.waitMs;
-    const polled = await feed.pollChanges(prefix, { after: since, waitMs });
+    const { waitMs } = options;
+    const { take } = intake;
+    const polled = await feed.pollChanges(prefix, {
+      after: since,
+      waitMs,
+      take,
+    });
     if (polled.err) {
       if (polled.val.code !== "not_found") return polled.val;
       after = undefined;
@@ -137,6 +164,9 @@
     // delete its history may have skipped changes; the next poll from the same
     // revision returns them or fails with `not_found`.
     if (changes.length > 0) after = Math.max(since, revision);
+    changes.forEach((change) => {
+      if (change.kind === "deleted") intake.remove(change.key);
+    });
     onEvent({ kind: "changed", changes, revision, sentAt: sentAt - ageMs });
     if (changes.length > 0) await utils.waitFor(options.getBatchDelayMs());
     return undefined;
--- a/packages/store/simulated_store.ts
+++ b/packages/store/simulated_store.ts
@@ -6,6 +6,7 @@
 import * as utils from "@banyangrade/utils";
 import type * as client from "./client.ts";
 import * as kvState from "./kv_state.ts";
+import * as entryIntake from "./entry_intake.ts";
 import * as etcdMessages from "./etcd_messages.ts";
 
 /** Outcome that the test chooses for a call. */
@@ -98,13 +99,14 @@
           const pair = this.kv.get(key);
           return pair && toEntry(pair);
         }),
-      list: (prefix, { after, limit } = {}) =>
-        call(() =>
+      list: (prefix, { after, limit, take } = {}) =>
+        call(() => [...entryIntake.takeAll(
           this.kv.list(
             after === undefined ? prefix : `${after}\0`,
             etcdMessages.getRangeEnd(prefix),
-          ).slice(0, limit || undefined).map(toEntry)
-        ),
+          ).slice(0, limit || undefined).map(toEntry),
+          { take },
+        )]),
       swap: (swap) => call(() => this.#swap(swap)),
       grantLease: (seconds) =>
         call(() => this.kv.grantLease(seconds * 1_000, this.#now())),
--- a/packages/utils/mod.ts
+++ b/packages/utils/mod.ts
@@ -1,6 +1,7 @@
 /** Utilities that all packages share. */
 export * from "./address.ts";
 export * from "./backend.ts";
+export * from "./bounded_body.ts";
 export * from "./clock.ts";
 export * from "./digest.ts";
 export * from "./errors.ts";
