Take heads that are none of HTTP/1 for no answer

Callers got answers with a status of 600 or 999, of the versions 0.9 and 2.0, or with a transfer coding that nothing decodes, whose body is not the server's.

Cause: the HTTP client accepts these. A status is 100 to 599 (RFC 9110, 15), the major version is 1 (RFC 9112, 2.3), and a coding that was not offered makes the framing of the answer faulty (RFC 9112, 6.1 and 6.3).

AnswerCheck reads each head before the HTTP client gets it, interim ones too, and closes the connection on one that is none: 502, as for those that the client refuses itself.

--- a/packages/utils/answer_check.ts
+++ b/packages/utils/answer_check.ts
@@ -3,7 +3,8 @@
  *
  * An answer whose head has no length ends with its connection. The HTTP client takes
  * any end for that, also a reset, and also one that comes while the request is still
- * being written.
+ * being written. It accepts heads of other versions of HTTP, statuses that do not
+ * exist, and transfer codings that it does not decode.
  */
 import type * as net from "node:net";
 import type * as undici from "undici";
@@ -11,9 +12,12 @@
 /** Longest head that is read, in bytes; several times what the HTTP client accepts. */
 const MAX_HEAD_BYTES = 64 * 1024;
 const HEAD_END = "\r\n\r\n";
-const CHUNKED = /\r\ntransfer-encoding: *chunked/i;
+/** Statuses are 100 to 599 (RFC 9110, 15), the major version is 1 (RFC 9112, 2.3). */
+const STATUS_LINE = /^HTTP\/1\.(\d) ([1-5]\d\d)(?: |$)/;
+const TRANSFER_CODING = /\r\ntransfer-encoding:([^\r\n]*)/gi;
 const LENGTH = /\r\ncontent-length:/i;
 
+const HTTP_SWITCHING_PROTOCOLS = 101;
 const HTTP_OK = 200;
 const HTTP_NO_CONTENT = 204;
 const HTTP_NOT_MODIFIED = 304;
@@ -25,7 +29,8 @@
   /** The end of the body is marked, or there is none. */
   | { readonly kind: "delimited" }
   /** The body ends with the connection. */
-  | { readonly kind: "until_end" };
+  | { readonly kind: "until_end" }
+  | { readonly kind: "flawed"; readonly reason: string };
 
 /**
  * Reads the head of an answer to a request with a given method; the text ends before
@@ -36,10 +41,25 @@
  */
 export function readHead(head: string, method: string): AnswerHead {
   const [line] = head.split("\r\n", 1);
-  const status = Number(line.split(" ")[1]);
+  const [, minor, statusText] = STATUS_LINE.exec(line) ?? [];
+  const status = Number(statusText);
+  if (minor === undefined || status === HTTP_SWITCHING_PROTOCOLS) {
+    return { kind: "flawed", reason: "The answer is none in HTTP/1." };
+  }
   if (status < HTTP_OK) return { kind: "interim" };
-  if (CHUNKED.test(head)) return { kind: "delimited" };
+  const codings = [...head.matchAll(TRANSFER_CODING)].map(([, value]) =>
+    value.trim().toLowerCase()
+  );
   const hasLength = LENGTH.test(head);
+  if (codings.length > 0) {
+    // Requests offer no other coding, and HTTP/1.0 has none (RFC 9112, 6.1).
+    const isChunked = codings.length === 1 && codings[0] === "chunked" &&
+      minor !== "0" && !hasLength;
+    return isChunked ? { kind: "delimited" } : {
+      kind: "flawed",
+      reason: "The answer has an unknown transfer coding.",
+    };
+  }
   const hasBody = method !== "HEAD" && status !== HTTP_NO_CONTENT &&
     status !== HTTP_NOT_MODIFIED;
   return { kind: hasBody && !hasLength ? "until_end" : "delimited" };
@@ -181,7 +201,7 @@
       rest = rest.subarray(end + HEAD_END.length);
     }
     this.#unread = undefined;
-    return undefined;
+    return this.#head.kind === "flawed" ? this.#head.reason : undefined;
   }
 }
 
--- a/packages/utils/answers_testing.ts
+++ b/packages/utils/answers_testing.ts
@@ -120,6 +120,67 @@
   readonly read: (request: ReadRequest) => Promise<ReadAnswer>;
 }
 
+/** Heads that are none of an answer in HTTP/1.1, with a body of a known length. */
+const FLAWED_HEADS: Readonly<Record<string, readonly string[]>> = {
+  "status 000": ["HTTP/1.1 000 X"],
+  "status 099": ["HTTP/1.1 099 X"],
+  "status 600": ["HTTP/1.1 600 X"],
+  "status 999": ["HTTP/1.1 999 X"],
+  "status 1000": ["HTTP/1.1 1000 X"],
+  "status 20": ["HTTP/1.1 20 X"],
+  "no status": ["HTTP/1.1 OK"],
+  "version 0.9": ["HTTP/0.9 200 OK"],
+  "version 2.0": ["HTTP/2.0 200 OK"],
+  "version 3.0": ["HTTP/3.0 200 OK"],
+  "version 11": ["HTTP/11 200 OK"],
+  "another protocol": ["ICY 200 OK"],
+  "an interim answer of version 2.0": ["HTTP/2.0 103 X", "", "HTTP/1.1 200 OK"],
+  "version 2.0 after an interim answer": [
+    "HTTP/1.1 103 X",
+    "",
+    "HTTP/2.0 200 OK",
+  ],
+  "status 600 after an interim answer": [
+    "HTTP/1.1 100 X",
+    "",
+    "HTTP/1.1 600 OK",
+  ],
+  "a blank in a name": ["HTTP/1.1 200 OK", "x y: z"],
+  "a blank after a name": ["HTTP/1.1 200 OK", "x-y : z"],
+  "a control byte in a name": ["HTTP/1.1 200 OK", "x\u0001y: z"],
+  "a zero byte in a value": ["HTTP/1.1 200 OK", "x-y: a\u0000b"],
+  "a folded line": ["HTTP/1.1 200 OK", " x-y: z"],
+  "a line without a colon": ["HTTP/1.1 200 OK", "nothing"],
+  "an empty name": ["HTTP/1.1 200 OK", ": z"],
+  "two lengths": ["HTTP/1.1 200 OK", "content-length: 3"],
+  "an unknown transfer coding": [
+    "HTTP/1.1 200 OK",
+    "transfer-encoding: xchunked",
+  ],
+  "a second transfer coding": [
+    "HTTP/1.1 200 OK",
+    "transfer-encoding: gzip, chunked",
+  ],
+  "an empty transfer coding": ["HTTP/1.1 200 OK", "transfer-encoding: "],
+};
+
+/** Heads with a transfer coding, which have no length besides. */
+const FLAWED_CODINGS: Readonly<Record<string, readonly string[]>> = {
+  "an unknown transfer coding alone": [
+    "HTTP/1.1 200 OK",
+    "transfer-encoding: xchunked",
+  ],
+  "the identity as transfer coding": [
+    "HTTP/1.1 200 OK",
+    "transfer-encoding: identity",
+  ],
+  "chunks that are coded again": [
+    "HTTP/1.1 200 OK",
+    "transfer-encoding: chunked",
+    "transfer-encoding: gzip",
+  ],
+};
+
 function buildHead(
   { marks }: AnswerReader,
   lines: readonly string[],
@@ -208,9 +269,33 @@
   );
 }
 
+function listFlawedCases(): AnswerCase[] {
+  const uploads: readonly Upload[] = ["no_body", "read_before", "read_on"];
+  const ends: readonly End[] = ["close", "half_close"];
+  const codings = new Set(Object.keys(FLAWED_CODINGS));
+  return Object.entries({ ...FLAWED_HEADS, ...FLAWED_CODINGS })
+    .flatMap(([name, lines]) =>
+      uploads.flatMap((upload) =>
+        ends.map((end) => ({
+          name: `${name} ${end} ${upload}`,
+          upload,
+          end,
+          verdict: "failed" as const,
+          status: 200,
+          build: (reader: AnswerReader) => {
+            const length = `content-length: ${reader.body.length}`;
+            const all = codings.has(name) ? lines : [...lines, length];
+            return buildHead(reader, all) + reader.body;
+          },
+        }))
+      )
+    );
+}
+
 /** All ways in which a server answers. */
 export const ANSWER_CASES: readonly AnswerCase[] = [
   ...listFramedCases(),
+  ...listFlawedCases(),
 ];
 
 /**
