Say a host is ready only while its port for callers is served

Not reproduced here yet, and the cause is not shown: the readiness port has a listener of its own and answered from the state of the store alone, so nothing tied its answer to the port for callers.

Each second a host opens a connection to its own port for callers. Connections are accepted in the order in which they arrive, so one that is accepted shows that those before it were. If none that was opened within two seconds has been accepted, also by the clock that counts suspensions, the host is not ready, and says so in its log with the delay of its event loop. New metrics count the connections that were accepted, have sent nothing that was read, and were closed unread.

--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -3,6 +3,7 @@
 import * as utils from "@banyangrade/utils";
 import * as operationsServer from "../operations_server.ts";
 import * as ingressModule from "./ingress.ts";
+import * as listenerProbe from "./listener_probe.ts";
 import * as readinessModule from "./readiness.ts";
 import * as gatewayParts from "./gateway_parts.ts";
 import * as sharedKnowledge from "./shared_knowledge.ts";
@@ -55,6 +56,7 @@
 
 interface HostServers {
   readonly ingress: ingressModule.Ingress;
+  readonly probe: listenerProbe.ListenerProbe;
   readonly readiness: { readonly close: () => void };
   readonly operations: operationsServer.OperationsServer | undefined;
 }
@@ -65,17 +67,31 @@
   const { settings, platform, state, belief, dispatch, metrics } = parts;
   const { clientGuard } = parts;
   const { clients } = settings;
-  const isReady = () => gatewayParts.isReady(parts);
+  const address = utils.splitAddress(settings.callerAddress);
+  const probe = new listenerProbe.ListenerProbe({
+    address,
+    clock: parts.clocks.lease,
+    log: utils.createPartLogger(parts.log, "ingress"),
+    describe: () => ({
+      loopDelayMs: Math.round(dispatch.getLoopDelay()),
+      connections: clientGuard.countConnections(),
+      silent: clientGuard.countSilent(),
+      open: dispatch.countOpen(),
+    }),
+  });
+  const isReady = () => gatewayParts.isReady(parts) && probe.isServed();
   const ingress = await ingressModule.startIngress({
-    ...utils.splitAddress(settings.callerAddress),
+    ...address,
     onRequest: (request) => parts.requestHandler.handle(request),
     heldBytes: parts.heldBytes,
     guard: clientGuard,
     limits: clients,
+    takeConnection: (accepted) => probe.take(accepted),
     closesConnections: () =>
       state.draining || !belief.isReady() || clientGuard.isFull(),
   });
   parts.ingress = ingress;
+  probe.start();
   const readiness = await readinessModule.startReadiness({
     ...utils.splitAddress(settings.readinessAddress),
     path: platform.wire.readinessPath,
@@ -94,7 +110,7 @@
       maxConnections: clients.maxControlConnections,
       getStatus: () => ({ open: dispatch.countOpen() }),
     });
-  return { ingress, readiness, operations };
+  return { ingress, probe, readiness, operations };
 }
 
 /** Adds gauges for the age of the store's data, open requests and roles; they are read on each scrape. */
@@ -172,6 +188,10 @@
     help: "Open connections of clients at all ports.",
     read: () => clientGuard.countConnections(),
   });
+  metrics.addGauge("banyangrade_silent_connections", {
+    help: "Open connections of clients of which no byte was read yet.",
+    read: () => clientGuard.countSilent(),
+  });
   metrics.addGauge("banyangrade_client_held_bytes", {
     help:
       "Estimated memory of unanswered requests and of bytes that are not parsed.",
@@ -190,7 +210,7 @@
 
 async function drainHost(
   parts: gatewayParts.GatewayParts,
-  { ingress }: HostServers,
+  { ingress, probe }: HostServers,
 ): Promise<void> {
   const { settings, state, clock, log, dispatch, roles, relay } = parts;
   const { requestHandler, startupWaits, heldBytes, handover } = parts;
@@ -218,6 +238,7 @@
   // beyond the grace period. It is refused so that its caller retries elsewhere.
   state.closed = true;
   heldBytes.refuseWaits();
+  probe.stop();
   ingress.drain();
   const closeIdle = () => {
     if (heldBytes.countCallers() === 0) ingress.closeIdle();
@@ -232,7 +253,7 @@
 
 async function closeHost(
   parts: gatewayParts.GatewayParts,
-  { ingress, readiness, operations }: HostServers,
+  { ingress, probe, readiness, operations }: HostServers,
 ): Promise<void> {
   parts.belief.stop();
   parts.streamOrigins.stop();
@@ -245,6 +266,7 @@
   parts.dispatch.stop();
   parts.spreading.stop();
   parts.heldBytes.stop();
+  probe.stop();
   ingress.close();
   readiness.close();
   await Promise.all([
--- a/packages/banyangrade/gateway/gateway_parts.ts
+++ b/packages/banyangrade/gateway/gateway_parts.ts
@@ -189,6 +189,8 @@
       log: utils.createPartLogger(options.log, "clients"),
       limits: settings.clients,
       onClosed: (name, reason) => metrics.recordClosedConnection(name, reason),
+      onAccepted: (name) => metrics.recordAcceptedConnection(name),
+      onUnread: (name) => metrics.recordUnreadConnection(name),
     }),
     startLog: new startLog.StartLog({
       clock,
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -93,6 +93,8 @@
   readonly heldBytes: heldBytesModule.HeldBytes;
   readonly guard: listener.ClientGuard;
   readonly limits: core.ClientLimits;
+  /** Takes connections that are none of a caller; returns whether it did. @default none */
+  readonly takeConnection?: (accepted: net.Socket) => boolean;
 }
 
 /** A running HTTP server for callers. */
@@ -132,6 +134,7 @@
     guard: options.guard,
     maxConnections: options.limits.maxConnections,
     maxRequestsAhead: options.limits.maxRequestsAhead,
+    takeConnection: options.takeConnection,
   });
   let maxBodyBytes = Number.POSITIVE_INFINITY;
   server.on("checkContinue", (request, response) => {
--- /dev/null
+++ b/packages/banyangrade/gateway/listener_probe.ts
@@ -0,0 +1,110 @@
+/**
+ * Checks that the port for callers is served, so that a host does not say that it is
+ * ready while its callers wait: opens a connection to that port now and then, and
+ * waits until the HTTP server accepts it. Connections are accepted in the order in
+ * which they arrive, so those that came before it have been accepted as well.
+ */
+import * as net from "node:net";
+import type * as utils from "@banyangrade/utils";
+
+/** Interval between two connections, in ms; the load balancer asks once a second. */
+const PROBE_MS = 1_000;
+/** Time for which a port counts as served after a connection was opened that it accepted, in ms: the next one, and the second that callers allow a new connection. */
+const SERVED_MS = 2 * PROBE_MS;
+
+/** Options of {@link ListenerProbe}. */
+export interface ListenerProbeOptions {
+  readonly address: utils.Address;
+  /** Includes the time for which the process was suspended, in which it has served nobody. */
+  readonly clock: Pick<utils.Clock, "now">;
+  readonly log: utils.Logger;
+  /** Describes the process for the log, such as how late it is. */
+  readonly describe: () => Readonly<Record<string, number>>;
+}
+
+/** A connection that is not accepted yet. */
+interface OpenProbe {
+  readonly socket: net.Socket;
+  readonly openedAt: number;
+}
+
+/** Checks the port for callers of one process. */
+export class ListenerProbe {
+  readonly #options: ListenerProbeOptions;
+  #timer: NodeJS.Timeout | undefined;
+  #open: OpenProbe | undefined;
+  /** Time at which the last connection was opened that the port has accepted. */
+  #servedAsOf = Number.NEGATIVE_INFINITY;
+  #isReported = false;
+
+  constructor(options: ListenerProbeOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#openProbe();
+    this.#timer = setInterval(() => this.#openProbe(), PROBE_MS).unref();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+    this.#closeProbe();
+  }
+
+  /** Takes a connection that the port has accepted; returns whether it is one of this check. */
+  take(accepted: net.Socket): boolean {
+    const open = this.#open;
+    const isOwn = open !== undefined &&
+      accepted.remotePort === open.socket.localPort &&
+      accepted.remoteAddress === open.socket.localAddress;
+    if (!isOwn) return false;
+    this.#servedAsOf = open.openedAt;
+    this.#closeProbe();
+    accepted.on("error", () => undefined).destroy();
+    if (this.#isReported && this.isServed()) this.#report(false);
+    // It waited for long, so how long one waits now is not known.
+    if (this.getAge() > PROBE_MS) this.#openProbe();
+    return true;
+  }
+
+  /** Whether the port has accepted a recent connection. */
+  isServed(): boolean {
+    return this.getAge() <= SERVED_MS;
+  }
+
+  /** Returns the time since the last connection was opened that the port has accepted, in ms. */
+  getAge(): number {
+    return this.#options.clock.now() - this.#servedAsOf;
+  }
+
+  /** Opens a connection, unless the one before is still waiting. */
+  #openProbe(): void {
+    if (!this.#isReported && Number.isFinite(this.#servedAsOf)) {
+      if (!this.isServed()) this.#report(true);
+    }
+    if (this.#open !== undefined) return;
+    const { address: { hostname, port }, clock } = this.#options;
+    const socket = net.connect({ host: hostname, port });
+    const opened = { socket, openedAt: clock.now() };
+    this.#open = opened;
+    // A connection that is refused or reset is followed by the next one.
+    socket.on("error", () => undefined);
+    socket.once("close", () => {
+      if (this.#open === opened) this.#open = undefined;
+    });
+  }
+
+  #closeProbe(): void {
+    const open = this.#open;
+    this.#open = undefined;
+    open?.socket.destroy();
+  }
+
+  #report(isLate: boolean): void {
+    const { log, describe } = this.#options;
+    this.#isReported = isLate;
+    const fields = { ...describe(), ageMs: Math.round(this.getAge()) };
+    if (isLate) log.warn(fields, "Port for callers is not served.");
+    else log.info(fields, "Port for callers is served again.");
+  }
+}
--- a/packages/banyangrade/metrics.ts
+++ b/packages/banyangrade/metrics.ts
@@ -154,6 +154,16 @@
     "Connections of clients that were refused or closed by a limit, by port and reason.",
     ["listener", "reason"],
   );
+  readonly #acceptedClients = this.#createCounter(
+    "banyangrade_accepted_connections_total",
+    "Connections of clients that were accepted, by port.",
+    ["listener"],
+  );
+  readonly #unreadClients = this.#createCounter(
+    "banyangrade_unread_connections_total",
+    "Connections of clients that were closed before a byte of them was read, by port.",
+    ["listener"],
+  );
   readonly #unexpectedErrors = this.#createCounter(
     "banyangrade_unexpected_errors_total",
     "Exceptions that no step foresees, by the step that threw; each is a fault of this program.",
@@ -312,6 +322,14 @@
     this.#closedClients.inc({ listener, reason });
   }
 
+  recordAcceptedConnection(listener: string): void {
+    this.#acceptedClients.inc({ listener });
+  }
+
+  recordUnreadConnection(listener: string): void {
+    this.#unreadClients.inc({ listener });
+  }
+
   recordUnexpectedError(step: string): void {
     this.#unexpectedErrors.inc({ step });
   }
--- a/packages/listener/client_guard.ts
+++ b/packages/listener/client_guard.ts
@@ -26,6 +26,10 @@
   readonly clock: utils.Clock;
   /** Counts a connection that was refused or closed. */
   readonly onClosed: (listener: string, reason: ClosedReason) => void;
+  /** Counts a connection that was accepted. @default ignored */
+  readonly onAccepted?: (listener: string) => void;
+  /** Counts a connection of which no byte was read until it was closed. @default ignored */
+  readonly onUnread?: (listener: string) => void;
 }
 
 /** A connection as the guard needs it. */
@@ -39,6 +43,8 @@
   readonly #options: ClientGuardOptions;
   readonly #ledger: core.ClientLedger;
   readonly #connections = new Map<number, HoldingConnection>();
+  /** Connections of which no byte was read yet. */
+  readonly #silent = new Set<number>();
   /** Connections whose bodies are read on later. */
   readonly #pausedBodies = new Set<() => void>();
   /** Bytes of bodies that may be read now. */
@@ -59,10 +65,25 @@
   add(connection: HoldingConnection): number {
     this.#nextId += 1;
     this.#connections.set(this.#nextId, connection);
+    this.#silent.add(this.#nextId);
+    this.#options.onAccepted?.(connection.listener);
     return this.#nextId;
   }
 
+  /** Records that something was read from a connection. */
+  recordRead(id: number): void {
+    this.#silent.delete(id);
+  }
+
+  /** Returns the number of connections of which no byte was read yet. */
+  countSilent(): number {
+    return this.#silent.size;
+  }
+
   remove(id: number): void {
+    const connection = this.#connections.get(id);
+    const isSilent = this.#silent.delete(id);
+    if (connection && isSilent) this.#options.onUnread?.(connection.listener);
     this.#connections.delete(id);
     this.#ledger.remove(id);
   }
--- a/packages/listener/guarded_connection.ts
+++ b/packages/listener/guarded_connection.ts
@@ -139,6 +139,7 @@
   }
 
   readonly #onData = (bytes: Buffer) => {
+    this.#options.guard.recordRead(this.id);
     this.#unread = this.#unread.length === 0
       ? bytes
       : Buffer.concat([this.#unread, bytes]);
--- a/packages/listener/guarded_server.ts
+++ b/packages/listener/guarded_server.ts
@@ -21,6 +21,8 @@
   readonly maxRequestsAhead: number;
   /** Whether bytes that are written and not yet sent count as held. @default false */
   readonly countsUnsent?: boolean;
+  /** Takes connections that are none of a client, which count for no bound; returns whether it did. @default none */
+  readonly takeConnection?: (accepted: net.Socket) => boolean;
 }
 
 /**
@@ -44,6 +46,7 @@
   ) as ((socket: stream.Duplex) => void)[];
   server.removeAllListeners(event);
   server.on(event, (raw: net.Socket) => {
+    if (options.takeConnection?.(raw)) return;
     const connection = admitConnection(raw, { ...options, ledger });
     if (connection !== undefined) serve.call(server, connection.stream);
   });
