Accept the connections that wait before working on requests

In a trial with three of six hosts on a tenth of a core (10 of each 100 ms, by SIGSTOP and SIGCONT), started again under 200 requests a second to them, hosts were ready and answered no new connection of seven clients with a second of patience for 11.2, 7.3 and 6.6 s (one run each, the worst host); allowed are 4 s.

Cause: Node.js 20 (libuv 1.46) accepts one connection of a port in a turn of the event loop: of 200 that wait, each took a turn of its own. Each turn also worked on the requests of those before, so that the queue of unread connections grew beyond what clients wait, while the readiness port, with a queue of its own, answered in two turns. That this was the users' case is not shown.

Requests at the port for callers are put off while turns accept connections, for 50 ms at most, and are then worked on in their order for 5 ms a turn; the time counts for their deadline.

--- a/packages/banyangrade/gateway/gateway_host.ts
+++ b/packages/banyangrade/gateway/gateway_host.ts
@@ -82,7 +82,8 @@
   const isReady = () => gatewayParts.isReady(parts) && probe.isServed();
   const ingress = await ingressModule.startIngress({
     ...address,
-    onRequest: (request) => parts.requestHandler.handle(request),
+    onRequest: (request, waitedMs) =>
+      parts.requestHandler.handle(request, waitedMs),
     heldBytes: parts.heldBytes,
     guard: clientGuard,
     limits: clients,
--- a/packages/banyangrade/gateway/ingress.ts
+++ b/packages/banyangrade/gateway/ingress.ts
@@ -87,7 +87,8 @@
 export interface IngressOptions {
   readonly hostname: string;
   readonly port: number;
-  readonly onRequest: (request: IncomingRequest) => void;
+  /** Handles a request, `waitedMs` after its head was read. */
+  readonly onRequest: (request: IncomingRequest, waitedMs: number) => void;
   /** Whether responses carry "connection: close", so that callers open new connections. */
   readonly closesConnections: () => boolean;
   readonly heldBytes: heldBytesModule.HeldBytes;
@@ -116,6 +117,7 @@
  * const ingress = await startIngress({ hostname, port, onRequest, guard, ...rest });
  */
 export async function startIngress(options: IngressOptions): Promise<Ingress> {
+  const turns = new listener.AcceptTurns();
   const server = http.createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     // The request's own deadline limits how long its body may take.
@@ -127,14 +129,18 @@
     if (options.closesConnections()) response.setHeader("connection", "close");
     response.sendDate = false;
     const { heldBytes } = options;
-    options.onRequest(buildIncomingRequest(request, { response, heldBytes }));
+    const incoming = buildIncomingRequest(request, { response, heldBytes });
+    turns.run((waitedMs) => options.onRequest(incoming, waitedMs));
   });
   listener.applyLimits(server, {
     listener: "callers",
     guard: options.guard,
     maxConnections: options.limits.maxConnections,
     maxRequestsAhead: options.limits.maxRequestsAhead,
-    takeConnection: options.takeConnection,
+    takeConnection: (accepted) => {
+      turns.recordAccepted();
+      return options.takeConnection?.(accepted) ?? false;
+    },
   });
   let maxBodyBytes = Number.POSITIVE_INFINITY;
   server.on("checkContinue", (request, response) => {
--- a/packages/banyangrade/gateway/listener_probe.ts
+++ b/packages/banyangrade/gateway/listener_probe.ts
@@ -1,15 +1,16 @@
 /**
  * Checks that the port for callers is served, so that a host does not say that it is
- * ready while its callers wait: opens a connection to that port now and then, and
- * waits until the HTTP server accepts it. Connections are accepted in the order in
- * which they arrive, so those that came before it have been accepted as well.
+ * ready while its callers give up before it has read anything of them: opens a
+ * connection to that port now and then, sends a byte, and waits until it is read.
+ * Connections are accepted and read in about the order in which they arrive.
  */
 import * as net from "node:net";
 import type * as utils from "@banyangrade/utils";
 
 /** Interval between two connections, in ms; the load balancer asks once a second. */
 const PROBE_MS = 1_000;
-/** Time for which a port counts as served after a connection was opened that it accepted, in ms: the next one, and the second that callers allow a new connection. */
+const PROBE_BYTE = "\n";
+/** Time for which a port counts as served after a connection was opened that was read, in ms: until the next one, and the second that callers allow a new connection. */
 const SERVED_MS = 2 * PROBE_MS;
 
 /** Options of {@link ListenerProbe}. */
@@ -22,7 +23,7 @@
   readonly describe: () => Readonly<Record<string, number>>;
 }
 
-/** A connection that is not accepted yet. */
+/** A connection that is not read yet. */
 interface OpenProbe {
   readonly socket: net.Socket;
   readonly openedAt: number;
@@ -33,7 +34,7 @@
   readonly #options: ListenerProbeOptions;
   #timer: NodeJS.Timeout | undefined;
   #open: OpenProbe | undefined;
-  /** Time at which the last connection was opened that the port has accepted. */
+  /** Time at which the last connection was opened of which something was read. */
   #servedAsOf = Number.NEGATIVE_INFINITY;
   #isReported = false;
 
@@ -58,21 +59,28 @@
       accepted.remotePort === open.socket.localPort &&
       accepted.remoteAddress === open.socket.localAddress;
     if (!isOwn) return false;
-    this.#servedAsOf = open.openedAt;
-    this.#closeProbe();
-    accepted.on("error", () => undefined).destroy();
+    accepted.on("error", () => undefined);
+    accepted.once("data", () => {
+      accepted.destroy();
+      this.#recordRead(open);
+    });
+    return true;
+  }
+
+  #recordRead(probe: OpenProbe): void {
+    this.#servedAsOf = probe.openedAt;
+    if (this.#open === probe) this.#closeProbe();
     if (this.#isReported && this.isServed()) this.#report(false);
     // It waited for long, so how long one waits now is not known.
     if (this.getAge() > PROBE_MS) this.#openProbe();
-    return true;
   }
 
-  /** Whether the port has accepted a recent connection. */
+  /** Whether something was read of a recent connection. */
   isServed(): boolean {
     return this.getAge() <= SERVED_MS;
   }
 
-  /** Returns the time since the last connection was opened that the port has accepted, in ms. */
+  /** Returns the time since the last connection was opened of which something was read, in ms. */
   getAge(): number {
     return this.#options.clock.now() - this.#servedAsOf;
   }
@@ -85,6 +93,7 @@
     if (this.#open !== undefined) return;
     const { address: { hostname, port }, clock } = this.#options;
     const socket = net.connect({ host: hostname, port });
+    socket.write(PROBE_BYTE);
     const opened = { socket, openedAt: clock.now() };
     this.#open = opened;
     // A connection that is refused or reset is followed by the next one.
--- a/packages/banyangrade/gateway/request_handler.ts
+++ b/packages/banyangrade/gateway/request_handler.ts
@@ -68,9 +68,9 @@
     return this.#pending;
   }
 
-  /** Admits a request and opens an exchange for it, or refuses it. */
-  handle(incoming: ingress.IncomingRequest): void {
-    const arrivedAt = this.#options.clock.now();
+  /** Admits a request and opens an exchange for it, or refuses it, `waitedMs` after its head was read. */
+  handle(incoming: ingress.IncomingRequest, waitedMs = 0): void {
+    const arrivedAt = this.#options.clock.now() - waitedMs;
     try {
       const head = this.#options.wire.readRequestHead(incoming.headers);
       this.#handleArrival({ incoming, head, arrivedAt });
