Read answers of APIs, engines, stores and hosts up to a bound

The API for duties, the store and the engines of serve, and the question for a host's links were read to their end, a message of another host up to the 100 MiB of the library.

Now 4 MiB of an API, 64 MiB of serve's store, 8 MiB of an engine's response, 1 MiB of a host's report and 32 MiB of a host's message are read; then the connection ends and the call fails.

--- a/packages/banyangrade/gateway/handover_task.ts
+++ b/packages/banyangrade/gateway/handover_task.ts
@@ -21,6 +21,8 @@
 const MAX_ASKED = 6;
 /** Interval between questions, in ms. */
 const ASK_MS = 400;
+/** Largest answer of a host to the question about its links, in bytes. */
+const MAX_REPORT_BYTES = 1024 * 1024;
 /** Longest wait for an answer, in ms; a hundred times the latency between failure domains. */
 const ANSWER_MS = 300;
 /**
@@ -303,7 +305,8 @@
         headers: handoverProtocol.buildQuestionHeaders(contact),
         signal: AbortSignal.timeout(ANSWER_MS),
       });
-      const report = handoverProtocol.parseLinkReport(await body.text());
+      const text = await utils.readBoundedText(body, MAX_REPORT_BYTES);
+      const report = handoverProtocol.parseLinkReport(text ?? "");
       if (statusCode !== 200 || report === undefined) return undefined;
       const { targets, queued } = report;
       if (targets.length === 0) return undefined;
--- a/packages/engine/client.ts
+++ b/packages/engine/client.ts
@@ -11,6 +11,8 @@
 
 /** Header with the number of tokens that the caller already received. */
 export const OFFSET_HEADER = "x-resume-offset";
+/** Largest response that is no stream, in bytes; it is held until it is complete. */
+const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 /** Data of the final event of a stream. */
 export const FINAL_EVENT_DATA = "[DONE]";
 
@@ -105,7 +107,8 @@
   if (call.stream && response.statusCode === 200) {
     return await readStream(response.body, { call, sink });
   }
-  const body = await response.body.text();
+  const body = await utils.readBoundedText(response.body, MAX_RESPONSE_BYTES);
+  if (body === undefined) return { kind: "failed", failure: "server_error" };
   await sink.onAnswer({ status: response.statusCode, body });
   return { kind: "whole", tokens: readTokenUsage(body) };
 }
--- a/packages/peer/client.ts
+++ b/packages/peer/client.ts
@@ -12,6 +12,9 @@
 /** Idle time after which a connection is closed, in ms. */
 const IDLE_TIMEOUT_MS = 60_000;
 
+/** Largest message from another host, in bytes: more than a relay sends of all that it keeps of a prefix. */
+const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+
 type AnyRouter = trpcServer.AnyRouter;
 
 /**
@@ -217,12 +220,14 @@
   };
 }
 
-/** Returns a WebSocket class with the TLS options built in, because the library passes no options to its sockets. */
+/** Returns a WebSocket class with the options built in, because the library passes none to its sockets. */
 function buildSocketClass(tls: server.PeerTls | undefined): unknown {
-  if (tls === undefined) return websocket.WebSocket;
+  const options = {
+    maxPayload: MAX_MESSAGE_BYTES,
+    ...(tls && { ...tls, checkServerIdentity: acceptAnyHostName }),
+  };
   return new Proxy(websocket.WebSocket, {
-    construct: (target, [url]) =>
-      new target(url, { ...tls, checkServerIdentity: acceptAnyHostName }),
+    construct: (target, [url]) => new target(url, options),
   });
 }
 
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -9,6 +9,8 @@
 import * as etcdMessages from "./etcd_messages.ts";
 
 const PEER = "store";
+/** Largest answer that is read, in bytes; a snapshot of 1,600 customers with their keys is listed at once. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
 /** A key and its value, with the revision of the last change. */
 export interface StoreEntry {
@@ -177,7 +179,13 @@
         body: JSON.stringify(body),
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const text = await response.body.text();
+      const text = await utils.readBoundedText(
+        response.body,
+        MAX_ANSWER_BYTES,
+      );
+      if (text === undefined) {
+        throw new Error(`The answer has more than ${MAX_ANSWER_BYTES} bytes.`);
+      }
       if (response.statusCode === 200) {
         return utils.Ok(JSON.parse(text) as ResponseBody);
       }
@@ -316,6 +324,9 @@
   for await (const chunk of response.body) {
     const lines = (rest + String(chunk)).split("\n");
     rest = lines.pop() ?? "";
+    if (rest.length > MAX_ANSWER_BYTES) {
+      throw new Error("An event of the watch is too long.");
+    }
     lines.filter((line) => line !== "").forEach((line) =>
       parseWatchLine(JSON.parse(line) as etcdMessages.WatchLine).forEach(
         options.onEvent,
--- a/packages/utils/json_client.ts
+++ b/packages/utils/json_client.ts
@@ -1,6 +1,7 @@
 /** HTTP client for JSON APIs that returns results instead of throwing. */
 import * as undici from "undici";
 import * as backend from "./backend.ts";
+import * as boundedBody from "./bounded_body.ts";
 import * as errors from "./errors.ts";
 import * as resettingClient from "./resetting_client.ts";
 import * as result from "./result.ts";
@@ -9,6 +10,11 @@
   factory: resettingClient.createResettingPool,
 });
 
+/** Largest answer that is read, in bytes. */
+const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+/** Longest part of an answer that an error quotes, in characters. */
+const MAX_QUOTED_LENGTH = 500;
+
 /** A call of a JSON API. */
 export interface JsonCall {
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
@@ -41,14 +47,25 @@
       body: call.body === undefined ? null : JSON.stringify(call.body),
       signal: AbortSignal.timeout(call.timeoutMs ?? 2_000),
     });
-    const text = await answer.body.text();
+    const text = await boundedBody.readBoundedText(
+      answer.body,
+      MAX_ANSWER_BYTES,
+    );
+    if (text === undefined) {
+      const message = `The answer has more than ${MAX_ANSWER_BYTES} bytes.`;
+      return result.Err(
+        errors.createStepError("unknown_outcome", { step, peer, message }),
+      );
+    }
     if (answer.statusCode < 300) {
       return result.Ok(JSON.parse(text || "null") as Answer);
     }
     return result.Err(errors.createStepError(getCode(answer.statusCode), {
       step,
       peer,
-      message: `Status ${answer.statusCode}: ${text.slice(0, 500)}`,
+      message: `Status ${answer.statusCode}: ${
+        text.slice(0, MAX_QUOTED_LENGTH)
+      }`,
     }));
   } catch (thrown) {
     const failure = backend.classifyTransportError(thrown);
