--- a/packages/caller/server.ts
+++ b/packages/caller/server.ts
@@ -114,12 +114,14 @@
   let draining = false;
   const guard = options.guard ?? listener.createDefaultGuard();
   const budget = { used: 0, limit: options.limits.maxBufferedBytes };
+  const turns = new listener.AcceptTurns();
   const handle: http.RequestListener = (request, response) => {
     // Makes callers open their next connection to another host while this one drains.
     if (draining) response.setHeader("connection", "close");
-    handleRequest({ request, response }, { ...options, guard, budget }).catch(
-      () => response.destroy(),
-    );
+    turns.run(() => {
+      handleRequest({ request, response }, { ...options, guard, budget })
+        .catch(() => response.destroy());
+    });
   };
   const server = createServer(options, handle);
   listener.applyLimits(server, {
@@ -128,6 +130,10 @@
     maxConnections: options.limits.maxConnections,
     maxRequestsAhead: options.limits.maxRequestsAhead,
     countsUnsent: true,
+    takeConnection: () => {
+      turns.recordAccepted();
+      return false;
+    },
   });
   server.headersTimeout = options.limits.headersTimeoutMs;
   server.requestTimeout = options.limits.requestTimeoutMs;
