Say in the log that a port for callers was never served

The check of the port logged only a port that had been served before; one that never was showed in the readiness answer alone. The reading of saved origins is written in one step a line.

--- a/packages/banyangrade/gateway/listener_probe.ts
+++ b/packages/banyangrade/gateway/listener_probe.ts
@@ -36,6 +36,7 @@
   #open: OpenProbe | undefined;
   /** Time at which the last connection was opened of which something was read. */
   #servedAsOf = Number.NEGATIVE_INFINITY;
+  #startedAt = Number.POSITIVE_INFINITY;
   #isReported = false;
 
   constructor(options: ListenerProbeOptions) {
@@ -43,6 +44,7 @@
   }
 
   start(): void {
+    this.#startedAt = this.#options.clock.now();
     this.#openProbe();
     this.#timer = setInterval(() => this.#openProbe(), PROBE_MS).unref();
   }
@@ -72,23 +74,29 @@
     if (this.#open === probe) this.#closeProbe();
     if (this.#isReported && this.isServed()) this.#report(false);
     // It waited for long, so how long one waits now is not known.
-    if (this.getAge() > PROBE_MS) this.#openProbe();
+    if (this.#getAge() > PROBE_MS) this.#openProbe();
   }
 
   /** Whether something was read of a recent connection. */
   isServed(): boolean {
-    return this.getAge() <= SERVED_MS;
+    return this.#getAge() <= SERVED_MS;
   }
 
   /** Returns the time since the last connection was opened of which something was read, in ms. */
-  getAge(): number {
+  #getAge(): number {
     return this.#options.clock.now() - this.#servedAsOf;
   }
 
+  /** Returns the same for a port of which nothing was read yet from the start of this check on. */
+  #getUnservedMs(): number {
+    const now = this.#options.clock.now();
+    return Math.min(this.#getAge(), now - this.#startedAt);
+  }
+
   /** Opens a connection, unless the one before is still waiting. */
   #openProbe(): void {
-    if (!this.#isReported && Number.isFinite(this.#servedAsOf)) {
-      if (!this.isServed()) this.#report(true);
+    if (!this.#isReported && this.#getUnservedMs() > SERVED_MS) {
+      this.#report(true);
     }
     if (this.#open !== undefined) return;
     const { address: { hostname, port }, clock } = this.#options;
@@ -112,7 +120,7 @@
   #report(isLate: boolean): void {
     const { log, describe } = this.#options;
     this.#isReported = isLate;
-    const fields = { ...describe(), ageMs: Math.round(this.getAge()) };
+    const fields = { ...describe(), ageMs: Math.round(this.#getUnservedMs()) };
     if (isLate) log.warn(fields, "Port for callers is not served.");
     else log.info(fields, "Port for callers is served again.");
   }
--- a/packages/banyangrade/gateway/saved_origins.ts
+++ b/packages/banyangrade/gateway/saved_origins.ts
@@ -118,12 +118,12 @@
     const { take } = new store.EntryIntake({
       isUsable: (entry) => {
         const origins = core.decodeOrigins(entry.value);
-        if (origins !== undefined) read.set(entry.key, origins);
-        else {this.#invalid.report(entry, {
-            kind: "origins",
-            error: "malformed",
-          });}
-        return origins !== undefined;
+        if (origins === undefined) {
+          this.#invalid.report(entry, { kind: "origins", error: "malformed" });
+          return false;
+        }
+        read.set(entry.key, origins);
+        return true;
       },
     });
     const listed = await client.list(PREFIX, { take });
