Send full reads to followers up to a size a second

Hosts that start together ask together; 3.6 MB for 100 followers would be 360 MB at a relay of 350.

banyangrade/relayed_feed_test.ts: 8 of 100 reads of 4 MB are answered in a second, before all 100. Not shown with real processes.

--- a/packages/banyangrade/gateway/relayed_feed.ts
+++ b/packages/banyangrade/gateway/relayed_feed.ts
@@ -35,6 +35,14 @@
 /** Part of {@link MAX_RELAY_AGE_MS} that is left for the delay of this process, in ms. */
 const PROOF_MARGIN_MS = 100;
 
+/**
+ * Largest size of the full reads that a relay answers in a time, in bytes, and that
+ * time, in ms. Hosts that start together ask together, and what is sent to them is
+ * held until it is on its way.
+ */
+const MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024;
+const SNAPSHOT_WINDOW_MS = 1_000;
+
 /** Shortest interval between two polls of the relay that do not wait for a change, in ms. */
 const PROMPT_POLL_MS = 50;
 
@@ -89,6 +97,8 @@
   readonly #prefixes = new Map<string, WatchedPrefix>();
   /** Times that the store takes to answer a poll once its wait is over. */
   readonly #answerTimes = new core.AnswerTimes({ minMs: 0, maxMs: 3_000 });
+  /** Full reads that were answered since a time. */
+  #sent = { since: Number.NEGATIVE_INFINITY, bytes: 0 };
   /** Last failure of the store; undefined once the store has answered again. */
   #storeFailure: StoreFailure | undefined;
 
@@ -198,7 +208,25 @@
     const { cache } = this.#getPrefix(prefix);
     const ageMs = this.#options.clock.now() - cache.currentAsOf;
     if (!Number.isFinite(ageMs) || !this.#isFresh()) return { kind: "unready" };
-    return { kind: "snapshot", ...cache.read(), ageMs };
+    const snapshot = cache.read();
+    if (!this.#maySend(snapshot)) return { kind: "busy" };
+    return { kind: "snapshot", ...snapshot, ageMs };
+  }
+
+  /** Whether a snapshot may be sent now; counts it if so. A single one always may. */
+  #maySend({ entries }: store.PrefixSnapshot): boolean {
+    const now = this.#options.clock.now();
+    if (now - this.#sent.since >= SNAPSHOT_WINDOW_MS) {
+      this.#sent = { since: now, bytes: 0 };
+    }
+    const bytes = entries.reduce(
+      (sum, entry) => sum + store.measureEntry(entry),
+      0,
+    );
+    const { bytes: before } = this.#sent;
+    if (before > 0 && before + bytes > MAX_SNAPSHOT_BYTES) return false;
+    this.#sent.bytes += bytes;
+    return true;
   }
 
   /** Answers a follower's long poll as soon as there is a change, or at the end of its wait. */
--- a/packages/banyangrade/relayed_feed_test.ts
+++ b/packages/banyangrade/relayed_feed_test.ts
@@ -142,6 +142,34 @@
   t.match(feed.answerReadAll(PREFIX), { entries: { length: 0 } });
 });
 
+// Guards against a relay that runs out of memory because all hosts that start read in full from it at once.
+tap.test("a relay answers full reads up to a size at a time, and refers others to the store", async (t) => {
+  const fixture = buildFixture();
+  const feed = buildFeed(fixture);
+  const entries = Array.from({ length: 100 }, (_, index) => ({
+    key: `servers/${index}`,
+    modRevision: index,
+    value: "x".repeat(20_000),
+  }));
+  fixture.relayed = { kind: "snapshot", entries, revision: 5, ageMs: 0 };
+  await feed.readAll(PREFIX);
+  const ask = () =>
+    Array.from({ length: 100 }, () => feed.answerReadAll(PREFIX).kind);
+  const first = ask();
+  t.equal(first.filter((kind) => kind === "snapshot").length, 8);
+  t.equal(first.filter((kind) => kind === "busy").length, 92);
+  fixture.clock.advance(1_000);
+  t.ok(ask().includes("snapshot"));
+});
+
+// Guards against a follower that takes such an answer for an empty list.
+tap.test("a follower of a busy relay reads the store", async (t) => {
+  const fixture = buildFixture();
+  fixture.relayed = { kind: "busy" };
+  t.ok((await buildFeed(fixture).readAll(PREFIX)).ok);
+  t.same(fixture.storeCalls, ["readAll"]);
+});
+
 // Only the relay is cut off from the store, so it may miss that a key was
 // withdrawn or a route removed: its followers poll the store at once.
 tap.test("a relay whose data is stale is bypassed", async (t) => {
--- a/packages/peer/relay_protocol.ts
+++ b/packages/peer/relay_protocol.ts
@@ -19,6 +19,8 @@
   | ({ readonly kind: "snapshot" } & store.PrefixSnapshot & {
     readonly ageMs: number;
   })
+  /** The relay has sent much just now; the follower reads the store itself. */
+  | { readonly kind: "busy" }
   | { readonly kind: "unready" };
 
 /** A follower's poll for changes. */
--- a/packages/store/entry_intake.ts
+++ b/packages/store/entry_intake.ts
@@ -151,6 +151,12 @@
   return omittedBytes === undefined;
 }
 
-function measureEntry({ key, value }: client.StoreEntry): number {
+/**
+ * Estimates the size of an entry that is kept, in bytes.
+ *
+ * @example
+ * measureEntry({ key: "a", value: "b", modRevision: 1 }); // 204
+ */
+export function measureEntry({ key, value }: client.StoreEntry): number {
   return ENTRY_BYTES + CHARACTER_BYTES * (key.length + value.length);
 }
