Take no body of another form for an answer of the store, the fleet or an engine

A list of hosts or servers without its field was passed on as undefined, an entry without a revision was compared as NaN, `{}` counted as a write that lost or as a lease without a name, and a count of tokens that was text made a customer's usage NaN.

Cause: bodies were cast to the expected type.

An answer of the store without a header, which each of them has, is flawed, so the raw store of answers_test.ts sends one now.

--- a/packages/banyangrade/answers_test.ts
+++ b/packages/banyangrade/answers_test.ts
@@ -145,7 +145,11 @@
   const swapped = await client.swap({ key: "k", expected: 0, value });
   await client.close();
   if (swapped.err || swapped.val.kind === "lost") return FAILED;
-  return { kind: "whole", status: 200, body: '{"succeeded":true}' };
+  return {
+    kind: "whole",
+    status: 200,
+    body: '{"header":{"revision":"9"},"succeeded":true}',
+  };
 }
 
 const MARKS = ["x-request-id: r1", "x-attempt: 1"];
@@ -196,8 +200,8 @@
   {
     name: "an answer of the store of serve",
     marks: [],
-    body: '{"succeeded":true}',
-    part: '{"succeeded":true',
+    body: '{"header":{"revision":"9"},"succeeded":true}',
+    part: '{"header":{"revision":"9"},"succeeded":true',
     statuses: [200],
     uploads: ["with"],
     read: callStore,
--- a/packages/engine/client.ts
+++ b/packages/engine/client.ts
@@ -5,6 +5,7 @@
  */
 import * as eventsource from "eventsource-parser";
 import * as undici from "undici";
+import * as z from "zod";
 import type * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 import * as load from "./load.ts";
@@ -113,10 +114,15 @@
   return { kind: "whole", tokens: readTokenUsage(body) };
 }
 
-/** Returns the number of generated tokens from the `usage` field of the response. */
+/** The field of a response that counts what was generated. */
+const USAGE = z.object({
+  usage: z.object({ completion_tokens: z.number().int().nonnegative() }),
+});
+
+/** Returns the number of generated tokens; 0 if the response has no such field. */
 function readTokenUsage(body: string): number {
   try {
-    return Number(JSON.parse(body)?.usage?.completion_tokens ?? 0);
+    return USAGE.parse(JSON.parse(body)).usage.completion_tokens;
   } catch {
     return 0;
   }
--- a/packages/fleet/client.ts
+++ b/packages/fleet/client.ts
@@ -1,17 +1,35 @@
 /** HTTP client of the platform's fleet API. */
+import * as z from "zod";
 import type * as core from "@banyangrade/core";
 import * as utils from "@banyangrade/utils";
 
 const PEER = "fleet";
 
-/** A host in the platform's list, which may be out of date. */
-export interface ListedHost {
-  readonly name: string;
-  readonly failureDomain: string;
+const STATE = z.enum(["live", "leaving"]);
+
+const HOST = z.object({
+  name: z.string(),
+  failureDomain: z.string(),
   /** Address of the host's peer port. */
-  readonly address: string;
-  readonly state: "live" | "leaving";
-}
+  address: z.string(),
+  state: STATE,
+});
+
+const SERVER: z.ZodType<core.ServerInfo> = z.object({
+  name: z.string(),
+  pool: z.string(),
+  url: z.string(),
+  state: STATE,
+  slots: z.number().optional(),
+  ownLimit: z.number().optional(),
+  failureDomain: z.string().optional(),
+  instance: z.string().optional(),
+  coldMs: z.number().optional(),
+  software: z.string().optional(),
+});
+
+/** A host in the platform's list, which may be out of date. */
+export type ListedHost = Readonly<z.infer<typeof HOST>>;
 
 /** Order that sets the desired number of servers of a pool. */
 export interface PoolOrder {
@@ -45,27 +63,35 @@
 export function createFleetClient(url: string): FleetClient {
   const send = <Answer>(
     method: "GET" | "PUT",
-    { path, step, body }: { path: string; step: string; body?: unknown },
+    { path, step, body, schema }: {
+      readonly path: string;
+      readonly step: string;
+      readonly body?: unknown;
+      readonly schema?: z.ZodType<Answer>;
+    },
   ) =>
-    utils.sendJson<Answer>({
+    utils.sendJson({
       method,
       url: `${url}${path}`,
       body,
+      schema,
       step: `fleet.${step}`,
       peer: PEER,
     });
   return {
     listHosts: async () => {
-      const answer = await send<{ hosts: ListedHost[] }>("GET", {
+      const answer = await send("GET", {
         path: "/v1/hosts",
+        schema: z.object({ hosts: z.array(HOST) }),
         step: "listHosts",
       });
       return answer.map((list) => list.hosts);
     },
     listServers: async (failureDomain) => {
       const domain = encodeURIComponent(failureDomain);
-      const answer = await send<{ servers: core.ServerInfo[] }>("GET", {
+      const answer = await send("GET", {
         path: `/v1/servers?failure_domain=${domain}`,
+        schema: z.object({ servers: z.array(SERVER) }),
         step: "listServers",
       });
       return answer.map((list) => list.servers);
--- a/packages/store/client.ts
+++ b/packages/store/client.ts
@@ -4,6 +4,7 @@
  * applied it.
  */
 import * as undici from "undici";
+import type * as z from "zod";
 import * as utils from "@banyangrade/utils";
 import * as entryIntake from "./entry_intake.ts";
 import * as etcdMessages from "./etcd_messages.ts";
@@ -109,13 +110,13 @@
 
   return {
     get: async (key) => {
-      const response = await call<etcdMessages.RangeResponse>("range", {
+      const response = await call("range", {
         key: etcdMessages.encodeText(key),
       });
       return response.map((range) => range.kvs?.map(toEntry)[0]);
     },
     list: async (prefix, { after, limit, take } = {}) => {
-      const response = await call<etcdMessages.RangeResponse>("range", {
+      const response = await call("range", {
         key: etcdMessages.encodeText(
           after === undefined ? prefix : `${after}\0`,
         ),
@@ -127,27 +128,21 @@
       ]);
     },
     swap: async (swap) => {
-      const response = await call<etcdMessages.TxnResponse>(
-        "txn",
-        buildTxn(swap),
-      );
+      const response = await call("txn", buildTxn(swap));
       return response.map(parseSwapOutcome);
     },
     grantLease: async (ttlSeconds) => {
-      const response = await call<etcdMessages.LeaseResponse>("grant", {
+      const response = await call("grant", {
         TTL: String(ttlSeconds),
       });
-      return response.map((lease) => lease.ID ?? "");
+      return response.map((lease) => lease.ID);
     },
     renewLease: async (id) => {
-      const response = await call<{ result?: etcdMessages.LeaseResponse }>(
-        "keepalive",
-        { ID: id },
-      );
-      return response.map((lease) => Number(lease.result?.TTL ?? 0) > 0);
+      const response = await call("keepalive", { ID: id });
+      return response.map((lease) => Number(lease.result.TTL ?? 0) > 0);
     },
     revokeLease: async (id) => {
-      const response = await call<unknown>("revoke", { ID: id });
+      const response = await call("revoke", { ID: id });
       return response.map(() => undefined);
     },
     watch: (prefix, onEvent) => startWatch(pool, { prefix, onEvent }),
@@ -163,13 +158,24 @@
   revoke: "/v3/lease/revoke",
 } as const;
 
-type Call = <ResponseBody>(
-  name: keyof typeof PATHS,
+const RESPONSES = {
+  range: etcdMessages.RANGE_RESPONSE,
+  txn: etcdMessages.TXN_RESPONSE,
+  grant: etcdMessages.GRANT_RESPONSE,
+  keepalive: etcdMessages.KEEPALIVE_RESPONSE,
+  revoke: etcdMessages.REVOKE_RESPONSE,
+} as const;
+
+type CallName = keyof typeof PATHS;
+type ResponseBody<Name extends CallName> = z.infer<typeof RESPONSES[Name]>;
+
+type Call = <Name extends CallName>(
+  name: Name,
   body: object,
-) => Promise<utils.Result<ResponseBody, utils.StepError>>;
+) => Promise<utils.Result<ResponseBody<Name>, utils.StepError>>;
 
 function createCaller(pool: undici.Pool, timeoutMs: number): Call {
-  return async <ResponseBody>(name: keyof typeof PATHS, body: object) => {
+  return async <Name extends CallName>(name: Name, body: object) => {
     const step = `store.${name}`;
     try {
       const response = await pool.request({
@@ -187,7 +193,8 @@
         throw new Error(`The answer has more than ${MAX_ANSWER_BYTES} bytes.`);
       }
       if (response.statusCode === 200) {
-        return utils.Ok(JSON.parse(text) as ResponseBody);
+        const decoded = utils.decodeBody(RESPONSES[name], JSON.parse(text));
+        return utils.Ok(decoded as ResponseBody<Name>);
       }
       return utils.Err(buildStatusError(step, response.statusCode));
     } catch (thrown) {
@@ -246,7 +253,7 @@
 
 function parseSwapOutcome(response: etcdMessages.TxnResponse): SwapOutcome {
   if (response.succeeded === true) {
-    return { kind: "won", modRevision: Number(response.header?.revision ?? 0) };
+    return { kind: "won", modRevision: Number(response.header.revision) };
   }
   const current = response.responses?.[0]?.response_range?.kvs?.map(toEntry)[0];
   return { kind: "lost", current };
@@ -328,7 +335,9 @@
       throw new Error("An event of the watch is too long.");
     }
     lines.filter((line) => line !== "").forEach((line) =>
-      parseWatchLine(JSON.parse(line) as etcdMessages.WatchLine).forEach(
+      parseWatchLine(
+        utils.decodeBody(etcdMessages.WATCH_LINE, JSON.parse(line)),
+      ).forEach(
         options.onEvent,
       )
     );
--- a/packages/store/etcd_messages.ts
+++ b/packages/store/etcd_messages.ts
@@ -2,15 +2,26 @@
  * The messages of the etcd v3 JSON gateway that this project uses. Keys and
  * values are encoded as base64, 64-bit integers as decimal strings.
  */
+import * as z from "zod";
+
+/** A number as text. */
+const NUMBER = z.string().min(1).refine((text) =>
+  Number.isFinite(Number(text))
+);
+/** What each answer says of the store; it distinguishes an answer that lists nothing from none. */
+const HEADER = z.object({ revision: NUMBER });
 
 /** A stored key-value pair. */
-export interface WirePair {
-  readonly key: string;
-  readonly value?: string;
-  readonly mod_revision: string;
-  readonly create_revision: string;
-  readonly lease?: string;
-}
+export const PAIR = z.object({
+  key: z.string(),
+  value: z.string().optional(),
+  mod_revision: NUMBER,
+  create_revision: NUMBER.optional(),
+  lease: z.string().optional(),
+});
+
+/** A stored key-value pair, decoded from JSON. */
+export type WirePair = z.infer<typeof PAIR>;
 
 /** Request body of `/v3/kv/range`. */
 export interface RangeRequest {
@@ -20,11 +31,14 @@
 }
 
 /** Response body of `/v3/kv/range`. */
-export interface RangeResponse {
-  readonly header?: { readonly revision?: string };
-  readonly kvs?: readonly WirePair[];
-  readonly more?: boolean;
-}
+export const RANGE_RESPONSE = z.object({
+  header: HEADER,
+  kvs: z.array(PAIR).optional(),
+  more: z.boolean().optional(),
+});
+
+/** A response to a range read. */
+export type RangeResponse = z.infer<typeof RANGE_RESPONSE>;
 
 /** Request body of `/v3/kv/txn`: a comparison, a put or delete if it succeeds, and a read if it fails. */
 export interface TxnRequest {
@@ -42,30 +56,42 @@
 }
 
 /** Response body of `/v3/kv/txn`. */
-export interface TxnResponse {
-  readonly header?: { readonly revision?: string };
-  readonly succeeded?: boolean;
-  readonly responses?: readonly { readonly response_range?: RangeResponse }[];
-}
+export const TXN_RESPONSE = z.object({
+  header: HEADER,
+  succeeded: z.boolean().optional(),
+  responses: z.array(z.object({
+    response_range: z.object({ kvs: z.array(PAIR).optional() }).optional(),
+  })).optional(),
+});
 
-/** Response body of the lease calls. */
-export interface LeaseResponse {
-  readonly ID?: string;
-  readonly TTL?: string;
-}
+/** A response to a transaction. */
+export type TxnResponse = z.infer<typeof TXN_RESPONSE>;
+
+/** Response body of `/v3/lease/grant`. */
+export const GRANT_RESPONSE = z.object({ ID: z.string().min(1) });
+
+/** Response body of `/v3/lease/keepalive`; a lease that has expired has no time to live. */
+export const KEEPALIVE_RESPONSE = z.object({
+  result: z.object({ TTL: NUMBER.optional() }),
+});
+
+/** Response body of `/v3/lease/revoke`. */
+export const REVOKE_RESPONSE = z.object({});
 
 /** One line of the response stream of `/v3/watch`. */
-export interface WatchLine {
-  readonly result?: {
-    readonly created?: boolean;
-    readonly canceled?: boolean;
-    readonly header?: { readonly revision?: string };
-    readonly events?: readonly {
-      readonly type?: "PUT" | "DELETE";
-      readonly kv: WirePair;
-    }[];
-  };
-}
+export const WATCH_LINE = z.object({
+  result: z.object({
+    created: z.boolean().optional(),
+    canceled: z.boolean().optional(),
+    events: z.array(z.object({
+      type: z.enum(["PUT", "DELETE"]).optional(),
+      kv: PAIR,
+    })).optional(),
+  }).optional(),
+});
+
+/** One line of that stream. */
+export type WatchLine = z.infer<typeof WATCH_LINE>;
 
 /**
  * Encodes text as base64 for a key or value field.
--- a/packages/utils/json_client.ts
+++ b/packages/utils/json_client.ts
@@ -1,7 +1,9 @@
 /** HTTP client for JSON APIs that returns results instead of throwing. */
 import * as undici from "undici";
+import * as z from "zod";
 import * as backend from "./backend.ts";
 import * as boundedBody from "./bounded_body.ts";
+import * as decoding from "./decoding.ts";
 import * as errors from "./errors.ts";
 import * as resettingClient from "./resetting_client.ts";
 import * as result from "./result.ts";
@@ -16,13 +18,15 @@
 const MAX_QUOTED_LENGTH = 500;
 
 /** A call of a JSON API. */
-export interface JsonCall {
+export interface JsonCall<Answer = unknown> {
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly url: string;
   readonly body?: unknown;
   readonly headers?: Readonly<Record<string, string>>;
   readonly step: string;
   readonly peer: string;
+  /** Form of the answer's body. @default any */
+  readonly schema?: z.ZodType<Answer>;
   /** @default 2000 */
   readonly timeoutMs?: number;
 }
@@ -31,10 +35,10 @@
  * Sends a call and parses the body of the response.
  *
  * @example
- * const response = await sendJson<Answer>({ method: "GET", url, step: "fleet.list", peer: "fleet" });
+ * const response = await sendJson({ method: "GET", url, step: "fleet.list", peer: "fleet", schema });
  */
-export async function sendJson<Answer>(
-  call: JsonCall,
+export async function sendJson<Answer = unknown>(
+  call: JsonCall<Answer>,
 ): Promise<result.Result<Answer, errors.StepError>> {
   const { step, peer } = call;
   try {
@@ -58,7 +62,12 @@
       );
     }
     if (answer.statusCode < 300) {
-      return result.Ok(JSON.parse(text || "null") as Answer);
+      return result.Ok(
+        decoding.decodeBody(
+          call.schema ?? z.any() as z.ZodType<Answer>,
+          JSON.parse(text || "null"),
+        ),
+      );
     }
     return result.Err(errors.createStepError(getCode(answer.statusCode), {
       step,
--- a/packages/utils/mod.ts
+++ b/packages/utils/mod.ts
@@ -4,6 +4,7 @@
 export * from "./backend.ts";
 export * from "./bounded_body.ts";
 export * from "./clock.ts";
+export * from "./decoding.ts";
 export * from "./digest.ts";
 export * from "./errors.ts";
 export * from "./json.ts";
