Read answers that an interim one comes before

What callers saw: a worker that sent "100 Continue" unasked and then a sound answer lost that answer: the caller got an error for a request that had run.

Cause: the HTTP client takes a 100 that it has not asked for as an error. RFC 9110 (15.2) lets any server send one, and clients leave it out.

Evidence: the table of answers has flawed lengths and chunks, unusual sound heads and framings, and heads that come one or seven bytes at a time now.

Change: the check of answers holds a head back until it is complete and leaves out interim ones, so that the HTTP client sees only the final head.

--- a/packages/utils/answer_check.ts
+++ b/packages/utils/answer_check.ts
@@ -4,7 +4,8 @@
  * An answer whose head has no length ends with its connection. The HTTP client takes
  * any end for that, also a reset, and also one that comes while the request is still
  * being written. It accepts heads of other versions of HTTP, statuses that do not
- * exist, and transfer codings that it does not decode.
+ * exist, and transfer codings that it does not decode; and it refuses sound answers that
+ * an interim one comes before.
  */
 import type * as net from "node:net";
 import type * as undici from "undici";
@@ -81,6 +82,14 @@
   return socket.errored !== null;
 }
 
+/** What becomes of bytes that begin with a head. */
+type HeadOutcome =
+  /** They reach the HTTP client. */
+  | { readonly kind: "passed"; readonly bytes: Buffer }
+  /** They wait for the end of the head. */
+  | { readonly kind: "held"; readonly bytes: Buffer }
+  | { readonly kind: "flawed"; readonly reason: string };
+
 /** A call of the HTTP client to the handler of a request. */
 interface InterceptedCall {
   /** Method of the request. */
@@ -104,10 +113,18 @@
     socket.read = (size) => {
       const chunk = read.call(socket, size);
       if (chunk === null || this.#unread === undefined) return chunk;
-      const reason = this.#readHeads(chunk);
-      if (reason === undefined) return chunk;
-      socket.destroy(new Error(reason));
-      return null;
+      const outcome = this.#readHeads(Buffer.concat([this.#unread, chunk]));
+      switch (outcome.kind) {
+        case "passed":
+          this.#unread = undefined;
+          return outcome.bytes;
+        case "held":
+          this.#unread = outcome.bytes;
+          return null;
+        case "flawed":
+          socket.destroy(new Error(outcome.reason));
+          return null;
+      }
     };
     socket.on("error", () => {
       this.#isCut = true;
@@ -185,23 +202,31 @@
     return this.#head.kind === "until_end" && this.#isCut;
   }
 
-  /** Reads the heads that a chunk completes; returns what is wrong with one. */
-  #readHeads(chunk: Buffer): string | undefined {
-    let rest = Buffer.concat([this.#unread ?? Buffer.alloc(0), chunk]);
-    while (this.#head.kind === "interim") {
-      const end = rest.indexOf(HEAD_END);
+  /**
+   * Reads the heads that are complete. Interim ones are left out, because the HTTP
+   * client takes a 100 that it has not asked for as an error (RFC 9110, 15.2).
+   */
+  #readHeads(unread: Buffer): HeadOutcome {
+    let bytes = unread;
+    for (;;) {
+      const end = bytes.indexOf(HEAD_END);
       if (end < 0) {
-        this.#unread = rest;
-        return rest.length > MAX_HEAD_BYTES
-          ? "The head of the answer is too long."
-          : undefined;
+        return bytes.length > MAX_HEAD_BYTES
+          ? { kind: "flawed", reason: "The head of the answer is too long." }
+          : { kind: "held", bytes };
+      }
+      this.#head = readHead(bytes.toString("latin1", 0, end), this.#method);
+      switch (this.#head.kind) {
+        case "interim":
+          bytes = bytes.subarray(end + HEAD_END.length);
+          break;
+        case "flawed":
+          return this.#head;
+        case "delimited":
+        case "until_end":
+          return { kind: "passed", bytes };
       }
-      const text = rest.toString("latin1", 0, end);
-      this.#head = readHead(text, this.#method);
-      rest = rest.subarray(end + HEAD_END.length);
     }
-    this.#unread = undefined;
-    return this.#head.kind === "flawed" ? this.#head.reason : undefined;
   }
 }
 
--- a/packages/utils/answers_testing.ts
+++ b/packages/utils/answers_testing.ts
@@ -15,6 +15,8 @@
 const HEAD_END = "\r\n\r\n";
 /** Stands in the marks of an answer for the identifier of the request. */
 export const ID_MARK = "{id}";
+/** Pause between the pieces of an answer, in ms. */
+const PIECE_PAUSE_MS = 1;
 /** Cases that run at a time. */
 const CONCURRENCY = 8;
 
@@ -39,6 +41,7 @@
   | "either";
 
 const FRAMINGS: readonly Framing[] = ["length", "chunked", "none", "none_1_0"];
+const PIECE_BYTES = [1, 7] as const;
 const ENDS: readonly End[] = [
   "stay",
   "close",
@@ -61,6 +64,8 @@
   readonly end: End;
   readonly verdict: Verdict;
   readonly status: number;
+  /** Bytes that the server writes at a time. @default all */
+  readonly pieceBytes?: number;
   /** Builds the bytes of the answer. */
   readonly build: (reader: AnswerReader) => string;
 }
@@ -91,6 +96,8 @@
 /** What a raw server writes, and how. */
 export interface PreparedAnswer {
   readonly bytes: string;
+  /** Bytes that are written at a time. @default all */
+  readonly pieceBytes?: number;
   readonly end: End;
   readonly upload: Upload;
 }
@@ -181,6 +188,88 @@
   ],
 };
 
+/** Heads with a length of their own that is none. */
+const FLAWED_LENGTHS: Readonly<Record<string, string>> = {
+  "a length with a sign": "+{length}",
+  "a negative length": "-{length}",
+  "a hexadecimal length": "0x{length}",
+  "a length with a fraction": "{length}.0",
+  "a length of two words": "{length} {length}",
+  "a length with more behind it": "{length};",
+  "an empty length": "",
+  "a length that is too large": "99999999999999999999999999",
+};
+
+/** Chunked bodies that are none; the first chunk holds the whole body. */
+const FLAWED_CHUNKS: Readonly<
+  Record<string, (size: string, body: string) => string>
+> = {
+  "a chunk without a size": (_size, body) => `\r\n${body}\r\n0\r\n\r\n`,
+  "a size that is no number": (_size, body) => `zz\r\n${body}\r\n0\r\n\r\n`,
+  "a size with a sign": (size, body) => `+${size}\r\n${body}\r\n0\r\n\r\n`,
+  "a size with a prefix": (size, body) => `0x${size}\r\n${body}\r\n0\r\n\r\n`,
+  "a size that is too large": (size, body) =>
+    `ffffffffffffffffff${size}\r\n${body}\r\n0\r\n\r\n`,
+  "a size that is too small": (_size, body) => `1\r\n${body}\r\n0\r\n\r\n`,
+  "a chunk without its end": (size, body) => `${size}\r\n${body}0\r\n\r\n`,
+  "chunks without the last one": (size, body) => `${size}\r\n${body}\r\n`,
+  "a last chunk without its end": (size, body) => `${size}\r\n${body}\r\n0\r\n`,
+  "a last chunk of half an end": (size, body) =>
+    `${size}\r\n${body}\r\n0\r\n\r`,
+  "a trailer with a blank in its name": (size, body) =>
+    `${size}\r\n${body}\r\n0\r\nx y: z\r\n\r\n`,
+  "a trailer without its end": (size, body) =>
+    `${size}\r\n${body}\r\n0\r\nx: y\r\n`,
+};
+
+/** Heads that are unusual and sound, without what frames the body. */
+const UNUSUAL_HEADS: Readonly<Record<string, readonly string[]>> = {
+  "no reason": ["HTTP/1.1 200 "],
+  "a reason of other bytes": ["HTTP/1.1 200 \u00fcber"],
+  "a value without a blank before it": ["HTTP/1.1 200 OK", "x:y"],
+  "a value between tabs": ["HTTP/1.1 200 OK", "x:\ty\t"],
+  "an empty value": ["HTTP/1.1 200 OK", "x:"],
+  "a value of other bytes": ["HTTP/1.1 200 OK", "x: \u00e9\u00ff"],
+  "a name of all allowed signs": ["HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~0aZ: y"],
+  "an interim answer that was not asked for": [
+    "HTTP/1.1 100 Continue",
+    "",
+    "HTTP/1.1 200 OK",
+  ],
+  "several interim answers": [
+    "HTTP/1.1 103 X",
+    "link: </a>",
+    "",
+    "HTTP/1.1 102 X",
+    "",
+    "HTTP/1.1 200 OK",
+  ],
+  "fields that look like framing": [
+    "HTTP/1.1 200 OK",
+    "x-content-length: 3",
+    "x: transfer-encoding: gzip",
+    "transfer-encodings: gzip",
+  ],
+};
+
+/** What frames the body of an unusual answer. */
+const UNUSUAL_FRAMINGS: Readonly<
+  Record<string, (size: string, body: string) => string>
+> = {
+  "a length": (_size, body) =>
+    `Content-Length:${body.length}${HEAD_END}${body}`,
+  "chunks in other letters": (size, body) =>
+    `Transfer-Encoding: CHUNKED ${HEAD_END}${size}\r\n${body}\r\n0${HEAD_END}`,
+  "chunks with extensions": (size, body) =>
+    `transfer-encoding: chunked${HEAD_END}${size};a=b\r\n${body}\r\n0;c${HEAD_END}`,
+  "chunks with a trailer": (size, body) =>
+    `transfer-encoding: chunked${HEAD_END}0${size}\r\n${body}\r\n0\r\nx: y${HEAD_END}`,
+  "many chunks": (_size, body) =>
+    `transfer-encoding: chunked${HEAD_END}${
+      [...body].map((letter) => `1\r\n${letter}\r\n`).join("")
+    }0${HEAD_END}`,
+};
+
 function buildHead(
   { marks }: AnswerReader,
   lines: readonly string[],
@@ -269,33 +358,92 @@
   );
 }
 
-function listFlawedCases(): AnswerCase[] {
+/** Returns an answer with each of the ways in which its connection may end soundly. */
+function listEnds(
+  { name, verdict, build }: Pick<AnswerCase, "name" | "verdict" | "build">,
+): AnswerCase[] {
   const uploads: readonly Upload[] = ["no_body", "read_before", "read_on"];
   const ends: readonly End[] = ["close", "half_close"];
-  const codings = new Set(Object.keys(FLAWED_CODINGS));
-  return Object.entries({ ...FLAWED_HEADS, ...FLAWED_CODINGS })
-    .flatMap(([name, lines]) =>
-      uploads.flatMap((upload) =>
-        ends.map((end) => ({
-          name: `${name} ${end} ${upload}`,
-          upload,
-          end,
-          verdict: "failed" as const,
-          status: 200,
-          build: (reader: AnswerReader) => {
-            const length = `content-length: ${reader.body.length}`;
-            const all = codings.has(name) ? lines : [...lines, length];
-            return buildHead(reader, all) + reader.body;
-          },
-        }))
-      )
-    );
+  return uploads.flatMap((upload) =>
+    ends.map((end) => ({
+      name: `${name} ${end} ${upload}`,
+      upload,
+      end,
+      verdict,
+      status: 200,
+      build,
+    }))
+  );
+}
+
+function listFlawedCases(): AnswerCase[] {
+  const heads = Object.entries(FLAWED_HEADS).map(([name, lines]) => ({
+    name,
+    build: (reader: AnswerReader) =>
+      buildHead(reader, [...lines, `content-length: ${reader.body.length}`]) +
+      reader.body,
+  }));
+  const codings = Object.entries(FLAWED_CODINGS).map(([name, lines]) => ({
+    name,
+    build: (reader: AnswerReader) => buildHead(reader, lines) + reader.body,
+  }));
+  const lengths = Object.entries(FLAWED_LENGTHS).map(([name, value]) => ({
+    name,
+    build: (reader: AnswerReader) => {
+      const length = value.replaceAll("{length}", `${reader.body.length}`);
+      return buildHead(reader, [
+        "HTTP/1.1 200 OK",
+        `content-length: ${length}`,
+      ]) + reader.body;
+    },
+  }));
+  const chunks = Object.entries(FLAWED_CHUNKS).map(([name, buildBody]) => ({
+    name,
+    build: (reader: AnswerReader) =>
+      buildHead(reader, ["HTTP/1.1 200 OK", "transfer-encoding: chunked"]) +
+      buildBody(reader.body.length.toString(16), reader.body),
+  }));
+  return [...heads, ...codings, ...lengths, ...chunks].flatMap((flawed) =>
+    listEnds({ ...flawed, verdict: "failed" })
+  );
+}
+
+function listUnusualCases(): AnswerCase[] {
+  return Object.entries(UNUSUAL_HEADS).flatMap(([head, lines]) =>
+    Object.entries(UNUSUAL_FRAMINGS).flatMap(([framing, frame]) =>
+      listEnds({
+        name: `${head}, ${framing}`,
+        verdict: "whole",
+        build: ({ marks, body }) =>
+          [...lines, ...marks, frame(body.length.toString(16), body)]
+            .join("\r\n"),
+      })
+    )
+  );
+}
+
+/** Answers whose heads come in pieces; one of each head. */
+function listSlowCases(): AnswerCase[] {
+  const isOneOfHead = ({ name }: AnswerCase) =>
+    name.endsWith(" close no_body") || name.endsWith(" close read_before");
+  const unusual = listUnusualCases().filter(({ name }) =>
+    name.includes(", a length ")
+  );
+  return [...unusual, ...listFlawedCases()].filter(isOneOfHead).flatMap((one) =>
+    PIECE_BYTES.map((pieceBytes) => ({
+      ...one,
+      name: `${one.name}, ${pieceBytes} bytes at a time`,
+      pieceBytes,
+    }))
+  );
 }
 
 /** All ways in which a server answers. */
 export const ANSWER_CASES: readonly AnswerCase[] = [
   ...listFramedCases(),
   ...listFlawedCases(),
+  ...listUnusualCases(),
+  ...listSlowCases(),
 ];
 
 /**
@@ -323,8 +471,10 @@
       answered += 1;
       if (answer.upload === "unread") socket.pause();
       const id = /case-\d+-\d*/.exec(received.toString("latin1"))?.[0] ?? "";
-      socket.write(answer.bytes.replaceAll(ID_MARK, id), "latin1");
-      endConnection(socket, answer.end);
+      const bytes = answer.bytes.replaceAll(ID_MARK, id);
+      void writePieces(socket, { ...answer, bytes }).then(() =>
+        endConnection(socket, answer.end)
+      );
     });
   });
   await new Promise<void>((resolve) =>
@@ -364,6 +514,17 @@
   return received.length >= headEnd + 4 + length;
 }
 
+async function writePieces(
+  socket: net.Socket,
+  { bytes, pieceBytes = bytes.length }: PreparedAnswer,
+): Promise<void> {
+  socket.setNoDelay(true);
+  for (let start = 0; start < bytes.length; start += pieceBytes) {
+    if (start > 0) await timers.setTimeout(PIECE_PAUSE_MS);
+    socket.write(bytes.slice(start, start + pieceBytes), "latin1");
+  }
+}
+
 function endConnection(socket: net.Socket, end: End): void {
   switch (end) {
     case "stay":
@@ -406,9 +567,7 @@
   const server = reader.server ?? await startRawServer();
   ran += 1;
   const id = `case-${ran}-`;
-  const { end, upload } = one;
-  const bytes = one.build(reader);
-  server.answers.set(id, { bytes, end, upload });
+  server.answers.set(id, { ...one, bytes: one.build(reader) });
   const read = await Promise.race([
     reader.read({ port: server.port, upload: buildUpload(one, reader), id }),
     timers.setTimeout(CASE_MS, "late" as const, { ref: false }),
