Confirm the configuration while the operators' prefix is read in pages

What callers saw: after another writer had put 256 MiB under op/ at once, all hosts refused all requests with a key (503, store_unavailable) for 2 to 5 s, in 11 of the first 71 combinations of the long grid of platform/crowds/entries_test.ts, beside a load of 10 on 8 cores.

Cause: a watch that brings more than is taken at once is replaced by a full read. It takes one page after another, no poll confirms the prefix meanwhile, and keys are valid for 0.9 of the withdrawal time after the last confirmation.

Evidence: the refusals begin 4.5 s after the entries were written and end with the read; with pages that take 0.2 s each, 51 requests in a row got 503.

Change: a host that has its state reads the configuration alone between two pages, once no confirmation is newer than the interval of the polls. A newer one is applied, so that keys are also withdrawn in time. A host that starts still waits for the whole prefix, since it has to know the evacuations.

Measured: platform/slow_reads_test.ts fails before and passes with the change; a key was withdrawn 0.4 s after its removal while the read went on.

--- a/packages/banyangrade/gateway/cluster_state_task.ts
+++ b/packages/banyangrade/gateway/cluster_state_task.ts
@@ -107,6 +107,7 @@
           getMaxValueBytes: (key) => this.#isConfig(key) ? MAX_CONFIG_BYTES : 0,
           isUsable: (entry) => this.#isOperatorEntry(entry),
         },
+        onPage: () => this.#confirmConfig(),
         waitMs: CONFIG_POLL_WAIT_MS,
         getBatchDelayMs: () => BATCH_DELAY_MS,
         onEvent: (event) => this.#handleConfigEvent(event),
@@ -226,6 +227,23 @@
     return key === this.#options.platform.configurationKey;
   }
 
+  /**
+   * Reads the configuration alone while the operators' prefix is read in pages, and no
+   * poll confirms it. Another writer may put more there than is read within the time
+   * for which keys are valid, and all keys would be refused meanwhile. A host that
+   * starts waits for the whole prefix: it has to know the evacuations.
+   */
+  async #confirmConfig(): Promise<void> {
+    const isDue = this.#computeProofAge() >= CONFIG_POLL_WAIT_MS;
+    if (!this.#hadState || !isDue) return;
+    const { platform, clock } = this.#options;
+    const sentAt = clock.now();
+    const read = await platform.store.get(platform.configurationKey);
+    if (read.err || read.val === undefined) return;
+    this.#applyConfig(read.val);
+    this.#recordProof(sentAt);
+  }
+
   /** Whether an entry of the operators is kept: the configuration, or an evacuation. */
   #isOperatorEntry(entry: store.StoreEntry): boolean {
     if (!this.#isConfig(entry.key)) {
--- a/packages/store/prefix_watch.ts
+++ b/packages/store/prefix_watch.ts
@@ -61,10 +61,12 @@
 export interface ReadOptions {
   /** Takes in the entries. @default all of them are returned */
   readonly take?: entryIntake.TakeEntry;
+  /** Called after each page of a read that takes several, before the next one. @default ignored */
+  readonly onPage?: () => Promise<void>;
 }
 
 /** Options of a poll for changes. */
-export interface PollOptions extends ReadOptions {
+export interface PollOptions extends Pick<ReadOptions, "take"> {
   /** Revision after which changes are asked for. */
   readonly after: number;
   /** Longest wait for a change, in ms. */
@@ -89,7 +91,7 @@
   | { readonly kind: "failed"; readonly error: utils.StepError };
 
 /** Options of {@link watchPrefix}. */
-export interface WatchPrefixOptions {
+export interface WatchPrefixOptions extends Pick<ReadOptions, "onPage"> {
   readonly feed: FeedClient;
   readonly clock: utils.Clock;
   readonly random: utils.Random;
@@ -136,7 +138,8 @@
   async function readAll(): Promise<utils.StepError | undefined> {
     const sentAt = clock.now();
     const next = new entryIntake.EntryIntake(options.bounds);
-    const read = await feed.readAll(prefix, { take: next.take });
+    const { onPage } = options;
+    const read = await feed.readAll(prefix, { take: next.take, onPage });
     if (read.err) return read.val;
     intake = next;
     const { entries, revision, ageMs = 0 } = read.val;
