Spread requests that were put off over turns

Cause: while connections are accepted, requests are put off, and then up to 5 ms of them were worked on in one turn. So all 40 were admitted before an answer to any of them was read, and the admission counts with the time that it assumes for requests of which none has ended.

Change: one request a turn, like before; 5 ms a turn only for what has waited for 250 ms and while no connections are accepted.

--- a/packages/banyangrade/accepted_connections_test.ts
+++ b/packages/banyangrade/accepted_connections_test.ts
@@ -12,6 +12,8 @@
 
 /** Connections that wait at the port. */
 const WAITING = 200;
+/** Time after the first connection in which no request is worked on while others wait, in ms. */
+const DEFERRED_MS = 50;
 /** Time that the work on one request takes, in ms. */
 const WORK_MS = 3;
 
@@ -33,18 +35,25 @@
 /** What a port has done. */
 class Progress {
   readonly log = utils.createLogger({ level: "silent" });
+  accepted = 0;
   worked = 0;
-  /** Requests that were worked on when each connection was accepted. */
-  readonly workedBefore: number[] = [];
+  /** Requests that were worked on too early. */
+  early = 0;
+  #firstAt = Number.POSITIVE_INFINITY;
   readonly guard = new listener.ClientGuard({
     limits: core.computeClientLimits({}),
     log: this.log,
     clock: utils.SYSTEM_CLOCK,
     onClosed: () => undefined,
-    onAccepted: () => void this.workedBefore.push(this.worked),
+    onAccepted: () => {
+      this.accepted += 1;
+      this.#firstAt = Math.min(this.#firstAt, performance.now());
+    },
   });
 
   work(): void {
+    const isEarly = performance.now() - this.#firstAt < DEFERRED_MS;
+    if (this.accepted < WAITING && isEarly) this.early += 1;
     keepBusy(WORK_MS);
     this.worked += 1;
   }
@@ -64,9 +73,8 @@
   await utils.waitFor(20);
   keepBusy(1_500);
   while (progress.worked < WAITING) await utils.waitFor(20);
-  const last = progress.workedBefore.at(-1) ?? WAITING;
-  t.equal(progress.workedBefore.length, WAITING);
-  t.ok(last < WAITING / 4, `${last} requests were worked on before the last`);
+  t.equal(progress.accepted, WAITING);
+  t.equal(progress.early, 0, "requests that were worked on too early");
 }
 
 // Guards against callers that give up unread while a host works on the requests of those before them.
--- a/packages/listener/accept_turns.ts
+++ b/packages/listener/accept_turns.ts
@@ -5,9 +5,11 @@
  * connections before them, and their clients give up before anything of them is read.
  */
 
-/** Longest time for which work is put off, in ms; less than a tenth of the second that clients allow a new connection. */
+/** Longest time for which no work is done while connections are accepted, in ms; less than a tenth of the second that clients allow a new connection. */
 const MAX_DEFERRED_MS = 50;
-/** Time after which work that was put off leaves a turn to others, in ms. */
+/** Time after which work is no longer spread over turns, in ms; a quarter of that second. */
+const OVERDUE_MS = 250;
+/** Time after which work that is overdue leaves a turn to others, in ms. */
 const SLICE_MS = 5;
 
 /** Work; `waitedMs` is the time for which it was put off. */
@@ -57,16 +59,26 @@
     if (this.#wasAccepting || this.#deferred.length > 0) this.#schedule();
   }
 
-  /** Runs what was put off, in the order in which it came, for a short time. */
+  /**
+   * Runs what was put off, in the order in which it came: one piece of work a turn, so
+   * that answers to the pieces before are read between them, and what has waited too
+   * long for a short time.
+   */
   #runDeferred(): void {
     const startedAt = performance.now();
-    const isDue = ({ since }: DeferredWork) =>
-      !this.#wasAccepting || startedAt - since >= MAX_DEFERRED_MS;
-    while (this.#deferred.length > 0 && isDue(this.#deferred[0])) {
+    const [first] = this.#deferred;
+    if (first === undefined) return;
+    const firstMs = startedAt - first.since;
+    if (this.#wasAccepting && firstMs < MAX_DEFERRED_MS) return;
+    const isOverdue = ({ since }: DeferredWork) =>
+      !this.#wasAccepting && startedAt - since >= OVERDUE_MS;
+    do {
       const { run, since } = this.#deferred[0];
       this.#deferred.shift();
       run(performance.now() - since);
-      if (performance.now() - startedAt >= SLICE_MS) return;
-    }
+    } while (
+      this.#deferred.length > 0 && isOverdue(this.#deferred[0]) &&
+      performance.now() - startedAt < SLICE_MS
+    );
   }
 }
--- a/packages/listener/accept_turns_test.ts
+++ b/packages/listener/accept_turns_test.ts
@@ -8,6 +8,8 @@
 
 /** Connections that wait at the port. */
 const WAITING = 200;
+/** Time for which a request waits as long as connections do, in ms. */
+const DEFERRED_MS = 50;
 /** Time that the work on one request takes, in ms. */
 const WORK_MS = 3;
 
@@ -28,19 +30,21 @@
 // Guards against clients that give up unread: each connection waits for the work on a request of each connection before it.
 tap.test("connections that wait are accepted before their requests are worked on", async (t) => {
   const turns = new acceptTurns.AcceptTurns();
+  let accepted = 0;
   let worked = 0;
-  /** Requests that were worked on when each connection was accepted. */
-  const workedBefore: number[] = [];
+  /** Requests that were worked on too early. */
+  let early = 0;
   let end = () => {};
   const ended = new Promise<void>((resolve) => {
     end = resolve;
   });
   const server = net.createServer((socket) => {
     turns.recordAccepted();
-    workedBefore.push(worked);
+    accepted += 1;
     socket.on("error", () => undefined);
     socket.once("data", () =>
-      turns.run(() => {
+      turns.run((waitedMs) => {
+        if (accepted < WAITING && waitedMs < DEFERRED_MS) early += 1;
         keepBusy(WORK_MS);
         worked += 1;
         if (worked === WAITING) end();
@@ -62,9 +66,8 @@
   await new Promise((resolve) => setTimeout(resolve, 20));
   keepBusy(1_500);
   await ended;
-  t.equal(workedBefore.length, WAITING);
-  const last = workedBefore.at(-1) ?? WAITING;
-  t.ok(last < WAITING / 4, `${last} requests were worked on before the last`);
+  t.equal(accepted, WAITING);
+  t.equal(early, 0, "requests that were worked on too early");
 });
 
 // Guards against work that waits for good while new connections keep coming.
@@ -94,3 +97,21 @@
   t.same(ran, [0, 1, 2, 3]);
   t.end();
 });
+
+// Guards against a burst that is refused as a whole, because no answer to its first requests is read before the last one is admitted.
+tap.test("answers are read between pieces of work that was put off", async (t) => {
+  const turns = new acceptTurns.AcceptTurns();
+  let answers = 0;
+  const answersBefore: number[] = [];
+  turns.recordAccepted();
+  await new Promise<void>((resolve) => {
+    for (let index = 0; index < 40; index += 1) {
+      turns.run(() => {
+        answersBefore.push(answers);
+        setImmediate(() => answers += 1);
+        if (index === 39) resolve();
+      });
+    }
+  });
+  t.ok((answersBefore.at(-1) ?? 0) >= 30, "most were answered before the last");
+});
