--- a/packages/banyangrade/host_status_test.ts
+++ b/packages/banyangrade/host_status_test.ts
@@ -1,7 +1,7 @@
 /** Applying the summary of the other hosts while the store does not answer. */
 import * as tapModule from "tap";
 import * as core from "@banyangrade/core";
-import type * as store from "@banyangrade/store";
+import * as store from "@banyangrade/store";
 import * as utils from "@banyangrade/utils";
 import * as hostStatusTask from "./gateway/host_status_task.ts";
 
@@ -76,7 +76,8 @@
   }));
   const published: string[] = [];
   const client = {
-    list: () => Promise.resolve(utils.Ok(entries)),
+    list: (_prefix: string, options?: store.ListOptions) =>
+      Promise.resolve(utils.Ok(store.takeAll(entries, options))),
     grantLease: () => Promise.resolve(utils.Ok("lease")),
     swap: ({ value }: store.Swap) => {
       published.push(value ?? "");
