Bound the interim answers that are left out

What callers saw: a server that sends interim answers without end kept its connection for 10 s and sent 500 MB; the host took nothing of it in.

Cause: the HTTP client bounds the heads that it sees, and sees interim ones no more.

Change: the heads of an answer, interim ones included, have 64 KiB together.

A mutation that takes the count away is among those of scripts/mutations.ts.

--- a/packages/utils/answer_check.ts
+++ b/packages/utils/answer_check.ts
@@ -10,7 +10,7 @@
 import type * as net from "node:net";
 import type * as undici from "undici";
 
-/** Longest head that is read, in bytes; several times what the HTTP client accepts. */
+/** Longest head that is read with the interim ones before it, in bytes; several times what the HTTP client accepts. */
 const MAX_HEAD_BYTES = 64 * 1024;
 const HEAD_END = "\r\n\r\n";
 /** Statuses are 100 to 599 (RFC 9110, 15), the major version is 1 (RFC 9112, 2.3). */
@@ -102,6 +102,8 @@
 export class AnswerCheck {
   /** Bytes of a head that is not complete; undefined while none is expected. */
   #unread: Buffer | undefined;
+  /** Bytes of the interim answers that were left out. */
+  #interimBytes = 0;
   #head: AnswerHead = { kind: "delimited" };
   #method = "GET";
   #isCut = false;
@@ -186,6 +188,7 @@
     this.#method = method;
     this.#head = { kind: "interim" };
     this.#unread = Buffer.alloc(0);
+    this.#interimBytes = 0;
   }
 
   /** Guards against a head that the HTTP client takes for complete and this check does not. */
@@ -210,14 +213,18 @@
     let bytes = unread;
     for (;;) {
       const end = bytes.indexOf(HEAD_END);
-      if (end < 0) {
-        return bytes.length > MAX_HEAD_BYTES
-          ? { kind: "flawed", reason: "The head of the answer is too long." }
-          : { kind: "held", bytes };
+      const headBytes = end < 0 ? bytes.length : end;
+      if (this.#interimBytes + headBytes > MAX_HEAD_BYTES) {
+        return {
+          kind: "flawed",
+          reason: "The head of the answer is too long.",
+        };
       }
+      if (end < 0) return { kind: "held", bytes };
       this.#head = readHead(bytes.toString("latin1", 0, end), this.#method);
       switch (this.#head.kind) {
         case "interim":
+          this.#interimBytes += end + HEAD_END.length;
           bytes = bytes.subarray(end + HEAD_END.length);
           break;
         case "flawed":
--- a/scripts/mutations.ts
+++ b/scripts/mutations.ts
@@ -1575,4 +1575,11 @@
     replace: "startedAt >= since",
     test: "packages/listener/accept_turns_test.ts",
   },
+  {
+    name: "answers: any number of interim ones is read",
+    file: "packages/utils/answer_check.ts",
+    find: "          this.#interimBytes += end + HEAD_END.length;",
+    replace: "",
+    test: "packages/service/endless_response_test.ts",
+  },
 ];
